--- /dev/null
+++ b/packages/command/ctl/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The operators' command line.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/command/load/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Load and experiment tool.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/command/replay/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Replay of recorded traces.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/config/document/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Team and platform documents in YAML with located errors.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/config/settings/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Process settings from YAML, environment and flags.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/core/claiming/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Claimed and issued idempotency keys.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/core/configuring/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Configuration versions: monotonic apply, spread and the start-up rule.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/core/membership/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Probing, suspicion and gossip of bounded soft state.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/core/ownership/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Session lease, group ownership and deputy promises.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/core/permitting/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Byte permits for links between regions: ledger and holder.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/core/quarantine/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Suspects and convictions for requests that crash backend servers.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/core/retrying/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Retry budget and backoff.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/core/shifting/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Sliding-window cap and ramp for traffic shifted into a target group.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/core/steering/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Look-up answers, target region order and the client-block table.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/core/types/src/disposable_store_test.ts
@@ -0,0 +1,17 @@
+import test from "ava";
+import { DisposableStore } from "./disposable_store.ts";
+
+test("guards against resources left open when one disposer fails", async (t) => {
+  const released: string[] = [];
+  const store = new DisposableStore();
+  store.add(() => {
+    released.push("first");
+  });
+  store.add(() => Promise.reject(new Error("Cannot close")));
+  store.add(() => {
+    released.push("last");
+  });
+
+  await t.throwsAsync(() => store.dispose(), { instanceOf: AggregateError });
+  t.deepEqual(released, ["last", "first"]);
+});
--- /dev/null
+++ b/packages/daemon/entry/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The entry daemon.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/network/backend/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Client of the backend servers and classification of outcomes.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/network/peering/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Peer connections: length-bounded frames, hello and calls with ids.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/network/platform/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Client of the platform's table, object store and instance list.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/testing/bench/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Benchmarks and baselines over the decision library.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/testing/platform/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Stand-in for the platform's table service, object store and instance list.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/testing/server/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Stand-in backend server.
+ *
+ * @module
+ */
+
+export {};
