--- /dev/null
+++ b/packages/testing/system/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Tests of whole systems of separate processes under failure.
+ *
+ * @module
+ */
+
+export {};
