--- a/packages/core/dispatching/src/mod.ts
+++ b/packages/core/dispatching/src/mod.ts
@@ -4,4 +4,16 @@
  * @module
  */
 
-export {};
+export { createDispatcher } from "./dispatcher.ts";
+export type {
+  DispatchAction,
+  Dispatcher,
+  DispatcherOptions,
+  DispatchEvent,
+  DispatchRequest,
+  FinishResult,
+  KnownServer,
+  ServerSource,
+  ServerState,
+  ServerView,
+} from "./types.ts";
--- a/packages/core/quarantine/src/mod.ts
+++ b/packages/core/quarantine/src/mod.ts
@@ -4,4 +4,15 @@
  * @module
  */
 
-export {};
+export { computeFingerprint } from "./fingerprint.ts";
+export type { FingerprintOptions } from "./fingerprint.ts";
+export { createQuarantine } from "./quarantine.ts";
+export type {
+  Quarantine,
+  QuarantineAction,
+  QuarantineEntry,
+  QuarantineEvent,
+  QuarantineOptions,
+  RunResult,
+  Standing,
+} from "./types.ts";
--- a/packages/core/shifting/src/mod.ts
+++ b/packages/core/shifting/src/mod.ts
@@ -4,4 +4,11 @@
  * @module
  */
 
-export {};
+export { createShiftGate } from "./shift_gate.ts";
+export type {
+  ShiftAction,
+  ShiftEvent,
+  ShiftGate,
+  ShiftGateOptions,
+  TargetCondition,
+} from "./types.ts";
