--- a/packages/core/ownership/src/mod.ts
+++ b/packages/core/ownership/src/mod.ts
@@ -4,4 +4,17 @@
  * @module
  */
 
-export {};
+export { createOwnership } from "./ownership.ts";
+export type {
+  CloseReason,
+  Ownership,
+  OwnershipAction,
+  OwnershipEvent,
+  OwnershipIdentity,
+  OwnershipMember,
+  OwnershipOptions,
+  OwnershipStatus,
+  OwnershipTimings,
+  ResourceOwner,
+  SessionPhase,
+} from "./types.ts";
--- /dev/null
+++ b/packages/core/ownership/src/types.ts
@@ -0,0 +1,182 @@
+/**
+ * Events, actions and options of the ownership state machine.
+ *
+ * @module
+ */
+
+import type {
+  Random,
+  ReadResult,
+  StateMachine,
+  TableTransaction,
+  TransactResult,
+} from "@dotterelmoor/core.types";
+
+/** Who this process is. */
+export interface OwnershipIdentity {
+  /** Instance id as the platform lists it. */
+  readonly instance: string;
+  readonly region: string;
+  readonly zone: string;
+  /** `host:port` where peers reach this process. */
+  readonly address: string;
+  /** Unique for each run of the process. */
+  readonly processId: string;
+}
+
+/** Durations in milliseconds. */
+export interface OwnershipTimings {
+  /** Interval between renewals of the session row. */
+  readonly renewMs: number;
+  /** Validity of a renewal or a promise at its holder. */
+  readonly leaseMs: number;
+  /** Wait of everyone else; longer than the lease by the clock rate error. */
+  readonly takeoverMs: number;
+  /** Interval between reads of a row that may need a takeover. */
+  readonly observeMs: number;
+}
+
+/** Options of {@linkcode createOwnership}. */
+export interface OwnershipOptions {
+  readonly identity: OwnershipIdentity;
+  readonly timings?: Partial<OwnershipTimings>;
+  readonly random: Random;
+}
+
+/** A live entry of the own region. */
+export interface OwnershipMember {
+  readonly incarnation: number;
+  readonly instance: string;
+  readonly zone: string;
+  readonly address: string;
+}
+
+/** What happened. */
+export type OwnershipEvent =
+  | { readonly type: "start" }
+  | {
+    /** Table keys such as `groups/<service>/<region>` or `links/<from>/<to>`. */
+    readonly type: "resources";
+    readonly resources: readonly string[];
+  }
+  | { readonly type: "members"; readonly members: readonly OwnershipMember[] }
+  | { readonly type: "instances"; readonly ids: readonly string[] }
+  | {
+    readonly type: "transacted";
+    readonly operationId: number;
+    readonly result: TransactResult;
+  }
+  | {
+    readonly type: "rows_read";
+    readonly operationId: number;
+    readonly result: ReadResult;
+  }
+  | {
+    readonly type: "promise_requested";
+    /** Incarnation of the owner that asks. */
+    readonly from: number;
+    /** Incarnation that the owner asks; another one refuses. */
+    readonly to: number;
+    readonly resource: string;
+    readonly fence: number;
+    readonly requestId: number;
+  }
+  | {
+    readonly type: "promise_answered";
+    readonly resource: string;
+    readonly fence: number;
+    readonly granted: boolean;
+    readonly requestId: number;
+  }
+  | { readonly type: "drained"; readonly resource: string }
+  | { readonly type: "leave" }
+  | { readonly type: "tick" };
+
+/** Why a resource was closed. */
+export type CloseReason =
+  | "authority-lapsed"
+  | "handed-over"
+  | "not-configured"
+  | "owner-changed"
+  | "session-revoked";
+
+/** What the daemon shall do. */
+export type OwnershipAction =
+  | {
+    readonly type: "transact";
+    readonly operationId: number;
+    readonly transaction: TableTransaction;
+  }
+  | {
+    readonly type: "read";
+    readonly operationId: number;
+    readonly key: string;
+  }
+  | {
+    readonly type: "request_promise";
+    readonly to: number;
+    readonly from: number;
+    readonly resource: string;
+    readonly fence: number;
+    readonly requestId: number;
+  }
+  | {
+    readonly type: "answer_promise";
+    /** Incarnation of the owner that asked. */
+    readonly to: number;
+    readonly resource: string;
+    readonly fence: number;
+    readonly requestId: number;
+    readonly granted: boolean;
+  }
+  | {
+    readonly type: "opened";
+    readonly resource: string;
+    readonly fence: number;
+  }
+  | {
+    readonly type: "closed";
+    readonly resource: string;
+    readonly reason: CloseReason;
+  }
+  | { readonly type: "handing_over"; readonly resource: string }
+  | { readonly type: "session_started"; readonly incarnation: number }
+  | { readonly type: "rejoined"; readonly incarnation: number }
+  | { readonly type: "left" };
+
+/** State of the session. */
+export type SessionPhase = "idle" | "joining" | "live" | "leaving" | "left";
+
+/** Owner of a resource as last read. */
+export interface ResourceOwner {
+  readonly owner: number;
+  readonly deputy: number;
+  readonly fence: number;
+  /** Address of the owner, if its session row has been read. */
+  readonly address?: string;
+}
+
+/** Summary for operators. */
+export interface OwnershipStatus {
+  readonly phase: SessionPhase;
+  readonly incarnation: number;
+  /** End of the session lease on the own clock, 0 if there is none. */
+  readonly leaseUntilMs: number;
+  readonly resources: readonly (ResourceOwner & {
+    readonly resource: string;
+    readonly held: boolean;
+  })[];
+}
+
+/** Session lease and ownership of resources. */
+export interface Ownership
+  extends StateMachine<OwnershipEvent, OwnershipAction> {
+  /** End of the own authority over a resource, 0 if there is none. */
+  authorityUntilMs(resource: string, nowMs: number): number;
+  /** Incarnation of the session, 0 if there is none. */
+  incarnation(): number;
+  /** Resources that this process holds. */
+  owned(): string[];
+  ownerOf(resource: string): ResourceOwner | undefined;
+  status(): OwnershipStatus;
+}
--- /dev/null
+++ b/packages/core/permitting/src/types.ts
@@ -0,0 +1,74 @@
+/**
+ * Events, actions and options of byte permits.
+ *
+ * @module
+ */
+
+import type { StateMachine } from "@dotterelmoor/core.types";
+
+/** Options of {@linkcode createPermitLedger}. */
+export interface PermitLedgerOptions {
+  /** Bytes that the link carries in any window of one lifetime. */
+  readonly budgetBytesPerSecond: number;
+}
+
+/** What the ledger is told. */
+export type PermitLedgerEvent =
+  | { readonly type: "open" }
+  | { readonly type: "close" }
+  | {
+    readonly type: "request";
+    /** Holder process, unique for each run of a process. */
+    readonly holder: string;
+    readonly requestId: number;
+    /** Bytes per second that the holder could send. */
+    readonly demand: number;
+  }
+  | { readonly type: "tick" };
+
+/** What the daemon sends back to the holder. */
+export interface PermitGrant {
+  readonly type: "grant";
+  readonly holder: string;
+  readonly requestId: number;
+  /** Bytes per second; 0 while the ledger waits or is closed. */
+  readonly rate: number;
+}
+
+/** Grants rates on one link so that their sum stays within the budget. */
+export interface PermitLedger
+  extends StateMachine<PermitLedgerEvent, PermitGrant> {
+  /** Sum of the rates of outstanding permits in bytes per second. */
+  outstanding(nowMs: number): number;
+}
+
+/** Options of {@linkcode createPermitHolder}. */
+export interface PermitHolderOptions {
+  /** Bytes per second of the whole link, an upper bound of the demand. */
+  readonly budgetBytesPerSecond: number;
+}
+
+/** What the holder is told. */
+export type PermitHolderEvent =
+  | {
+    readonly type: "granted";
+    readonly requestId: number;
+    readonly rate: number;
+  }
+  | { readonly type: "tick" };
+
+/** Request of the holder to the ledger. */
+export interface PermitRequest {
+  readonly type: "request";
+  readonly requestId: number;
+  readonly demand: number;
+}
+
+/** Holds the permits of one process on one link. */
+export interface PermitHolder
+  extends StateMachine<PermitHolderEvent, PermitRequest> {
+  /** Takes bytes to send now; false if they must wait. */
+  take(bytes: number, nowMs: number): boolean;
+  /** Time until `take` may succeed, Infinity without a valid permit. */
+  waitMs(bytes: number, nowMs: number): number;
+}
