Declare membership, configuring and steering interfaces

Other packages build against these types, so they land before the code. Implementations throw; request kind search is complete.

--- a/packages/core/configuring/src/mod.ts
+++ b/packages/core/configuring/src/mod.ts
@@ -4,4 +4,12 @@
  * @module
  */
 
-export {};
+export { createConfigurationKeeper } from "./keeper.ts";
+export type {
+  ConfigurationAction,
+  ConfigurationEvent,
+  ConfigurationKeeper,
+  ConfigurationKeeperOptions,
+  ConfigurationStatus,
+  SnapshotSource,
+} from "./options.ts";
--- a/packages/core/membership/src/mod.ts
+++ b/packages/core/membership/src/mod.ts
@@ -4,4 +4,30 @@
  * @module
  */
 
-export {};
+export { createMembership } from "./membership.ts";
+export type {
+  AckMessage,
+  GossipMessage,
+  MemberRecord,
+  MembershipMessage,
+  MemberState,
+  MemberUpdate,
+  MessageBase,
+  ProbeMessage,
+  ProbeRequestMessage,
+  RegionSummary,
+  RegionUpdate,
+  StateScope,
+  StateUpdate,
+  StateVersion,
+  SummaryMessage,
+  Update,
+} from "./messages.ts";
+export type {
+  Membership,
+  MembershipAction,
+  MembershipEvent,
+  MembershipOptions,
+  MembershipTimings,
+  StateView,
+} from "./options.ts";
--- a/packages/core/steering/src/mod.ts
+++ b/packages/core/steering/src/mod.ts
@@ -4,4 +4,23 @@
  * @module
  */
 
-export {};
+export { createClientBlockTable } from "./client_blocks.ts";
+export type { ClientBlockTable } from "./client_blocks.ts";
+export { buildGroupKey } from "./inputs.ts";
+export type {
+  GroupState,
+  GroupView,
+  GroupViews,
+  SteeringMember,
+} from "./inputs.ts";
+export { buildLookupAnswer, resolveHomeRegion } from "./lookup.ts";
+export type {
+  BuildLookupAnswerOptions,
+  LookupAnswer,
+  LookupEntry,
+  LookupReason,
+  ResolveHomeRegionOptions,
+} from "./lookup.ts";
+export { findRequestKind } from "./request_kinds.ts";
+export { chooseTargets } from "./targets.ts";
+export type { ChooseTargetsOptions, Target, TargetReason } from "./targets.ts";
--- /dev/null
+++ b/packages/core/steering/src/request_kinds.ts
@@ -0,0 +1,34 @@
+/**
+ * Request kinds of a service.
+ *
+ * @module
+ */
+
+import type { RequestKind, ServiceDocument } from "@dotterelmoor/core.types";
+
+/** Finds the kind that covers a request; the longest path prefix wins. */
+export function findRequestKind(
+  service: ServiceDocument,
+  method: string,
+  path: string,
+): RequestKind | undefined {
+  let found: RequestKind | undefined;
+  for (const kind of service.kinds) {
+    if (!kind.methods.includes(method) || !hasPrefix(path, kind.pathPrefix)) {
+      continue;
+    }
+    if (!found || kind.pathPrefix.length > found.pathPrefix.length) {
+      found = kind;
+    }
+  }
+  return found;
+}
+
+/** A prefix ends at a path segment, so `/hold` does not cover `/holders`. */
+function hasPrefix(path: string, prefix: string): boolean {
+  const end = path.indexOf("?");
+  const bare = end < 0 ? path : path.slice(0, end);
+  if (!bare.startsWith(prefix)) return false;
+  return prefix.endsWith("/") || bare.length === prefix.length ||
+    bare[prefix.length] === "/";
+}
