Declare the public interfaces of the configuration packages

Other parts build against documents, settings, changes and the operators' interface before these exist.

--- a/packages/config/changing/src/mod.ts
+++ b/packages/config/changing/src/mod.ts
@@ -4,4 +4,58 @@
  * @module
  */
 
-export {};
+export {
+  buildDrain,
+  buildLeaseRelease,
+  buildQuarantineLift,
+  buildSubmission,
+  buildUndrain,
+} from "./building.ts";
+export type {
+  BuildRefusal,
+  BuiltChange,
+  DrainOptions,
+  LeaseReleaseOptions,
+  QuarantineLiftOptions,
+  SubmissionOptions,
+} from "./building.ts";
+export { describeDifferences } from "./differences.ts";
+export { resolveSubmission } from "./resolving.ts";
+export type {
+  ChangeAlreadyApplied,
+  ChangeCommitted,
+  ChangeConflict,
+  ChangeMustRetry,
+  ChangeResolution,
+  ChangeUnknown,
+} from "./resolving.ts";
+export {
+  CURRENT_KEY,
+  getRowValue,
+  getSequence,
+  makeAuditKey,
+  makeAuditPrefix,
+  makeChangeKey,
+  makeDocumentKey,
+  makeDrainKey,
+  makeGroupKey,
+  makeQuarantineKey,
+  PLATFORM_TEAM,
+} from "./rows.ts";
+export type {
+  AuditRowValue,
+  ChangeError,
+  ChangeKind,
+  ChangeOrigin,
+  ChangeRows,
+  ChangeRowValue,
+  ConfigurationRows,
+  DocumentRowValue,
+  DrainRowValue,
+} from "./rows.ts";
+export {
+  buildSnapshot,
+  loadConfigurationRows,
+  loadSnapshot,
+} from "./snapshots.ts";
+export type { TableReader } from "./snapshots.ts";
--- a/packages/daemon/operating/src/mod.ts
+++ b/packages/daemon/operating/src/mod.ts
@@ -4,4 +4,31 @@
  * @module
  */
 
-export {};
+export { createConfigurationActions } from "./configuration_actions.ts";
+export type {
+  ConfigurationActionsOptions,
+  ConfigurationTable,
+} from "./configuration_actions.ts";
+export type {
+  AcceptedChange,
+  ConfigurationActions,
+  DaemonReports,
+  DocumentDetails,
+  DocumentSubmission,
+  DocumentSummary,
+  History,
+  HistoryOptions,
+  LeaseReport,
+  OperatorActions,
+  OperatorError,
+  OperatorErrorCode,
+  OperatorRole,
+  OperatorToken,
+  QuarantineReport,
+} from "./operator_actions.ts";
+export { createOperatorApp } from "./operator_app.ts";
+export type {
+  OperatorAppOptions,
+  OperatorLimits,
+  OperatorLog,
+} from "./operator_app.ts";
