--- a/packages/network/backend/src/mod.ts
+++ b/packages/network/backend/src/mod.ts
@@ -4,4 +4,11 @@
  * @module
  */
 
-export {};
+export { createBackendClient } from "./client.ts";
+export type {
+  BackendClient,
+  BackendClientOptions,
+  BackendRequest,
+  BackendResult,
+  HealthResult,
+} from "./types.ts";
--- /dev/null
+++ b/packages/network/peering/src/messages.ts
@@ -0,0 +1,183 @@
+/**
+ * Messages of the peer protocol, version 1.
+ *
+ * @module
+ */
+
+import type {
+  ConfigurationSnapshot,
+  Outcome,
+  Priority,
+} from "@dotterelmoor/core.types";
+
+/** Version that both sides name in their first frame. */
+export const PROTOCOL_VERSION = 1;
+
+/** Who is at the other end of a connection, as of its hello. */
+export interface PeerIdentity {
+  readonly incarnation: number;
+  readonly processId: string;
+  /** Instance id in the platform's list. */
+  readonly instance: string;
+  readonly region: string;
+  readonly zone: string;
+}
+
+/** Asks a group owner to run a request; answered by `exec_result`. */
+export interface ExecMessage {
+  readonly type: "exec";
+  readonly service: string;
+  /** Region that the caller's traffic belongs to. */
+  readonly homeRegion: string;
+  /** Name of the request kind. */
+  readonly kind: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+  /** Remaining time in milliseconds when the message was sent. */
+  readonly deadlineMs: number;
+  readonly priority: Priority;
+  readonly repeatable: boolean;
+  readonly key?: string;
+  readonly fingerprint: string;
+  readonly requestId: string;
+  /** Region of the entry that accepted the caller's request. */
+  readonly frontRegion: string;
+}
+
+/** Outcome of an `exec` or a `submit`. */
+export interface ExecResultMessage {
+  readonly type: "exec_result";
+  readonly outcome: Outcome;
+}
+
+/**
+ * Passes a caller's request to the process that issued its key, which then
+ * acts as its front entry; answered by `exec_result`.
+ */
+export interface SubmitMessage {
+  readonly type: "submit";
+  readonly service: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+  readonly deadlineMs: number;
+  readonly requestId: string;
+  /** Address of the caller. */
+  readonly client: string;
+}
+
+/** Asks the deputy of a group not to take it over for a while. */
+export interface PromiseMessage {
+  readonly type: "promise";
+  readonly service: string;
+  readonly region: string;
+  /** Incarnation of the owner that asks. */
+  readonly owner: number;
+  readonly fence: number;
+  readonly durationMs: number;
+}
+
+/** Answer to a `promise`. */
+export interface PromiseResultMessage {
+  readonly type: "promise_result";
+  readonly granted: boolean;
+}
+
+/** Asks a link ledger for a rate; answered by `permit_result`. */
+export interface PermitMessage {
+  readonly type: "permit";
+  readonly from: string;
+  readonly to: string;
+  /** Incarnation of the holder that asks. */
+  readonly holder: number;
+  readonly bytesPerSecond: number;
+}
+
+/** Answer to a `permit`. */
+export interface PermitResultMessage {
+  readonly type: "permit_result";
+  readonly granted: boolean;
+  readonly bytesPerSecond: number;
+  readonly validMs: number;
+  /** Address of the ledger owner, when the peer is not it and knows it. */
+  readonly ownerHint?: string;
+}
+
+/** Carries a membership message (probe, ack, gossip) unread. */
+export interface MembershipMessage {
+  readonly type: "membership";
+  readonly message: unknown;
+}
+
+/** Hands out a configuration; also the answer to a `config_pull`. */
+export interface ConfigPushMessage {
+  readonly type: "config_push";
+  readonly snapshot: ConfigurationSnapshot;
+  /** True if the receiver passes the snapshot on to further peers. */
+  readonly forward: boolean;
+}
+
+/** Asks for the configuration if it is newer than the given one. */
+export interface ConfigPullMessage {
+  readonly type: "config_pull";
+  /** Sequence number in force at the sender; 0 if it has none. */
+  readonly sequence: number;
+}
+
+/** Answer to a `config_pull` when there is nothing newer. */
+export interface ConfigUnchangedMessage {
+  readonly type: "config_unchanged";
+  readonly sequence: number;
+}
+
+/** Tells a deputy that the group row now names it as the owner. */
+export interface HandoverMessage {
+  readonly type: "handover";
+  readonly service: string;
+  readonly region: string;
+  readonly fence: number;
+}
+
+/** Spreads or lifts the conviction of a request that crashes servers. */
+export interface ConvictionMessage {
+  readonly type: "conviction";
+  readonly fingerprint: string;
+  /** Remaining validity in milliseconds; 0 lifts the conviction. */
+  readonly validMs: number;
+}
+
+/** Says why a call failed or why a connection is closed. */
+export interface PeerErrorMessage {
+  readonly type: "error";
+  readonly code: string;
+  readonly message: string;
+}
+
+/** Every message that a call, an answer or a notification can carry. */
+export type PeerMessage =
+  | ConfigPullMessage
+  | ConfigPushMessage
+  | ConfigUnchangedMessage
+  | ConvictionMessage
+  | ExecMessage
+  | ExecResultMessage
+  | HandoverMessage
+  | MembershipMessage
+  | PeerErrorMessage
+  | PermitMessage
+  | PermitResultMessage
+  | PromiseMessage
+  | PromiseResultMessage
+  | SubmitMessage;
+
+/** Name of a message. */
+export type PeerMessageType = PeerMessage["type"];
+
+/** Message with the given name. */
+export type PeerMessageOf<T extends PeerMessageType> = Extract<
+  PeerMessage,
+  { readonly type: T }
+>;
--- a/packages/network/peering/src/mod.ts
+++ b/packages/network/peering/src/mod.ts
@@ -4,4 +4,38 @@
  * @module
  */
 
-export {};
+export { PROTOCOL_VERSION } from "./messages.ts";
+export type {
+  ConfigPullMessage,
+  ConfigPushMessage,
+  ConfigUnchangedMessage,
+  ConvictionMessage,
+  ExecMessage,
+  ExecResultMessage,
+  HandoverMessage,
+  MembershipMessage,
+  PeerErrorMessage,
+  PeerIdentity,
+  PeerMessage,
+  PeerMessageOf,
+  PeerMessageType,
+  PermitMessage,
+  PermitResultMessage,
+  PromiseMessage,
+  PromiseResultMessage,
+  SubmitMessage,
+} from "./messages.ts";
+export { createPeerPool } from "./pool.ts";
+export { createPeerServer } from "./server.ts";
+export type {
+  CallOptions,
+  CallResult,
+  HandlerContext,
+  PeerHandlers,
+  PeerLimits,
+  PeerLog,
+  PeerPool,
+  PeerPoolOptions,
+  PeerServer,
+  PeerServerOptions,
+} from "./types.ts";
--- a/packages/network/platform/src/mod.ts
+++ b/packages/network/platform/src/mod.ts
@@ -4,4 +4,11 @@
  * @module
  */
 
-export {};
+export { createPlatformClient } from "./client.ts";
+export type {
+  InstancesResult,
+  ObjectResult,
+  PlatformClient,
+  PlatformClientOptions,
+  StoreResult,
+} from "./types.ts";
--- a/packages/testing/demo/src/mod.ts
+++ b/packages/testing/demo/src/mod.ts
@@ -4,4 +4,5 @@
  * @module
  */
 
-export {};
+export { startProcess } from "./processes.ts";
+export type { ProcessOptions, RunningProcess } from "./processes.ts";
--- a/packages/testing/platform/src/mod.ts
+++ b/packages/testing/platform/src/mod.ts
@@ -4,4 +4,10 @@
  * @module
  */
 
-export {};
+export { startPlatform } from "./platform.ts";
+export type {
+  PlatformCounters,
+  PlatformFaults,
+  PlatformOptions,
+  RunningPlatform,
+} from "./types.ts";
--- a/packages/testing/server/src/mod.ts
+++ b/packages/testing/server/src/mod.ts
@@ -4,4 +4,11 @@
  * @module
  */
 
-export {};
+export { startServer } from "./server.ts";
+export type {
+  HealthState,
+  RunningServer,
+  ServerCounters,
+  ServerFaults,
+  ServerOptions,
+} from "./types.ts";
