Add the entry daemon's parts and their wiring

The decision modules need a process that owns sockets and timers. Each part drives one state machine; the wiring connects them.

--- /dev/null
+++ b/packages/daemon/entry/src/connection/peer_handlers.ts
@@ -0,0 +1,116 @@
+/**
+ * Handles the messages of peers, by type.
+ *
+ * @module
+ */
+
+import type { NotRun, Outcome } from "@dotterelmoor/core.types";
+import type {
+  ExecMessage,
+  PeerHandlers,
+  PeerMessage,
+} from "@dotterelmoor/network.peering";
+import type { ConfigurationPart } from "../process/configuration_part.ts";
+import type { Groups } from "../process/groups.ts";
+import type { LinkPart } from "../process/link_part.ts";
+import { applyMembershipMessage } from "../process/membership_part.ts";
+import type { MembershipPart } from "../process/membership_part.ts";
+import type { OwnershipPart } from "../process/ownership_part.ts";
+import type { Execution } from "../request/execution.ts";
+import type { CallerRequest } from "../request/front.ts";
+
+/** Time kept back for the way of the answer. */
+const HOP_MS = 5;
+/** Bytes of an answer's frame besides its body. */
+const FRAME_OVERHEAD_BYTES = 1_024;
+
+/** Options of `createPeerHandlers`. */
+export interface PeerHandlersOptions {
+  readonly region: string;
+  readonly nowMs: () => number;
+  readonly groups: Groups;
+  readonly links: LinkPart;
+  readonly ownership: OwnershipPart;
+  readonly membership: MembershipPart;
+  readonly configuration: ConfigurationPart;
+  readonly runSubmitted: (
+    request: CallerRequest,
+    signal: AbortSignal,
+  ) => Promise<Outcome>;
+  readonly findOwnerAddress: (service: string) => string | undefined;
+}
+
+/** Creates the handlers. */
+export function createPeerHandlers(options: PeerHandlersOptions): PeerHandlers {
+  const { configuration, links, membership, ownership } = options;
+  return {
+    exec: async (message, { signal }) =>
+      makeResult(await runExecution(options, message, signal)),
+    submit: async (message, { signal }) =>
+      makeResult(await options.runSubmitted(message, signal)),
+    promise: async (message) => ({
+      type: "promise_result",
+      granted: await ownership.answerPromise(message),
+    }),
+    permit: (message) => {
+      const rate = links.grantPermit(message);
+      return Promise.resolve({
+        type: "permit_result",
+        granted: rate !== undefined,
+        rate: rate ?? 0,
+      });
+    },
+    membership: ({ message }) => {
+      applyMembershipMessage(membership, message);
+      return Promise.resolve(undefined);
+    },
+    config_push: ({ snapshot }) => {
+      configuration.send({ type: "snapshot", snapshot, source: "peer" });
+      return Promise.resolve(undefined);
+    },
+    config_pull: ({ sequence }) =>
+      Promise.resolve(configuration.answerPull(sequence)),
+  };
+}
+
+function makeResult(outcome: Outcome): PeerMessage {
+  return { type: "exec_result", outcome };
+}
+
+async function runExecution(
+  options: PeerHandlersOptions,
+  message: ExecMessage,
+  signal: AbortSignal,
+): Promise<Outcome> {
+  const group = options.groups.find(message.service);
+  if (group === undefined) return makeNotOwner(options, message.service);
+  const { type: _type, deadlineMs, ...rest } = message;
+  const deadlineAtMs = options.nowMs() + deadlineMs;
+  const execution: Execution = { ...rest, deadlineAtMs };
+  const outcome = await group.execute(execution, signal);
+  if (outcome.type !== "answered") return outcome;
+  return await sendOverLink(options, execution, outcome);
+}
+
+/** Keeps an answer back until its bytes fit into the link's budget. */
+async function sendOverLink(
+  options: PeerHandlersOptions,
+  execution: Execution,
+  outcome: Extract<Outcome, { type: "answered" }>,
+): Promise<Outcome> {
+  if (execution.frontRegion === options.region) return outcome;
+  const bytes = outcome.body.byteLength + FRAME_OVERHEAD_BYTES;
+  const untilMs = execution.deadlineAtMs - HOP_MS;
+  return await options.links.takeBytes(execution.frontRegion, bytes, untilMs)
+    ? outcome
+    : { type: "unknown", reason: "deadline-passed" };
+}
+
+function makeNotOwner(options: PeerHandlersOptions, service: string): NotRun {
+  return {
+    type: "not-run",
+    reason: "not-owner",
+    retryAfterMs: 100,
+    ownerHint: options.findOwnerAddress(service),
+  };
+}
--- /dev/null
+++ b/packages/daemon/entry/src/main.ts
@@ -0,0 +1,46 @@
+#!/usr/bin/env node
+/**
+ * The entry daemon.
+ *
+ * @module
+ */
+
+import { readFileSync } from "node:fs";
+import process from "node:process";
+import {
+  formatSettingsErrors,
+  loadEntrySettings,
+  renderEntrySettings,
+  SETTINGS_EXIT_CODE,
+} from "@dotterelmoor/config.settings";
+import type { EntrySettings } from "@dotterelmoor/config.settings";
+import { startEntry } from "./wiring.ts";
+
+async function runEntry(settings: EntrySettings): Promise<void> {
+  const entry = await startEntry(settings);
+  let leaving = false;
+  const stop = () => {
+    if (leaving) return;
+    leaving = true;
+    entry.leave().then(() => process.exit(0), () => process.exit(1));
+  };
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
+  await entry.ready;
+  const { callers, peers, operators } = entry;
+  console.log(JSON.stringify({ ready: true, callers, peers, operators }));
+}
+
+const loaded = loadEntrySettings({
+  argv: process.argv.slice(2),
+  env: process.env,
+  readFile: (path) => readFileSync(path, "utf8"),
+});
+if (loaded.isErr()) {
+  console.error(formatSettingsErrors(loaded.error));
+  process.exit(SETTINGS_EXIT_CODE);
+} else if (loaded.value.printSettings) {
+  console.log(renderEntrySettings(loaded.value));
+} else {
+  await runEntry(loaded.value);
+}
--- a/packages/daemon/entry/src/mod.ts
+++ b/packages/daemon/entry/src/mod.ts
@@ -1,7 +1,8 @@
 /**
- * The entry daemon.
+ * The entry daemon, for programs that embed it.
  *
  * @module
  */
 
-export {};
+export { startEntry } from "./wiring.ts";
+export type { RunningEntry } from "./wiring.ts";
--- /dev/null
+++ b/packages/daemon/entry/src/process/claims_part.ts
@@ -0,0 +1,99 @@
+/**
+ * Runs claims on idempotency keys over the platform.
+ *
+ * @module
+ */
+
+import { createClaims } from "@dotterelmoor/core.claiming";
+import type { ClaimsAction, ClaimsEvent } from "@dotterelmoor/core.claiming";
+import type { DisposableStore } from "@dotterelmoor/core.types";
+import type { PlatformClient } from "@dotterelmoor/network.platform";
+import type { Clock } from "./clock.ts";
+import { startInterval } from "./intervals.ts";
+import { createMachineDriver } from "./machine_driver.ts";
+
+// Shorter than the linger of a batch would not help; claims wait about 3 ms.
+const TICK_MS = 2;
+
+/** Options of `createClaimsPart`. */
+export interface ClaimsPartOptions {
+  readonly clock: Clock;
+  readonly platform: PlatformClient;
+  readonly store: DisposableStore;
+}
+
+/** A claim that is wanted for a request. */
+export interface ClaimRequest {
+  readonly requestId: string;
+  readonly service: string;
+  readonly key: string;
+  readonly fingerprint: string;
+  readonly expiresAtMs: number;
+}
+
+/** Result of a claim. */
+export type ClaimResult =
+  | { readonly type: "claimed" }
+  | Extract<ClaimsAction, { type: "refused" }>["outcome"];
+
+/** Claims of this process. */
+export interface ClaimsPart {
+  claim(request: ClaimRequest): Promise<ClaimResult>;
+  /** Gives the key back after the request certainly did not run. */
+  release(requestId: string): void;
+  /** Keeps the key claimed; the request ran or may have run. */
+  finish(requestId: string): void;
+  setIncarnation(incarnation: number): void;
+  /** Claims and releases that are not settled. */
+  pending(): number;
+}
+
+/** Creates the claims of the process. */
+export function createClaimsPart(options: ClaimsPartOptions): ClaimsPart {
+  const { clock, platform } = options;
+  const claims = createClaims();
+  const waiting = new Map<string, (result: ClaimResult) => void>();
+
+  function settle(requestId: string, result: ClaimResult): void {
+    waiting.get(requestId)?.(result);
+    waiting.delete(requestId);
+  }
+
+  const driver = createMachineDriver<ClaimsEvent, ClaimsAction>({
+    machine: claims,
+    clock,
+    handlers: {
+      transact: ({ operationId, transaction }) => {
+        platform.transact(transaction).then((result) =>
+          driver.send({ type: "transacted", operationId, result })
+        );
+      },
+      read: ({ operationId, key }) => {
+        platform.read(key).then((result) =>
+          driver.send({ type: "rows_read", operationId, result })
+        );
+      },
+      claimed: ({ requestId }) => settle(requestId, { type: "claimed" }),
+      refused: ({ requestId, outcome }) => settle(requestId, outcome),
+    },
+  });
+  startInterval(options.store, TICK_MS, () => {
+    const dueMs = claims.nextTickMs();
+    if (dueMs !== undefined && dueMs <= clock.nowMs()) {
+      driver.send({ type: "tick" });
+    }
+  });
+
+  return {
+    claim: (request) =>
+      new Promise((resolve) => {
+        waiting.set(request.requestId, resolve);
+        driver.send({ type: "claim", ...request });
+      }),
+    release: (requestId) => driver.send({ type: "release", requestId }),
+    finish: (requestId) => driver.send({ type: "finish", requestId }),
+    setIncarnation: (incarnation) =>
+      driver.send({ type: "session", incarnation }),
+    pending: () => claims.pending(),
+  };
+}
--- /dev/null
+++ b/packages/daemon/entry/src/process/configuration_part.ts
@@ -0,0 +1,150 @@
+/**
+ * Keeps the newest configuration, from the store and from peers.
+ *
+ * @module
+ */
+
+import { CURRENT_KEY, loadSnapshot } from "@dotterelmoor/config.changing";
+import { createConfigurationKeeper } from "@dotterelmoor/core.configuring";
+import type {
+  ConfigurationAction,
+  ConfigurationEvent,
+  ConfigurationKeeper,
+} from "@dotterelmoor/core.configuring";
+import type {
+  ConfigurationSnapshot,
+  DisposableStore,
+  Random,
+} from "@dotterelmoor/core.types";
+import type { PeerMessage, PeerPool } from "@dotterelmoor/network.peering";
+import type { PlatformClient } from "@dotterelmoor/network.platform";
+import type { Logger } from "pino";
+import type { Clock } from "./clock.ts";
+import { startInterval } from "./intervals.ts";
+import { createMachineDriver } from "./machine_driver.ts";
+
+const TICK_MS = 100;
+const PULL_TIMEOUT_MS = 1_000;
+
+/** Options of `createConfigurationPart`. */
+export interface ConfigurationPartOptions {
+  readonly seeds: readonly string[];
+  readonly random: Random;
+  readonly clock: Clock;
+  readonly platform: PlatformClient;
+  readonly peers: PeerPool;
+  readonly store: DisposableStore;
+  readonly log: Logger;
+  readonly onApply: (snapshot: ConfigurationSnapshot) => void;
+}
+
+/** Configuration of this process. */
+export interface ConfigurationPart {
+  readonly keeper: ConfigurationKeeper;
+  send(event: ConfigurationEvent): void;
+  /** Reads the store now, after a change was committed through this entry. */
+  readStore(): void;
+  /** Answers a peer that asks for a newer configuration. */
+  answerPull(sequence: number): PeerMessage;
+}
+
+/** Creates the configuration part. */
+export function createConfigurationPart(
+  options: ConfigurationPartOptions,
+): ConfigurationPart {
+  const keeper = createConfigurationKeeper({
+    seeds: options.seeds,
+    random: options.random,
+  });
+  const driver = createMachineDriver<ConfigurationEvent, ConfigurationAction>({
+    machine: keeper,
+    clock: options.clock,
+    handlers: {
+      apply: ({ snapshot }) => {
+        options.log.info({ sequence: snapshot.sequence }, "Version applied.");
+        options.onApply(snapshot);
+      },
+      push: ({ addresses, snapshot }) => {
+        for (const address of addresses) {
+          options.peers.notify(address, {
+            type: "config_push",
+            snapshot,
+            forward: true,
+          });
+        }
+      },
+      pull: ({ address }) => void pull(address),
+      read_store: () => void readStore("store"),
+    },
+  });
+
+  async function pull(address: string): Promise<void> {
+    const sequence = keeper.current()?.sequence ?? 0;
+    const result = await options.peers.call(
+      address,
+      { type: "config_pull", sequence },
+      { timeoutMs: PULL_TIMEOUT_MS },
+    );
+    const message = result.type === "answered" ? result.message : undefined;
+    if (message?.type === "config_push") {
+      const { snapshot } = message;
+      driver.send({ type: "snapshot", snapshot, source: "peer" });
+      driver.send({
+        type: "seed_answered",
+        address,
+        sequence: snapshot.sequence,
+      });
+    } else if (message?.type === "config_unchanged") {
+      driver.send({
+        type: "seed_answered",
+        address,
+        sequence: message.sequence,
+      });
+    } else {
+      driver.send({ type: "seed_failed", address });
+    }
+  }
+
+  async function readStore(source: "store" | "commit"): Promise<void> {
+    const current = await options.platform.read(CURRENT_KEY);
+    if (current.type === "unavailable") {
+      driver.send({ type: "store_read", result: "unavailable" });
+      return;
+    }
+    const sequence = current.rows[0]?.value ?? 0;
+    if (typeof sequence !== "number" || sequence === 0) {
+      driver.send({ type: "store_read", result: "empty" });
+    } else if (sequence <= (keeper.current()?.sequence ?? 0)) {
+      driver.send({ type: "store_read", result: "unchanged" });
+    } else {
+      await loadFromStore(source);
+    }
+  }
+
+  async function loadFromStore(source: "store" | "commit"): Promise<void> {
+    const loaded = await loadSnapshot(options.platform);
+    if (loaded.isOk()) {
+      driver.send({ type: "snapshot", snapshot: loaded.value, source });
+    } else {
+      options.log.warn({ code: loaded.error.code }, "Cannot read the store.");
+      driver.send({ type: "store_read", result: "unavailable" });
+    }
+  }
+
+  startInterval(options.store, TICK_MS, () => driver.send({ type: "tick" }));
+  return {
+    keeper,
+    send: (event) => driver.send(event),
+    readStore: () => void readStore("commit"),
+    answerPull: (sequence) => {
+      const snapshot = keeper.current();
+      if (snapshot === undefined || snapshot.sequence <= sequence) {
+        return {
+          type: "config_unchanged",
+          sequence: snapshot?.sequence ?? 0,
+        };
+      }
+      return { type: "config_push", snapshot, forward: false };
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/entry/src/process/intervals.ts
@@ -0,0 +1,17 @@
+/**
+ * Timers that end with the process part that owns them.
+ *
+ * @module
+ */
+
+import type { DisposableStore } from "@dotterelmoor/core.types";
+
+/** Runs a function at a fixed interval until the store is disposed of. */
+export function startInterval(
+  store: DisposableStore,
+  intervalMs: number,
+  task: () => void,
+): void {
+  const timer = setInterval(task, intervalMs);
+  store.add(() => clearInterval(timer));
+}
--- /dev/null
+++ b/packages/daemon/entry/src/process/listeners.ts
@@ -0,0 +1,60 @@
+/**
+ * HTTP listeners with bounds on headers, connections and times.
+ *
+ * @module
+ */
+
+import { createServer } from "node:http";
+import type { RequestListener, Server } from "node:http";
+import type { AddressInfo } from "node:net";
+
+const HEADERS_TIMEOUT_MS = 5_000;
+const REQUEST_TIMEOUT_MS = 15_000;
+const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+const MAX_HEADER_BYTES = 16 * 1_024;
+
+/** Options of `openListener`. */
+export interface ListenerOptions {
+  readonly host: string;
+  /** 0 lets the operating system choose. */
+  readonly port: number;
+  readonly maxConnections: number;
+  readonly handler: RequestListener;
+}
+
+/** A listener that accepts connections. */
+export interface Listener {
+  /** `host:port` that it listens on. */
+  readonly address: string;
+  /** Stops accepting, lets answers end and closes idle connections. */
+  close(): Promise<void>;
+}
+
+/** Opens a listener. */
+export async function openListener(
+  options: ListenerOptions,
+): Promise<Listener> {
+  const server = createServer({
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    maxHeaderSize: MAX_HEADER_BYTES,
+  }, options.handler);
+  server.maxConnections = options.maxConnections;
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(options.port, options.host, resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  return {
+    address: `${options.host}:${port}`,
+    close: () => closeServer(server),
+  };
+}
+
+function closeServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeIdleConnections();
+  });
+}
--- /dev/null
+++ b/packages/daemon/entry/src/process/logging.ts
@@ -0,0 +1,47 @@
+/**
+ * Structured logs with a fixed prefix for each part.
+ *
+ * @module
+ */
+
+import { pino } from "pino";
+import type { Logger } from "pino";
+
+/** Part of the daemon that a log line comes from. */
+export type LogPart =
+  | "claim"
+  | "config"
+  | "entry"
+  | "lease"
+  | "link"
+  | "member"
+  | "operator"
+  | "owner"
+  | "peer"
+  | "platform";
+
+/** Gives the logger of a part. */
+export type LoggerOf = (part: LogPart) => Logger;
+
+/** Options of `createLogging`. */
+export interface LoggingOptions {
+  readonly level: string;
+  readonly instance: string;
+}
+
+/** Creates the loggers; lines go to standard error. */
+export function createLogging(options: LoggingOptions): LoggerOf {
+  const root = pino(
+    { level: options.level, base: { instance: options.instance } },
+    pino.destination({ fd: 2, sync: false }),
+  );
+  const loggers = new Map<LogPart, Logger>();
+  return (part) => {
+    let logger = loggers.get(part);
+    if (logger === undefined) {
+      logger = root.child({}, { msgPrefix: `[${part}] ` });
+      loggers.set(part, logger);
+    }
+    return logger;
+  };
+}
--- /dev/null
+++ b/packages/daemon/entry/src/process/membership_part.ts
@@ -0,0 +1,102 @@
+/**
+ * Runs membership over the peer connections.
+ *
+ * @module
+ */
+
+import { createMembership } from "@dotterelmoor/core.membership";
+import type {
+  MemberRecord,
+  MemberState,
+  Membership,
+  MembershipEvent,
+  MembershipMessage,
+} from "@dotterelmoor/core.membership";
+import type {
+  DisposableStore,
+  JsonValue,
+  Random,
+} from "@dotterelmoor/core.types";
+import type { PeerPool } from "@dotterelmoor/network.peering";
+import type { Logger } from "pino";
+import type { Clock } from "./clock.ts";
+import { startInterval } from "./intervals.ts";
+import { createMachineDriver } from "./machine_driver.ts";
+
+const TICK_MS = 100;
+
+/** Options of `createMembershipPart`. */
+export interface MembershipPartOptions {
+  readonly self: MemberRecord;
+  readonly seeds: readonly string[];
+  readonly random: Random;
+  readonly clock: Clock;
+  readonly peers: PeerPool;
+  readonly store: DisposableStore;
+  readonly log: Logger;
+  readonly onMemberChanged: (member: MemberRecord, state: MemberState) => void;
+  readonly onStateChanged: (key: string, value: JsonValue) => void;
+  readonly onDigest: (address: string, sequence: number) => void;
+}
+
+/** Membership of this process. */
+export interface MembershipPart {
+  readonly membership: Membership;
+  start(): void;
+  send(event: MembershipEvent): void;
+  /** Address of the live member with an incarnation. */
+  findAddress(incarnation: number): string | undefined;
+  /** Address of the live member with a process id. */
+  findProcess(processId: string): string | undefined;
+}
+
+/** Creates membership; `start` makes it join. */
+export function createMembershipPart(
+  options: MembershipPartOptions,
+): MembershipPart {
+  const membership = createMembership({
+    self: options.self,
+    seeds: options.seeds,
+    random: options.random,
+  });
+  const driver = createMachineDriver({
+    machine: membership,
+    clock: options.clock,
+    handlers: {
+      send: ({ address, message }) =>
+        options.peers.notify(address, { type: "membership", message }),
+      member_changed: ({ member, state }) => {
+        options.log.info({ member: member.instance, state }, "Member changed.");
+        options.onMemberChanged(member, state);
+      },
+      state_changed: ({ key, value }) => options.onStateChanged(key, value),
+      digest: ({ address, sequence }) => options.onDigest(address, sequence),
+    },
+  });
+  startInterval(options.store, TICK_MS, () => driver.send({ type: "tick" }));
+  return {
+    membership,
+    start: () => driver.send({ type: "start" }),
+    send: (event) => driver.send(event),
+    findAddress: (incarnation) =>
+      membership.liveMembers().find((member) =>
+        member.incarnation === incarnation
+      )?.peerAddress,
+    findProcess: (processId) =>
+      membership.liveMembers().find((member) => member.processId === processId)
+        ?.peerAddress,
+  };
+}
+
+/** Passes a message of a peer to membership. */
+export function applyMembershipMessage(
+  part: MembershipPart,
+  message: unknown,
+): void {
+  const typed = message as MembershipMessage;
+  part.send({
+    type: "message",
+    fromAddress: typed.sender.peerAddress,
+    message: typed,
+  });
+}
--- /dev/null
+++ b/packages/daemon/entry/src/process/quarantine_spread.ts
@@ -0,0 +1,124 @@
+/**
+ * Spreads suspects and convictions to other owners and keeps convictions in
+ * the table, so that a new owner knows them.
+ *
+ * @module
+ */
+
+import { makeQuarantineKey } from "@dotterelmoor/config.changing";
+import type { DisposableStore, JsonValue } from "@dotterelmoor/core.types";
+import type { PlatformClient } from "@dotterelmoor/network.platform";
+import type { Clock } from "./clock.ts";
+import { startInterval } from "./intervals.ts";
+import type { QuarantineEventSink } from "./quarantine_part.ts";
+
+const SUSPECT_PREFIX = "suspects/";
+const CONVICTED_PREFIX = "quarantine/";
+const SUSPECT_TTL_MS = 60_000;
+/** Interval between reads of the convictions in the table. */
+const READ_INTERVAL_MS = 30_000;
+
+/** Options of `createQuarantineSpread`. */
+export interface QuarantineSpreadOptions {
+  readonly clock: Clock;
+  readonly platform: PlatformClient;
+  readonly store: DisposableStore;
+  /** Sets soft state that all regions see. */
+  readonly setState: (key: string, value: JsonValue, ttlMs: number) => void;
+  readonly send: QuarantineEventSink;
+  readonly findService: (fingerprint: string) => string | undefined;
+}
+
+/** Passes suspects and convictions on, and takes those of others. */
+export interface QuarantineSpread {
+  notifySuspect(fingerprint: string): void;
+  notifyConvicted(fingerprint: string, remainingMs: number): void;
+  notifyLifted(fingerprint: string): void;
+  /** Takes soft state of peers. */
+  applyState(key: string, value: JsonValue): void;
+  /** Reads the convictions that the table keeps. */
+  readTable(): Promise<void>;
+}
+
+interface ConvictionRow {
+  readonly fingerprint: string;
+  readonly service: string;
+  readonly expiresWallMs: number;
+}
+
+/** Creates the spread of suspects and convictions. */
+export function createQuarantineSpread(
+  options: QuarantineSpreadOptions,
+): QuarantineSpread {
+  const { clock, platform } = options;
+
+  async function writeRow(row: ConvictionRow): Promise<void> {
+    const key = makeQuarantineKey(row.fingerprint);
+    const read = await platform.read(key);
+    if (read.type === "unavailable") return;
+    await platform.transact({
+      checks: [{ key, version: read.rows[0]?.version ?? 0 }],
+      writes: [{ key, value: { ...row } }],
+    });
+  }
+
+  async function readTable(): Promise<void> {
+    const read = await platform.list(CONVICTED_PREFIX);
+    if (read.type === "unavailable") return;
+    for (const { value } of read.rows) {
+      const row = value as unknown as ConvictionRow;
+      const remainingMs = row.expiresWallMs - clock.wallMs();
+      if (remainingMs > 0) {
+        options.send({
+          type: "convicted",
+          fingerprint: row.fingerprint,
+          remainingMs,
+        });
+      }
+    }
+  }
+
+  startInterval(options.store, READ_INTERVAL_MS, () => void readTable());
+  return {
+    readTable,
+    notifySuspect: (fingerprint) =>
+      options.setState(SUSPECT_PREFIX + fingerprint, true, SUSPECT_TTL_MS),
+    notifyConvicted: (fingerprint, remainingMs) => {
+      const service = options.findService(fingerprint) ?? "";
+      options.setState(
+        CONVICTED_PREFIX + fingerprint,
+        { remainingMs },
+        remainingMs,
+      );
+      const expiresWallMs = clock.wallMs() + remainingMs;
+      void writeRow({ fingerprint, service, expiresWallMs });
+    },
+    notifyLifted: (fingerprint) =>
+      options.setState(
+        CONVICTED_PREFIX + fingerprint,
+        { remainingMs: 0 },
+        SUSPECT_TTL_MS,
+      ),
+    applyState: (key, value) => {
+      if (key.startsWith(SUSPECT_PREFIX)) {
+        const fingerprint = key.slice(SUSPECT_PREFIX.length);
+        options.send({ type: "suspected", fingerprint });
+      } else if (key.startsWith(CONVICTED_PREFIX)) {
+        applyConviction(key.slice(CONVICTED_PREFIX.length), value, options);
+      }
+    },
+  };
+}
+
+function applyConviction(
+  fingerprint: string,
+  value: JsonValue,
+  options: QuarantineSpreadOptions,
+): void {
+  const { remainingMs } = value as { readonly remainingMs: number };
+  if (remainingMs > 0) {
+    options.send({ type: "convicted", fingerprint, remainingMs });
+  } else {
+    options.send({ type: "lift", fingerprint });
+  }
+}
--- /dev/null
+++ b/packages/daemon/entry/src/process/reports.ts
@@ -0,0 +1,134 @@
+/**
+ * Reports for operators about this entry and what it knows of the system.
+ *
+ * @module
+ */
+
+import type { JsonValue, ListedInstance } from "@dotterelmoor/core.types";
+import type {
+  DaemonReports,
+  LeaseReport,
+  QuarantineReport,
+} from "@dotterelmoor/daemon.operating";
+import type { ConfigurationPart } from "./configuration_part.ts";
+import type { GroupOwner } from "./group_owner.ts";
+import type { Groups } from "./groups.ts";
+import type { MembershipPart } from "./membership_part.ts";
+import type { OwnershipPart } from "./ownership_part.ts";
+import type { QuarantinePart } from "./quarantine_part.ts";
+
+/** Options of `createReports`. */
+export interface ReportsOptions {
+  readonly instance: string;
+  readonly region: string;
+  readonly zone: string;
+  readonly nowMs: () => number;
+  readonly configuration: ConfigurationPart;
+  readonly groups: Groups;
+  readonly membership: MembershipPart;
+  readonly ownership: OwnershipPart;
+  readonly quarantine: QuarantinePart;
+  readonly listInstances: () => readonly ListedInstance[];
+  /** Service of a quarantined request, if this entry has seen it. */
+  readonly findQuarantinedService: (fingerprint: string) => string | undefined;
+}
+
+/** Creates the reports. */
+export function createReports(options: ReportsOptions): DaemonReports {
+  return {
+    reportStatus: () => reportStatus(options),
+    reportQuarantine: () => listQuarantine(options),
+    reportLeases: () => listLeases(options),
+    findInstanceService: (instance) =>
+      options.listInstances().find(({ id }) => id === instance)?.service,
+  };
+}
+
+function reportStatus(options: ReportsOptions): JsonValue {
+  const { configuration, membership, ownership } = options;
+  const status = {
+    instance: options.instance,
+    region: options.region,
+    zone: options.zone,
+    configuration: describeConfiguration(configuration, options.nowMs()),
+    session: {
+      phase: ownership.ownership.status().phase,
+      incarnation: ownership.ownership.incarnation(),
+    },
+    owned: options.groups.list().map((owner) => describeOwner(options, owner)),
+    groups: membership.membership.states("groups/").map((view) => ({
+      key: view.key,
+      fresh: view.fresh,
+      ageMs: Math.round(view.ageMs),
+      value: view.value,
+    })),
+    members: membership.membership.members().map((member) => ({
+      instance: member.instance,
+      region: member.region,
+      zone: member.zone,
+      state: member.state,
+    })),
+  };
+  return status as unknown as JsonValue;
+}
+
+function describeConfiguration(
+  part: ConfigurationPart,
+  nowMs: number,
+): JsonValue {
+  const status = part.keeper.status();
+  const silentSinceMs = status.storeSilentSinceMs;
+  return {
+    sequence: status.sequence,
+    source: status.source,
+    ready: status.ready,
+    storeSilentMs: silentSinceMs === undefined
+      ? null
+      : Math.round(nowMs - silentSinceMs),
+  };
+}
+
+function describeOwner(
+  options: ReportsOptions,
+  owner: GroupOwner,
+): Readonly<Record<string, unknown>> {
+  const nowMs = options.nowMs();
+  return {
+    service: owner.service,
+    region: owner.region,
+    fence: owner.fence,
+    inFlight: owner.dispatcher.inFlight,
+    queued: owner.dispatcher.queueLength,
+    closed: owner.dispatcher.closed,
+    shift: { share: owner.gate.share, used: owner.gate.getUsed(nowMs) },
+    servers: owner.dispatcher.listServers(nowMs),
+  };
+}
+
+function listQuarantine(options: ReportsOptions): QuarantineReport[] {
+  return options.quarantine.quarantine.list(options.nowMs()).map((entry) => ({
+    ...entry,
+    service: options.findQuarantinedService(entry.fingerprint) ?? "",
+  }));
+}
+
+function listLeases(options: ReportsOptions): LeaseReport[] {
+  return options.ownership.ownership.status().resources
+    .filter(({ resource }) => resource.startsWith("groups/"))
+    .map(({ resource, owner, deputy, fence, held, address }) => {
+      const [, service, region] = resource.split("/") as [
+        string,
+        string,
+        string,
+      ];
+      return {
+        service,
+        region,
+        owner,
+        deputy,
+        fence,
+        held,
+        address: address ?? null,
+      };
+    });
+}
--- /dev/null
+++ b/packages/daemon/entry/src/request/caller_app.ts
@@ -0,0 +1,211 @@
+/**
+ * HTTP interface for callers: look-ups and requests.
+ *
+ * @module
+ */
+
+import type { IncomingMessage } from "node:http";
+import { randomUUID } from "node:crypto";
+import Koa from "koa";
+import type { Context } from "koa";
+import type { NotRunReason, Outcome } from "@dotterelmoor/core.types";
+import type { CallerRequest } from "./front.ts";
+
+const SERVICE_PREFIX = "/services/";
+/** Reasons that stand for a quota of the team's own document. */
+const QUOTA_REASONS: ReadonlySet<NotRunReason> = new Set([
+  "link-budget",
+  "shift-cap",
+]);
+
+/** Largest request body in bytes. */
+export const MAX_REQUEST_BYTES = 256 * 1_024;
+
+/** Headers that belong to one connection and are never passed on. */
+const HOP_HEADERS: ReadonlySet<string> = new Set([
+  "connection",
+  "content-length",
+  "expect",
+  "host",
+  "keep-alive",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** Options of `createCallerApp`. */
+export interface CallerAppOptions {
+  readonly lookUp: (service: string, client: string) => LookupResult;
+  readonly runRequest: (
+    request: CallerRequest,
+    signal: AbortSignal,
+  ) => Promise<Outcome>;
+  /** True once this entry has a configuration. */
+  readonly isReady: () => boolean;
+  readonly isLeaving: () => boolean;
+  readonly nowMs: () => number;
+  readonly onAnswer: (answer: AnswerReport) => void;
+}
+
+/** Answer to a look-up as JSON. */
+export type LookupResult = Readonly<Record<string, unknown>>;
+
+/** What is logged and measured of an answer. */
+export interface AnswerReport {
+  readonly request: CallerRequest;
+  readonly outcome: Outcome;
+  readonly latencyMs: number;
+}
+
+/** Creates the HTTP interface for callers. */
+export function createCallerApp(options: CallerAppOptions): Koa {
+  const app = new Koa();
+  app.silent = true;
+  app.use(async (context) => {
+    if (options.isLeaving()) context.set("connection", "close");
+    if (!options.isReady()) {
+      answerOutcome(context, makeNotRun("not-configured"));
+    } else if (context.path === "/v1/lookup") {
+      answerLookup(context, options);
+    } else if (context.path.startsWith(SERVICE_PREFIX)) {
+      await answerRequest(context, options);
+    } else {
+      context.status = 404;
+    }
+  });
+  return app;
+}
+
+function answerLookup(context: Context, options: CallerAppOptions): void {
+  const service = context.query.service;
+  if (typeof service !== "string") {
+    context.status = 400;
+    context.body = {
+      code: "service-missing",
+      message: "Cannot look up without a service",
+      hint: "Add the query parameter service",
+    };
+    return;
+  }
+  const client = context.query.client;
+  context.body = options.lookUp(
+    service,
+    typeof client === "string" ? client : readClient(context),
+  );
+}
+
+async function answerRequest(
+  context: Context,
+  options: CallerAppOptions,
+): Promise<void> {
+  const startedMs = options.nowMs();
+  const body = await readBody(context.req);
+  if (body === undefined) {
+    answerOutcome(context, makeNotRun("too-large"));
+    return;
+  }
+  const request = buildRequest(context, body);
+  const abort = new AbortController();
+  const onClose = () => {
+    if (!context.res.writableFinished) abort.abort();
+  };
+  context.res.once("close", onClose);
+  const outcome = await options.runRequest(request, abort.signal);
+  context.res.off("close", onClose);
+  options.onAnswer({
+    request,
+    outcome,
+    latencyMs: options.nowMs() - startedMs,
+  });
+  context.set("dotterelmoor-request-id", request.requestId);
+  answerOutcome(context, outcome);
+}
+
+function buildRequest(context: Context, body: Uint8Array): CallerRequest {
+  const rest = context.url.slice(SERVICE_PREFIX.length);
+  const slash = rest.indexOf("/");
+  const service = slash < 0 ? rest : rest.slice(0, slash);
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(context.headers)) {
+    if (HOP_HEADERS.has(name) || value === undefined) continue;
+    headers[name] = Array.isArray(value) ? value.join(", ") : value;
+  }
+  const deadline = Number(headers["dotterelmoor-deadline-ms"]);
+  return {
+    service: decodeURIComponent(service),
+    method: context.method,
+    path: slash < 0 ? "/" : rest.slice(slash),
+    headers,
+    body,
+    client: readClient(context),
+    requestId: headers["dotterelmoor-request-id"] ?? randomUUID(),
+    deadlineMs: deadline > 0 ? deadline : undefined,
+  };
+}
+
+function readClient(context: Context): string {
+  const address = context.req.socket.remoteAddress ?? "";
+  return address.startsWith("::ffff:") ? address.slice(7) : address;
+}
+
+/** Reads a bounded body; undefined if it is too large. */
+async function readBody(
+  request: IncomingMessage,
+): Promise<Uint8Array | undefined> {
+  const chunks: Uint8Array[] = [];
+  let size = 0;
+  for await (const chunk of request) {
+    size += (chunk as Uint8Array).byteLength;
+    if (size > MAX_REQUEST_BYTES) return undefined;
+    chunks.push(chunk as Uint8Array);
+  }
+  return Buffer.concat(chunks);
+}
+
+/** Writes the answer for each outcome. */
+export function answerOutcome(context: Context, outcome: Outcome): void {
+  OUTCOME_WRITERS[outcome.type](context, outcome as never);
+}
+
+type OutcomeWriters = {
+  readonly [T in Outcome["type"]]: (
+    context: Context,
+    outcome: Extract<Outcome, { type: T }>,
+  ) => void;
+};
+
+const OUTCOME_WRITERS: OutcomeWriters = {
+  answered: (context, outcome) => {
+    for (const [name, value] of Object.entries(outcome.headers)) {
+      if (!HOP_HEADERS.has(name)) context.set(name, value);
+    }
+    context.set("dotterelmoor-outcome", "answered");
+    context.set("dotterelmoor-server", outcome.server);
+    context.status = outcome.status;
+    context.body = Buffer.from(outcome.body);
+    const type = outcome.headers["content-type"];
+    if (type === undefined) context.remove("content-type");
+    else context.set("content-type", type);
+  },
+  "not-run": (context, outcome) => {
+    context.set("dotterelmoor-outcome", "not-run");
+    context.set("dotterelmoor-reason", outcome.reason);
+    const seconds = Math.max(Math.ceil(outcome.retryAfterMs / 1_000), 1);
+    context.set("retry-after", String(seconds));
+    context.status = QUOTA_REASONS.has(outcome.reason) ? 429 : 503;
+    context.body = { outcome: "not-run", reason: outcome.reason };
+  },
+  unknown: (context, outcome) => {
+    context.set("dotterelmoor-outcome", "unknown");
+    context.set("dotterelmoor-reason", outcome.reason);
+    context.status = outcome.reason === "key-already-claimed" ? 409 : 504;
+    context.body = { outcome: "unknown", reason: outcome.reason };
+  },
+};
+
+function makeNotRun(reason: NotRunReason): Outcome {
+  return { type: "not-run", reason, retryAfterMs: 1_000 };
+}
--- /dev/null
+++ b/packages/daemon/entry/src/request/key_claims.ts
@@ -0,0 +1,109 @@
+/**
+ * Claims the idempotency key of one request: issued by an entry, or the
+ * caller's own.
+ *
+ * @module
+ */
+
+import type { IssuedKeys } from "@dotterelmoor/core.claiming";
+import type { Outcome } from "@dotterelmoor/core.types";
+import type { PeerPool } from "@dotterelmoor/network.peering";
+import type { ClaimResult, ClaimsPart } from "../process/claims_part.ts";
+import type { CallerRequest, KeyClaim } from "./front.ts";
+
+/** Options of `createKeyClaimer`. */
+export interface KeyClaimerOptions {
+  readonly processId: string;
+  readonly nowMs: () => number;
+  readonly issuedKeys: IssuedKeys;
+  readonly claims: ClaimsPart;
+  readonly peers: PeerPool;
+  /** Peer address of a process, if it is alive. */
+  readonly findProcess: (processId: string) => string | undefined;
+}
+
+/** Claims the key of a request before anything is sent for it. */
+export type KeyClaimer = (
+  request: CallerRequest,
+  key: string,
+  details: { readonly fingerprint: string; readonly expiresAtMs: number },
+) => Promise<KeyClaim>;
+
+const KEY_TAKEN: ClaimResult = {
+  type: "unknown",
+  reason: "key-already-claimed",
+};
+
+/** Creates the claimer of this process. */
+export function createKeyClaimer(options: KeyClaimerOptions): KeyClaimer {
+  let nextClaim = 0;
+
+  function useIssuedKey(key: string): KeyClaim {
+    const use = options.issuedKeys.use(key, options.nowMs());
+    const result: ClaimResult = use === "used-once"
+      ? { type: "claimed" }
+      : KEY_TAKEN;
+    return makeClaim(result, {
+      release: () => options.issuedKeys.release(key),
+    });
+  }
+
+  async function forwardToIssuer(
+    request: CallerRequest,
+    processId: string,
+    expiresAtMs: number,
+  ): Promise<KeyClaim> {
+    const address = options.findProcess(processId);
+    // Without its issuer nobody can tell whether the request ran.
+    if (address === undefined) return makeClaim(KEY_TAKEN);
+    const deadlineMs = expiresAtMs - options.nowMs();
+    const result = await options.peers.call(
+      address,
+      { type: "submit", ...request, deadlineMs },
+      { timeoutMs: deadlineMs },
+    );
+    const outcome: Outcome = result.type === "answered" &&
+        result.message.type === "exec_result"
+      ? result.message.outcome
+      : { type: "unknown", reason: "peer-lost" };
+    return makeClaim({ type: "forwarded", outcome });
+  }
+
+  async function claimInTable(
+    request: CallerRequest,
+    key: string,
+    details: { readonly fingerprint: string; readonly expiresAtMs: number },
+  ): Promise<KeyClaim> {
+    const requestId = `${options.processId}-${nextClaim++}`;
+    const result = await options.claims.claim({
+      requestId,
+      service: request.service,
+      key,
+      ...details,
+    });
+    return makeClaim(result, {
+      release: () => options.claims.release(requestId),
+      finish: () => options.claims.finish(requestId),
+    });
+  }
+
+  return (request, key, details) => {
+    const issued = options.issuedKeys.parse(key);
+    if (issued === undefined) return claimInTable(request, key, details);
+    if (issued.processId === options.processId) {
+      return Promise.resolve(useIssuedKey(key));
+    }
+    return forwardToIssuer(request, issued.processId, details.expiresAtMs);
+  };
+}
+
+function makeClaim(
+  result: KeyClaim["result"],
+  ends: Partial<Pick<KeyClaim, "release" | "finish">> = {},
+): KeyClaim {
+  return {
+    result,
+    release: ends.release ?? (() => {}),
+    finish: ends.finish ?? (() => {}),
+  };
+}
--- /dev/null
+++ b/packages/daemon/entry/src/request/target_runner.ts
@@ -0,0 +1,98 @@
+/**
+ * Runs a request at one target region: here, or at the owner by a peer call.
+ *
+ * @module
+ */
+
+import { buildGroupKey } from "@dotterelmoor/core.steering";
+import type { Target } from "@dotterelmoor/core.steering";
+import type { NotRun, NotRunReason, Outcome } from "@dotterelmoor/core.types";
+import type { CallResult, PeerPool } from "@dotterelmoor/network.peering";
+import type { Groups } from "../process/groups.ts";
+import type { LinkPart } from "../process/link_part.ts";
+import type { Execution } from "./execution.ts";
+
+/** Wait for a byte permit before another region is tried. */
+const LINK_WAIT_MS = 100;
+/** Bytes of a request's frame besides its body. */
+const FRAME_OVERHEAD_BYTES = 1_024;
+/** Time by which the deadline shrinks on the way to a peer. */
+const HOP_MS = 5;
+
+/** Options of `createTargetRunner`. */
+export interface TargetRunnerOptions {
+  readonly region: string;
+  readonly nowMs: () => number;
+  readonly groups: Groups;
+  readonly links: LinkPart;
+  readonly peers: PeerPool;
+  /** Owner's peer address as the table last showed it. */
+  readonly findOwnerAddress: (resource: string) => string | undefined;
+}
+
+/** Runs a request at one target. */
+export type TargetRunner = (
+  target: Target,
+  execution: Execution,
+  signal: AbortSignal,
+) => Promise<Outcome>;
+
+/** Creates the runner for all targets. */
+export function createTargetRunner(options: TargetRunnerOptions): TargetRunner {
+  async function callOwner(
+    address: string,
+    execution: Execution,
+    signal: AbortSignal,
+  ): Promise<Outcome> {
+    const deadlineMs = execution.deadlineAtMs - options.nowMs() - HOP_MS;
+    if (deadlineMs <= 0) return makeNotRun("deadline-too-short");
+    const { deadlineAtMs: _, ...rest } = execution;
+    const result = await options.peers.call(
+      address,
+      { type: "exec", ...rest, deadlineMs },
+      { timeoutMs: deadlineMs + HOP_MS, signal },
+    );
+    return toOutcome(result);
+  }
+
+  return async (target, execution, signal) => {
+    const group = target.region === options.region
+      ? options.groups.find(execution.service)
+      : undefined;
+    if (group !== undefined) return group.execute(execution, signal);
+    const address = target.address ??
+      options.findOwnerAddress(buildGroupKey(execution.service, target.region));
+    if (address === undefined) return makeNotRun("group-closed");
+    if (target.region !== options.region) {
+      const bytes = execution.body.byteLength + FRAME_OVERHEAD_BYTES;
+      const untilMs = options.nowMs() + LINK_WAIT_MS;
+      if (!await options.links.takeBytes(target.region, bytes, untilMs)) {
+        return makeNotRun("link-budget");
+      }
+    }
+    const outcome = await callOwner(address, execution, signal);
+    if (outcome.type !== "not-run" || outcome.ownerHint === undefined) {
+      return outcome;
+    }
+    return callOwner(outcome.ownerHint, execution, signal);
+  };
+}
+
+function toOutcome(result: CallResult): Outcome {
+  switch (result.type) {
+    case "answered":
+      return result.message.type === "exec_result"
+        ? result.message.outcome
+        : { type: "unknown", reason: "peer-lost" };
+    case "not_sent":
+      return makeNotRun("peer-unreachable");
+    case "lost":
+      return { type: "unknown", reason: "peer-lost" };
+    case "cancelled":
+      return { type: "unknown", reason: "caller-left" };
+  }
+}
+
+function makeNotRun(reason: NotRunReason): NotRun {
+  return { type: "not-run", reason, retryAfterMs: 200 };
+}
