Add the platform client and the simulated platform

The daemon needs the transactional table, the object store and the lagging list without a real platform. The simulated platform implements the protocol of the design page in memory with faults set over a control listener; the client turns every failure into unavailable and never repeats a transaction. With got set to retry POST once, the test for a lost answer failed: the client reported a conflict with its own write.

--- /dev/null
+++ b/packages/network/platform/src/parse.ts
@@ -0,0 +1,81 @@
+/**
+ * Shape checks of the platform's answers; undefined means malformed.
+ *
+ * @module
+ */
+
+import type {
+  JsonValue,
+  ListedInstance,
+  TableRow,
+} from "@dotterelmoor/core.types";
+
+/** A JSON object whose fields are not yet checked. */
+export type JsonRecord = Readonly<Record<string, unknown>>;
+
+/** Tells whether a value is a JSON object. */
+export function isRecord(value: unknown): value is JsonRecord {
+  return typeof value === "object" && value !== null && !Array.isArray(value);
+}
+
+/** Parses one row. */
+export function parseRow(value: unknown): TableRow | undefined {
+  if (!isRecord(value)) return undefined;
+  const { key, version } = value;
+  if (typeof key !== "string" || !isVersion(version)) return undefined;
+  return { key, version, value: (value.value ?? null) as JsonValue };
+}
+
+/** Parses a list of rows. */
+export function parseRows(value: unknown): TableRow[] | undefined {
+  return parseList(value, parseRow);
+}
+
+/** Parses the answer to a committed transaction. */
+export function parseVersions(
+  value: JsonRecord,
+): Record<string, number> | undefined {
+  const { committed, versions } = value;
+  if (committed !== true || !isRecord(versions)) return undefined;
+  return Object.values(versions).every(isVersion)
+    ? versions as Record<string, number>
+    : undefined;
+}
+
+/** Parses the instance list. */
+export function parseInstances(
+  value: JsonRecord,
+): ListedInstance[] | undefined {
+  return parseList(value.instances, parseInstance);
+}
+
+function parseInstance(value: unknown): ListedInstance | undefined {
+  if (!isRecord(value)) return undefined;
+  const { id, service, address, region, zone, state } = value;
+  const { slots, connections } = value;
+  if (
+    typeof id !== "string" || typeof service !== "string" ||
+    typeof address !== "string" || typeof region !== "string" ||
+    typeof zone !== "string" || (state !== "live" && state !== "leaving") ||
+    !isVersion(slots) || !isVersion(connections)
+  ) return undefined;
+  return { id, service, address, region, zone, state, slots, connections };
+}
+
+function isVersion(value: unknown): value is number {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
+function parseList<T>(
+  value: unknown,
+  parseItem: (item: unknown) => T | undefined,
+): T[] | undefined {
+  if (!Array.isArray(value)) return undefined;
+  const items: T[] = [];
+  for (const part of value) {
+    const item = parseItem(part);
+    if (item === undefined) return undefined;
+    items.push(item);
+  }
+  return items;
+}
--- /dev/null
+++ b/packages/network/platform/src/requester.ts
@@ -0,0 +1,138 @@
+/**
+ * Sends single requests to the platform with bounded concurrency.
+ *
+ * @module
+ */
+
+import { Agent } from "node:http";
+import got from "got";
+import type { Method } from "got";
+import { createGate } from "./gate.ts";
+import { isRecord } from "./parse.ts";
+import type { JsonRecord } from "./parse.ts";
+import type { PlatformClientOptions } from "./types.ts";
+
+/** Enough for the batches of one entry without crowding the platform. */
+const DEFAULT_MAX_CONCURRENT = 16;
+
+/** Object store answers are snapshots of at most a few MiB. */
+const DEFAULT_MAX_ANSWER_BYTES = 32 * 1024 * 1024;
+
+/** A complete answer. */
+export interface PlatformAnswer {
+  readonly status: number;
+  readonly body: Uint8Array;
+}
+
+/** Body of a request, if any. */
+export interface RequestBody {
+  readonly json?: unknown;
+  readonly body?: Uint8Array;
+}
+
+/** Sends requests; undefined stands for no usable answer. */
+export interface Requester {
+  request(
+    method: Method,
+    path: string,
+    body?: RequestBody,
+  ): Promise<PlatformAnswer | undefined>;
+  /** Parses a JSON object; undefined if it is malformed. */
+  parse<T>(
+    answer: PlatformAnswer,
+    parseBody: (body: JsonRecord) => T | undefined,
+  ): T | undefined;
+  close(): void;
+}
+
+/** Creates a requester for one platform. */
+export function createRequester(options: PlatformClientOptions): Requester {
+  const maxConcurrent = options.maxConcurrent ?? DEFAULT_MAX_CONCURRENT;
+  const agent = new Agent({ keepAlive: true, maxSockets: maxConcurrent });
+  const gate = createGate(maxConcurrent);
+  // AbortSignal.any on one long-lived signal would grow with each request.
+  const active = new Set<AbortController>();
+  const notify = options.onFailure ?? (() => {});
+  return {
+    request: async (method, path, body = {}) => {
+      const controller = new AbortController();
+      const timer = setTimeout(
+        () => controller.abort(new Error("The platform did not answer")),
+        options.timeoutMs,
+      );
+      active.add(controller);
+      try {
+        const release = await gate.take(controller.signal);
+        return await send({ method, path, body, agent, options, controller })
+          .finally(release);
+      } catch (error) {
+        notify(`${method} /${path} failed: ${describe(error)}`);
+        return undefined;
+      } finally {
+        clearTimeout(timer);
+        active.delete(controller);
+      }
+    },
+    parse: (answer, parseBody) => {
+      const parsed = parseAnswer(answer, parseBody);
+      if (parsed === undefined) notify("An answer is malformed");
+      return parsed;
+    },
+    close: () => {
+      for (const controller of active) {
+        controller.abort(new Error("The client is closed"));
+      }
+      agent.destroy();
+    },
+  };
+}
+
+interface SendOptions {
+  readonly method: Method;
+  readonly path: string;
+  readonly body: RequestBody;
+  readonly agent: Agent;
+  readonly options: PlatformClientOptions;
+  readonly controller: AbortController;
+}
+
+async function send(input: SendOptions): Promise<PlatformAnswer> {
+  const { method, path, body, agent, options, controller } = input;
+  const limit = options.maxAnswerBytes ?? DEFAULT_MAX_ANSWER_BYTES;
+  const pending = got(new URL(path, `${options.url}/`), {
+    method,
+    ...(body.json !== undefined ? { json: body.json } : {}),
+    ...(body.body !== undefined ? { body: Buffer.from(body.body) } : {}),
+    agent: { http: agent },
+    retry: { limit: 0 },
+    followRedirect: false,
+    decompress: false,
+    throwHttpErrors: false,
+    responseType: "buffer",
+    signal: controller.signal,
+  });
+  pending.on("downloadProgress", ({ transferred }) => {
+    if (transferred > limit) {
+      controller.abort(new Error("The answer is too large"));
+    }
+  });
+  const { statusCode, body: answer } = await pending;
+  if (statusCode >= 500) throw new Error(`Status ${statusCode}`);
+  return { status: statusCode, body: answer };
+}
+
+function parseAnswer<T>(
+  answer: PlatformAnswer,
+  parseBody: (body: JsonRecord) => T | undefined,
+): T | undefined {
+  try {
+    const body: unknown = JSON.parse(new TextDecoder().decode(answer.body));
+    return isRecord(body) ? parseBody(body) : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function describe(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
--- /dev/null
+++ b/packages/testing/platform/src/control.ts
@@ -0,0 +1,66 @@
+/**
+ * Control listener of the stand-in platform: faults, true list and counters.
+ *
+ * @module
+ */
+
+import Koa from "koa";
+import type { Context } from "koa";
+import { readJson } from "./listener.ts";
+import type { PlatformState } from "./state.ts";
+import { isInstanceList, isPartOf } from "./validation.ts";
+
+type Route = (context: Context, state: PlatformState) => Promise<void> | void;
+
+async function answerFaults(
+  context: Context,
+  state: PlatformState,
+): Promise<void> {
+  const body = await readJson(context.req);
+  if (!isPartOf(body, state.faults)) {
+    context.throw(400, "The body has an unknown fault or a wrong type");
+  }
+  state.setFaults(body);
+  context.body = state.faults;
+}
+
+async function answerSetInstances(
+  context: Context,
+  state: PlatformState,
+): Promise<void> {
+  const body = await readJson(context.req);
+  const list = Array.isArray(body)
+    ? body
+    : (body as { instances?: unknown } | null | undefined)?.instances;
+  if (!isInstanceList(list)) {
+    context.throw(400, "The body is not a list of instances");
+  }
+  state.setInstances(list);
+  context.status = 204;
+}
+
+const ROUTES: Readonly<Record<string, Route>> = {
+  "POST /faults": answerFaults,
+  "GET /faults": (context, state) => {
+    context.body = state.faults;
+  },
+  "PUT /instances": answerSetInstances,
+  "GET /instances": (context, state) => {
+    context.body = { instances: state.readTrueInstances() };
+  },
+  "GET /counters": (context, state) => {
+    context.body = state.counters;
+  },
+};
+
+/** Builds the application of the control listener. */
+export function buildControlApp(state: PlatformState): Koa {
+  const app = new Koa();
+  app.silent = true;
+  app.use(async (context: Context) => {
+    const route = ROUTES[`${context.method} ${context.path}`];
+    if (route === undefined) context.throw(404, "No such resource");
+    await route(context, state);
+  });
+  return app;
+}
--- /dev/null
+++ b/packages/testing/platform/src/state.ts
@@ -0,0 +1,82 @@
+/**
+ * Everything that the listeners of one stand-in platform share.
+ *
+ * @module
+ */
+
+import { performance } from "node:perf_hooks";
+import type { ListedInstance } from "@dotterelmoor/core.types";
+import { LaggingList, TableStore } from "./store.ts";
+import type {
+  PlatformCounters,
+  PlatformFaults,
+  PlatformOptions,
+} from "./types.ts";
+
+/** Counters that can be written. */
+export type MutableCounters = {
+  -readonly [K in keyof PlatformCounters]: PlatformCounters[K];
+};
+
+const NO_FAULTS: PlatformFaults = {
+  down: false,
+  slowMs: 0,
+  loseAnswers: 0,
+  listLagMs: 0,
+};
+
+/** State of one stand-in platform. */
+export class PlatformState {
+  readonly table: TableStore;
+  readonly objects = new Map<string, Buffer>();
+  readonly counters: MutableCounters = {
+    transactions: 0,
+    committed: 0,
+    conflicts: 0,
+    rowWrites: 0,
+    reads: 0,
+    objectReads: 0,
+    objectWrites: 0,
+    listReads: 0,
+    answersLost: 0,
+    refusedWhileDown: 0,
+  };
+  #faults: PlatformFaults;
+  #list: LaggingList;
+
+  constructor(options: PlatformOptions) {
+    this.table = new TableStore(options.initialRows);
+    this.#list = new LaggingList(options.instances ?? []);
+    this.#faults = { ...NO_FAULTS, ...options.faults };
+  }
+
+  get faults(): PlatformFaults {
+    return this.#faults;
+  }
+
+  setFaults(faults: Partial<PlatformFaults>): void {
+    this.#faults = { ...this.#faults, ...faults };
+  }
+
+  /** Uses up one lost answer; false if none is left. */
+  takeLostAnswer(): boolean {
+    if (this.#faults.loseAnswers <= 0) return false;
+    this.setFaults({ loseAnswers: this.#faults.loseAnswers - 1 });
+    this.counters.answersLost += 1;
+    return true;
+  }
+
+  setInstances(instances: readonly ListedInstance[]): void {
+    this.#list.set(instances, performance.now());
+  }
+
+  /** Reads the list as the main listener shows it. */
+  readInstances(): readonly ListedInstance[] {
+    return this.#list.read(performance.now(), this.#faults.listLagMs);
+  }
+
+  /** Reads the true list. */
+  readTrueInstances(): readonly ListedInstance[] {
+    return this.#list.read(performance.now(), 0);
+  }
+}
