Add the simulated backend server

Tests of the client, the owner and the whole system count slots, runs and runs per key at the receiving side.

--- /dev/null
+++ b/packages/testing/server/src/listener.ts
@@ -0,0 +1,104 @@
+/**
+ * HTTP listeners of the stand-in server.
+ *
+ * @module
+ */
+
+import { createServer } from "node:http";
+import type { IncomingMessage, RequestListener, Server } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+
+/** Largest request body in bytes, above the limit of our own entries. */
+const MAX_BODY_BYTES = 8 * 1024 * 1024;
+
+/** Bytes on the wire and connections of a listener. */
+export interface Traffic {
+  readonly connections: number;
+  readonly bytesIn: number;
+  readonly bytesOut: number;
+}
+
+/** A listening HTTP server. */
+export interface Listener {
+  /** `host:port`. */
+  readonly address: string;
+  readTraffic(): Traffic;
+  close(): Promise<void>;
+}
+
+/** Where a listener listens. */
+export interface ListenerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly maxConnections?: number;
+}
+
+/** Opens a listener; closing it ends its connections at once. */
+export async function openListener(
+  handler: RequestListener,
+  options: ListenerOptions,
+): Promise<Listener> {
+  const server = createServer(handler);
+  if (options.maxConnections !== undefined) {
+    server.maxConnections = options.maxConnections;
+  }
+  const readTraffic = measureTraffic(server);
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(options.port, options.host, resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  return {
+    address: `${options.host}:${port}`,
+    readTraffic,
+    close: () => closeServer(server),
+  };
+}
+
+function measureTraffic(server: Server): () => Traffic {
+  const open = new Set<Socket>();
+  let closedIn = 0;
+  let closedOut = 0;
+  server.on("connection", (socket: Socket) => {
+    open.add(socket);
+    socket.once("close", () => {
+      open.delete(socket);
+      closedIn += socket.bytesRead;
+      closedOut += socket.bytesWritten;
+    });
+  });
+  return () => {
+    let bytesIn = closedIn;
+    let bytesOut = closedOut;
+    for (const socket of open) {
+      bytesIn += socket.bytesRead;
+      bytesOut += socket.bytesWritten;
+    }
+    return { connections: open.size, bytesIn, bytesOut };
+  };
+}
+
+function closeServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
+}
+
+/** Reads a whole body; undefined if it is cut or too large. */
+export async function readBody(
+  request: IncomingMessage,
+): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  try {
+    for await (const chunk of request) {
+      length += (chunk as Buffer).length;
+      if (length > MAX_BODY_BYTES) return undefined;
+      chunks.push(chunk as Buffer);
+    }
+  } catch {
+    return undefined;
+  }
+  return Buffer.concat(chunks);
+}
--- /dev/null
+++ b/packages/testing/server/src/state.ts
@@ -0,0 +1,105 @@
+/**
+ * Counters and faults of one stand-in server.
+ *
+ * @module
+ */
+
+import { appendFileSync } from "node:fs";
+import { performance } from "node:perf_hooks";
+import type { HealthState, ServerFaults, ServerOptions } from "./types.ts";
+
+const NO_FAULTS: ServerFaults = {
+  draining: false,
+  refuseWhenDraining: true,
+  shed: false,
+  hang: false,
+  cutBody: false,
+  lateMs: 0,
+  healthDelayMs: 0,
+  healthState: null,
+  healthFails: false,
+};
+
+/** Largest number of starts after the draining mark that are kept. */
+const MAX_STARTS = 10_000;
+
+/** State of one stand-in server. */
+export class ServerState {
+  readonly name: string;
+  readonly slots: number;
+  runs = 0;
+  completed = 0;
+  inFlight = 0;
+  maxInFlight = 0;
+  overSlots = 0;
+  refused = 0;
+  stoppedAtDeadline = 0;
+  cancelled = 0;
+  readonly runsByKey = new Map<string, number>();
+  readonly startedAfterDrainingMs: number[] = [];
+  #faults: ServerFaults;
+  #drainingSince: number | undefined;
+  readonly #coldUntil: number;
+  readonly #runLog: string | undefined;
+
+  constructor(options: ServerOptions) {
+    this.name = options.name ?? "server";
+    this.slots = options.slots ?? 3;
+    this.#coldUntil = performance.now() + (options.coldMs ?? 0);
+    this.#runLog = options.runLog;
+    this.#faults = NO_FAULTS;
+    this.setFaults(options.faults ?? {});
+  }
+
+  get faults(): ServerFaults {
+    return this.#faults;
+  }
+
+  get isCold(): boolean {
+    return performance.now() < this.#coldUntil;
+  }
+
+  /** State that the health endpoint claims. */
+  get healthState(): HealthState {
+    if (this.#faults.healthState !== null) return this.#faults.healthState;
+    if (this.#faults.draining) return "draining";
+    return this.isCold ? "cold" : "ok";
+  }
+
+  setFaults(faults: Partial<ServerFaults>): void {
+    const wasDraining = this.#faults.draining;
+    this.#faults = { ...this.#faults, ...faults };
+    if (this.#faults.draining && !wasDraining) {
+      this.#drainingSince = performance.now();
+    }
+    if (!this.#faults.draining) this.#drainingSince = undefined;
+  }
+
+  /** Records that the work of a request begins. */
+  recordStart(key: string | undefined): void {
+    this.runs += 1;
+    if (this.inFlight >= this.slots) this.overSlots += 1;
+    this.inFlight += 1;
+    this.maxInFlight = Math.max(this.maxInFlight, this.inFlight);
+    if (key !== undefined) {
+      this.runsByKey.set(key, (this.runsByKey.get(key) ?? 0) + 1);
+    }
+    if (
+      this.#drainingSince !== undefined &&
+      this.startedAfterDrainingMs.length < MAX_STARTS
+    ) {
+      const after = performance.now() - this.#drainingSince;
+      this.startedAfterDrainingMs.push(Math.round(after));
+    }
+    if (this.#runLog !== undefined) {
+      const line = JSON.stringify({ server: this.name, key: key ?? null });
+      // Synchronous, so that the line survives a crash of this process.
+      appendFileSync(this.#runLog, `${line}\n`);
+    }
+  }
+
+  /** Records that the work of a request has ended in any way. */
+  recordEnd(): void {
+    this.inFlight -= 1;
+  }
+}
--- a/packages/testing/server/src/types.ts
+++ b/packages/testing/server/src/types.ts
@@ -76,10 +76,14 @@
   readonly coldFactor?: number;
   /** Bytes of padding in each answer. */
   readonly answerBytes?: number;
+  /** Lower-case header with the idempotency key. */
+  readonly keyHeader?: string;
+  /** File that gets a JSON line per run, before the work begins. */
+  readonly runLog?: string;
   /** Requests with this header or path prefix end the process. */
   readonly crashHeader?: string;
   readonly crashPath?: string;
-  /** Ends the process; tests in one process replace it. */
+  /** Ends the process; by default closes the listeners. */
   readonly crash?: () => void;
   readonly faults?: Partial<ServerFaults>;
 }
--- /dev/null
+++ b/packages/testing/server/src/work.ts
@@ -0,0 +1,164 @@
+/**
+ * Runs one request: refusal, work, deadline, cancellation and answer.
+ *
+ * @module
+ */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { readBody } from "./listener.ts";
+import type { ServerState } from "./state.ts";
+import type { ServerOptions } from "./types.ts";
+
+/** What a stand-in server needs to run requests. */
+export interface WorkOptions {
+  readonly state: ServerState;
+  readonly options: ServerOptions;
+  readonly takeServiceMs: () => number;
+  readonly crash: () => void;
+}
+
+type WorkEnd = "done" | "deadline" | "closed";
+
+/** Reads, runs and answers one request. */
+export async function handleWork(
+  request: IncomingMessage,
+  response: ServerResponse,
+  work: WorkOptions,
+): Promise<void> {
+  const { state, options } = work;
+  const body = await readBody(request);
+  if (body === undefined) {
+    response.destroy();
+    return;
+  }
+  if (refuse(response, state)) return;
+  const key = readHeader(request, options.keyHeader ?? "idempotency-key");
+  state.recordStart(key);
+  if (isCrashing(request, options)) {
+    work.crash();
+    return;
+  }
+  const end = await waitForEnd(request, response, work);
+  state.recordEnd();
+  if (end === "closed") {
+    state.cancelled += 1;
+    return;
+  }
+  if (end === "deadline") {
+    state.stoppedAtDeadline += 1;
+    sendJson(response, 504, { server: state.name, stopped: "deadline" });
+    return;
+  }
+  state.completed += 1;
+  answerLater(response, state, {
+    server: state.name,
+    method: request.method,
+    path: request.url,
+    requestId: readHeader(request, "dotterelmoor-request-id") ?? null,
+    key: key ?? null,
+    body: body.toString("utf8"),
+    pad: "x".repeat(options.answerBytes ?? 0),
+  });
+}
+
+function refuse(response: ServerResponse, state: ServerState): boolean {
+  const { draining, refuseWhenDraining, shed } = state.faults;
+  const leaving = draining && refuseWhenDraining;
+  if (!leaving && !(shed && state.inFlight >= state.slots)) return false;
+  state.refused += 1;
+  response.setHeader("dotterelmoor-not-run", "true");
+  if (leaving) response.setHeader("dotterelmoor-draining", "true");
+  sendJson(response, 503, { server: state.name, refused: true });
+  return true;
+}
+
+function isCrashing(
+  request: IncomingMessage,
+  options: ServerOptions,
+): boolean {
+  const { crashHeader, crashPath } = options;
+  return (crashHeader !== undefined &&
+    request.headers[crashHeader] !== undefined) ||
+    (crashPath !== undefined && (request.url ?? "").startsWith(crashPath));
+}
+
+function waitForEnd(
+  request: IncomingMessage,
+  response: ServerResponse,
+  work: WorkOptions,
+): Promise<WorkEnd> {
+  const { state, options } = work;
+  const factor = state.isCold ? options.coldFactor ?? 5 : 1;
+  const serviceMs = work.takeServiceMs() * factor;
+  const deadlineMs = Number(readHeader(request, "dotterelmoor-deadline-ms"));
+  return new Promise((resolve) => {
+    const timers: NodeJS.Timeout[] = [];
+    function end(result: WorkEnd): void {
+      timers.forEach((timer) => clearTimeout(timer));
+      response.removeListener("close", close);
+      resolve(result);
+    }
+    function close(): void {
+      end("closed");
+    }
+    response.once("close", close);
+    if (!state.faults.hang) timers.push(setTimeout(end, serviceMs, "done"));
+    if (deadlineMs > 0) timers.push(setTimeout(end, deadlineMs, "deadline"));
+  });
+}
+
+function answerLater(
+  response: ServerResponse,
+  state: ServerState,
+  answer: Readonly<Record<string, unknown>>,
+): void {
+  const { lateMs } = state.faults;
+  if (lateMs <= 0) {
+    sendAnswer(response, state, answer);
+    return;
+  }
+  const timer = setTimeout(sendAnswer, lateMs, response, state, answer);
+  response.once("close", () => clearTimeout(timer));
+}
+
+function sendAnswer(
+  response: ServerResponse,
+  state: ServerState,
+  answer: Readonly<Record<string, unknown>>,
+): void {
+  response.setHeader("dotterelmoor-in-flight", String(state.inFlight));
+  response.setHeader("dotterelmoor-slots", String(state.slots));
+  if (!state.faults.cutBody) {
+    sendJson(response, 200, answer);
+    return;
+  }
+  const body = Buffer.from(JSON.stringify(answer));
+  response.writeHead(200, {
+    "content-type": "application/json",
+    "content-length": body.length,
+  });
+  const half = body.subarray(0, Math.floor(body.length / 2));
+  response.write(half, () => response.destroy());
+}
+
+/** Sends a JSON answer with its length. */
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  answer: Readonly<Record<string, unknown>>,
+): void {
+  const body = Buffer.from(JSON.stringify(answer));
+  response.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": body.length,
+  });
+  response.end(body);
+}
+
+function readHeader(
+  request: IncomingMessage,
+  name: string,
+): string | undefined {
+  const value = request.headers[name];
+  return typeof value === "string" && value !== "" ? value : undefined;
+}
