Name resources by table key in promise and permit messages

The ownership module treats groups and links alike as resources with a table key, and permits are held by a process id. The messages now carry these fields; the entry daemon depends on them.

--- a/packages/network/peering/src/messages.ts
+++ b/packages/network/peering/src/messages.ts
@@ -69,15 +69,17 @@
   readonly client: string;
 }
 
-/** Asks the deputy of a group not to take it over for a while. */
+/** Asks the deputy of a resource not to take it over for a while. */
 export interface PromiseMessage {
   readonly type: "promise";
-  readonly service: string;
-  readonly region: string;
   /** Incarnation of the owner that asks. */
-  readonly owner: number;
+  readonly from: number;
+  /** Incarnation that the owner asks; another one refuses. */
+  readonly to: number;
+  /** Table key, `groups/<service>/<region>` or `links/<from>/<to>`. */
+  readonly resource: string;
   readonly fence: number;
-  readonly durationMs: number;
+  readonly requestId: number;
 }
 
 /** Answer to a `promise`. */
@@ -91,19 +93,20 @@
   readonly type: "permit";
   readonly from: string;
   readonly to: string;
-  /** Incarnation of the holder that asks. */
-  readonly holder: number;
-  readonly bytesPerSecond: number;
+  /** Process id of the holder that asks. */
+  readonly holder: string;
+  readonly requestId: number;
+  /** Bytes per second that the holder could send. */
+  readonly demand: number;
 }
 
 /** Answer to a `permit`. */
 export interface PermitResultMessage {
   readonly type: "permit_result";
+  /** False when the peer does not own the ledger. */
   readonly granted: boolean;
-  readonly bytesPerSecond: number;
-  readonly validMs: number;
-  /** Address of the ledger owner, when the peer is not it and knows it. */
-  readonly ownerHint?: string;
+  /** Bytes per second, valid for 1 s from before the request. */
+  readonly rate: number;
 }
 
 /** Carries a membership message (probe, ack, gossip) unread. */
