--- a/packages/config/document/src/mod.ts
+++ b/packages/config/document/src/mod.ts
@@ -4,8 +4,6 @@
  * @module
  */
 
-export { checkAgainstTeams } from "./team_checks.ts";
-export type { CheckAgainstTeamsOptions } from "./team_checks.ts";
 export { formatDocumentErrors } from "./document_error.ts";
 export type { DocumentError, DocumentErrorCode } from "./document_error.ts";
 export { parsePlatformDocument, parseTeamDocument } from "./parsing.ts";
@@ -13,3 +11,6 @@
   ParsePlatformDocumentOptions,
   ParseTeamDocumentOptions,
 } from "./parsing.ts";
+export { checkAgainstPlatform } from "./platform_checks.ts";
+export type { CheckDocumentOptions } from "./platform_checks.ts";
+export { checkAgainstTeams } from "./team_checks.ts";
--- /dev/null
+++ b/packages/config/document/src/platform_checks.ts
@@ -0,0 +1,189 @@
+/**
+ * Checks of a team's document against the platform's document, and checks
+ * within the platform's document. They accept values of any shape.
+ *
+ * @module
+ */
+import type { PlatformDocument, TeamDocument } from "@dotterelmoor/core.types";
+import type { DocumentError } from "./document_error.ts";
+import {
+  describeValue,
+  findDuplicates,
+  getValueAt,
+  listRecords,
+  listStrings,
+} from "./finding.ts";
+import type { Finding, ValuePath } from "./finding.ts";
+import { addPlaces } from "./source.ts";
+
+/** Options of checks that locate errors in a text when it is given. */
+export interface CheckDocumentOptions {
+  /** File name that errors carry; defaults to the team's name. */
+  readonly file?: string;
+  /** Text of the document, with which errors carry lines. */
+  readonly text?: string;
+}
+
+/** Finds regions that do not exist and limits that a document passes. */
+export function checkAgainstPlatform(
+  document: TeamDocument,
+  platform: PlatformDocument,
+  options: CheckDocumentOptions = {},
+): DocumentError[] {
+  return addPlaces(findPlatformErrors(document, platform), {
+    file: document.team,
+    ...options,
+  });
+}
+
+/** Finds what a team's document may not have under the platform's document. */
+export function findPlatformErrors(
+  root: unknown,
+  platform: PlatformDocument,
+): Finding[] {
+  const regions = new Set(platform.regions.map((region) => region.name));
+  return listRecords(getValueAt(root, ["services"])).flatMap(
+    ({ index, record }) => [
+      ...findUnknownRegions(record, { path: ["services", index], regions }),
+      ...findPassedLimits(record, {
+        path: ["services", index],
+        limits: platform.limits,
+      }),
+    ],
+  );
+}
+
+function findUnknownRegions(
+  service: Record<string, unknown>,
+  options: { readonly path: ValuePath; readonly regions: Set<string> },
+): Finding[] {
+  return listStrings(service.regions)
+    .filter(({ text }) => !options.regions.has(text))
+    .map(({ index, text }) =>
+      describeUnknownRegion(text, {
+        path: [...options.path, "regions", index],
+        regions: options.regions,
+      })
+    );
+}
+
+function describeUnknownRegion(
+  region: string,
+  options: { readonly path: ValuePath; readonly regions: Set<string> },
+): Finding {
+  return {
+    code: "region-unknown",
+    path: options.path,
+    found: describeValue(region),
+    expected: `one of the regions ${[...options.regions].join(", ")}`,
+    hint: "Use a region of the platform's document",
+  };
+}
+
+function findPassedLimits(
+  service: Record<string, unknown>,
+  options: {
+    readonly path: ValuePath;
+    readonly limits: PlatformDocument["limits"];
+  },
+): Finding[] {
+  const { path, limits } = options;
+  const { concurrency } = service;
+  const regions = typeof concurrency === "object" && concurrency !== null
+    ? Object.keys(concurrency)
+    : [];
+  const bounded: [ValuePath, number, string][] = [
+    [["shift", "cap"], limits.maxShiftCap, "maxShiftCap"],
+    ...regions.map((region): [ValuePath, number, string] => [
+      ["concurrency", region],
+      limits.maxConcurrency,
+      "maxConcurrency",
+    ]),
+    ...listRecords(service.kinds).map((
+      { index },
+    ): [ValuePath, number, string] => [
+      ["kinds", index, "deadlineMs"],
+      limits.maxDeadlineMs,
+      "maxDeadlineMs",
+    ]),
+  ];
+  return bounded.flatMap(([subPath, limit, limitName]) => {
+    const value = getValueAt(service, subPath);
+    if (typeof value !== "number" || value <= limit) return [];
+    return [{
+      code: limitName === "maxDeadlineMs"
+        ? "deadline-above-limit" as const
+        : "limit-exceeded" as const,
+      path: [...path, ...subPath],
+      found: describeValue(value),
+      expected: `at most ${limit}, the platform's ${limitName}`,
+      hint: "Lower the value or ask the platform team to raise the limit",
+    }];
+  });
+}
+
+/** Finds errors that span several values of the platform's document. */
+export function findPlatformDocumentErrors(root: unknown): Finding[] {
+  const regions = listRecords(getValueAt(root, ["regions"]));
+  const known = new Set(regions.map(({ record }) => String(record.name)));
+  const links = listRecords(getValueAt(root, ["links"]));
+  const blocks = listRecords(getValueAt(root, ["clientBlocks"]));
+  return [
+    ...findDuplicates(
+      listNamed(regions, { list: "regions", key: "name" }),
+      "region",
+    ),
+    ...findDuplicates(
+      regions.flatMap((region) =>
+        listStrings(region.record.zones).map((zone) => ({
+          path: ["regions", region.index, "zones", zone.index],
+          text: zone.text,
+        }))
+      ),
+      "zone",
+    ),
+    ...findDuplicates(
+      links.map(({ index, record }) => ({
+        path: ["links", index],
+        text: `${record.from} to ${record.to}`,
+      })),
+      "link",
+    ),
+    ...findLoops(links),
+    ...findDuplicates(
+      listNamed(blocks, { list: "clientBlocks", key: "block" }),
+      "client block",
+    ),
+    ...[
+      ...listNamed(links, { list: "links", key: "from" }),
+      ...listNamed(links, { list: "links", key: "to" }),
+      ...listNamed(blocks, { list: "clientBlocks", key: "region" }),
+    ].filter(({ text }) => !known.has(text)).map(({ path, text }) =>
+      describeUnknownRegion(text, { path, regions: known })
+    ),
+  ];
+}
+
+function findLoops(links: ReturnType<typeof listRecords>): Finding[] {
+  return links.filter(({ record }) =>
+    record.from !== undefined && record.from === record.to
+  ).map(({ index, record }): Finding => ({
+    code: "value-invalid",
+    path: ["links", index, "to"],
+    found: describeValue(record.to),
+    expected: "another region than from",
+    hint: "Remove the link; traffic within a region needs none",
+  }));
+}
+
+function listNamed(
+  records: ReturnType<typeof listRecords>,
+  options: { readonly list: string; readonly key: string },
+): { readonly path: ValuePath; readonly text: string }[] {
+  return records.flatMap(({ index, record }) => {
+    const text = record[options.key];
+    return typeof text === "string"
+      ? [{ path: [options.list, index, options.key], text }]
+      : [];
+  });
+}
--- /dev/null
+++ b/packages/config/document/src/service_checks.ts
@@ -0,0 +1,124 @@
+/**
+ * Checks within a team's document that span several values. They accept
+ * values of any shape, so that one run reports all errors.
+ *
+ * @module
+ */
+import {
+  describeValue,
+  findDuplicates,
+  getValueAt,
+  listRecords,
+  listStrings,
+} from "./finding.ts";
+import type { Finding, ValuePath } from "./finding.ts";
+
+/** Name of the platform's document, which no team may take. */
+const RESERVED_TEAM = "platform";
+
+/** Finds errors that span several values of a team's document. */
+export function findServiceErrors(root: unknown): Finding[] {
+  const services = listRecords(getValueAt(root, ["services"]));
+  const names = services.flatMap(({ index, record }) =>
+    typeof record.name === "string"
+      ? [{ path: ["services", index, "name"], text: record.name }]
+      : []
+  );
+  return [
+    ...findReservedTeam(getValueAt(root, ["team"])),
+    ...findDuplicates(names, "service name"),
+    ...services.flatMap(({ index, record }) => {
+      const path = ["services", index];
+      return [
+        ...findRegionErrors(record, path),
+        ...findKindErrors(record, path),
+      ];
+    }),
+  ];
+}
+
+function findReservedTeam(team: unknown): Finding[] {
+  if (team !== RESERVED_TEAM) return [];
+  return [{
+    code: "value-invalid",
+    path: ["team"],
+    found: describeValue(team),
+    expected: "a name other than platform",
+    hint: "The platform's document has this name; choose another one",
+  }];
+}
+
+function findRegionErrors(
+  service: Record<string, unknown>,
+  path: ValuePath,
+): Finding[] {
+  const regions = listStrings(service.regions);
+  const { concurrency } = service;
+  const findings = findDuplicates(
+    regions.map(({ index, text }) => ({
+      path: [...path, "regions", index],
+      text,
+    })),
+    "region",
+  );
+  if (
+    typeof concurrency !== "object" || concurrency === null ||
+    regions.length === 0
+  ) return findings;
+  const named = new Set(regions.map(({ text }) => text));
+  for (const region of named) {
+    if (Object.hasOwn(concurrency, region)) continue;
+    findings.push({
+      code: "key-missing",
+      path: [...path, "concurrency", region],
+      found: "nothing",
+      expected: `a concurrency for region ${region}`,
+      hint: `Add ${region} to concurrency or remove it from regions`,
+    });
+  }
+  for (const region of Object.keys(concurrency)) {
+    if (named.has(region)) continue;
+    findings.push({
+      code: "region-unknown",
+      path: [...path, "concurrency", region],
+      found: `region ${region}`,
+      expected: "only regions that the service lists",
+      hint: `Add ${region} to regions or remove it from concurrency`,
+      atKey: true,
+    });
+  }
+  return findings;
+}
+
+function findKindErrors(
+  service: Record<string, unknown>,
+  path: ValuePath,
+): Finding[] {
+  const kinds = listRecords(service.kinds);
+  const pathOf = (index: number) => [...path, "kinds", index];
+  const names = kinds.flatMap(({ index, record }) =>
+    typeof record.name === "string"
+      ? [{ path: [...pathOf(index), "name"], text: record.name }]
+      : []
+  );
+  const routes = kinds.flatMap(({ index, record }) =>
+    listStrings(record.methods).map((method) => ({
+      path: [...pathOf(index), "methods", method.index],
+      text: `${method.text} ${String(record.pathPrefix)}`,
+    }))
+  );
+  const withoutKey = kinds.filter(({ record }) =>
+    record.repeatable === false && record.keyHeader === undefined
+  );
+  return [
+    ...findDuplicates(names, "kind"),
+    ...findDuplicates(routes, "method with this path prefix"),
+    ...withoutKey.map(({ index }): Finding => ({
+      code: "key-missing",
+      path: [...pathOf(index), "keyHeader"],
+      found: "nothing",
+      expected: "a header name, because repeatable is false",
+      hint: "Name the header that carries the idempotency key",
+    })),
+  ];
+}
--- /dev/null
+++ b/packages/config/document/src/source.ts
@@ -0,0 +1,149 @@
+/**
+ * Text of a document with the places of its values.
+ *
+ * @module
+ */
+import {
+  Document,
+  isMap,
+  isNode,
+  isScalar,
+  LineCounter,
+  parseDocument,
+} from "yaml";
+import type { Node } from "yaml";
+import type { DocumentError } from "./document_error.ts";
+import { describeValue, formatPath } from "./finding.ts";
+import type { Finding, ValuePath } from "./finding.ts";
+
+/** YAML text that locates findings. */
+export class DocumentSource {
+  readonly #file: string;
+  readonly #document: Document;
+  readonly #value: unknown;
+  /** Why the text has no value, when it has none. */
+  readonly #refusal?: string;
+  readonly #lines = new LineCounter();
+  readonly #text: string;
+
+  constructor(text: string, options: { readonly file: string }) {
+    this.#file = options.file;
+    this.#text = text;
+    // The parser throws on text that nests too deeply for its stack, and
+    // toJS throws on aliases, which could expand to any size.
+    try {
+      this.#document = parseDocument(text, {
+        lineCounter: this.#lines,
+        prettyErrors: false,
+      });
+      this.#value = this.#document.toJS({ maxAliasCount: 0 });
+    } catch (error) {
+      this.#document ??= new Document();
+      this.#refusal = error instanceof RangeError
+        ? "Nest values less deeply"
+        : "Write values out instead of using aliases";
+    }
+  }
+
+  /** Errors of the YAML syntax. */
+  listSyntaxErrors(): DocumentError[] {
+    const errors = [...this.#document.errors, ...this.#document.warnings];
+    if (errors.length === 0 && this.#refusal !== undefined) {
+      return [this.#makeError({
+        code: "syntax",
+        path: [],
+        found: "a document that cannot be read",
+        expected: "plain YAML values",
+        hint: this.#refusal,
+      }, 0)];
+    }
+    return errors.map((error) => {
+      const duplicate = error.code === "DUPLICATE_KEY";
+      return this.#makeError({
+        code: duplicate ? "key-duplicate" : "syntax",
+        path: [],
+        found: describeValue(this.#readLine(error.pos[0]).trim()),
+        expected: duplicate ? "each key once" : "valid YAML",
+        hint: error.message,
+      }, error.pos[0]);
+    });
+  }
+
+  /** Plain value of the text; undefined when it has syntax errors. */
+  getValue(): unknown {
+    return this.#value;
+  }
+
+  /** Gives a finding its place in the text. */
+  findPlace(finding: Finding): DocumentError {
+    return this.#makeError(finding, this.#findOffset(finding));
+  }
+
+  #findOffset(finding: Finding): number {
+    if (finding.atKey) {
+      const offset = this.#findKeyOffset(finding.path);
+      if (offset !== undefined) return offset;
+    }
+    // A missing value is located at the nearest value that contains it.
+    for (let length = finding.path.length; length > 0; length--) {
+      const node = this.#document.getIn(finding.path.slice(0, length), true);
+      if (isNode(node) && node.range) return node.range[0];
+    }
+    return this.#document.contents?.range?.[0] ?? 0;
+  }
+
+  #findKeyOffset(path: ValuePath): number | undefined {
+    const parent = path.length === 1
+      ? this.#document.contents
+      : this.#document.getIn(path.slice(0, -1), true);
+    if (!isMap(parent)) return undefined;
+    const key = path.at(-1);
+    const pair = parent.items.find((item) =>
+      isScalar(item.key) && item.key.value === key
+    );
+    return (pair?.key as Node | undefined)?.range?.[0];
+  }
+
+  #makeError(finding: Finding, offset: number): DocumentError {
+    const { line, col } = this.#lines.linePos(offset);
+    return makeDocumentError(finding, {
+      file: this.#file,
+      line: Math.max(line, 1),
+      column: Math.max(col, 1),
+    });
+  }
+
+  #readLine(offset: number): string {
+    const start = this.#text.lastIndexOf("\n", Math.max(offset - 1, 0)) + 1;
+    const end = this.#text.indexOf("\n", offset);
+    return this.#text.slice(start, end < 0 ? undefined : end);
+  }
+}
+
+/** Makes an error of a finding at a place. */
+export function makeDocumentError(
+  finding: Finding,
+  place: Pick<DocumentError, "file" | "line" | "column">,
+): DocumentError {
+  const { code, found, expected, hint } = finding;
+  const key = formatPath(finding.path);
+  const message = `${key === "" ? "The document" : key} has ${found}, ` +
+    `expected ${expected}`;
+  return { code, message, hint, ...place, key, found, expected };
+}
+
+/** Locates findings in a text, or names only the file without one. */
+export function addPlaces(
+  findings: readonly Finding[],
+  options: { readonly file: string; readonly text?: string },
+): DocumentError[] {
+  const { file, text } = options;
+  if (findings.length === 0) return [];
+  if (text === undefined) {
+    return findings.map((finding) =>
+      makeDocumentError(finding, { file, line: 0, column: 0 })
+    );
+  }
+  const source = new DocumentSource(text, { file });
+  return findings.map((finding) => source.findPlace(finding));
+}
--- a/packages/config/document/src/team_checks.ts
+++ b/packages/config/document/src/team_checks.ts
@@ -5,20 +5,107 @@
  */
 import type { TeamDocument } from "@dotterelmoor/core.types";
 import type { DocumentError } from "./document_error.ts";
+import { describeValue, getValueAt, listRecords } from "./finding.ts";
+import type { Finding } from "./finding.ts";
+import type { CheckDocumentOptions } from "./platform_checks.ts";
+import { addPlaces } from "./source.ts";
 
-/** Options of `checkAgainstTeams`. */
-export interface CheckAgainstTeamsOptions {
-  /** File name that errors carry; defaults to the team's name. */
-  readonly file?: string;
-  /** Text of the document, with which errors carry lines. */
-  readonly text?: string;
-}
+/** Absorbs the rounding of decimal shares such as 0.1 + 0.2. */
+const ROUNDING = 1e-9;
 
 /** Finds services that another team owns and links that are oversubscribed. */
 export function checkAgainstTeams(
-  _document: TeamDocument,
-  _otherTeams: readonly TeamDocument[],
-  _options: CheckAgainstTeamsOptions = {},
+  document: TeamDocument,
+  otherTeams: readonly TeamDocument[],
+  options: CheckDocumentOptions = {},
 ): DocumentError[] {
-  throw new Error("Not implemented");
+  const others = otherTeams.filter((other) => other.team !== document.team);
+  return addPlaces([
+    ...findForeignServices(document, others),
+    ...findOversubscribedLinks(document, others),
+  ], { file: document.team, ...options });
+}
+
+function findForeignServices(
+  document: TeamDocument,
+  others: readonly TeamDocument[],
+): Finding[] {
+  const owners = new Map(
+    others.flatMap((other) =>
+      other.services.map((service) => [service.name, other.team] as const)
+    ),
+  );
+  return document.services.flatMap((service, index): Finding[] => {
+    const owner = owners.get(service.name);
+    if (owner === undefined) return [];
+    return [{
+      code: "service-owned-elsewhere",
+      path: ["services", index, "name"],
+      found: describeValue(service.name),
+      expected: "a service that no other team owns",
+      hint: `Team ${owner} owns ${service.name}; choose another name`,
+    }];
+  });
+}
+
+interface LinkUse {
+  readonly regions: ReadonlySet<string>;
+  readonly share: number;
+}
+
+/**
+ * Finds links whose shares add up to more than the whole. A service may use
+ * every link that begins or ends in one of its regions: requests enter and
+ * answers leave through them.
+ */
+export function findOversubscribedLinks(
+  root: unknown,
+  others: readonly TeamDocument[],
+): Finding[] {
+  const services = listRecords(getValueAt(root, ["services"]));
+  const own = services.map(({ record }) => readLinkUse(record));
+  const uses = [
+    ...own,
+    ...others.flatMap((other) => other.services.map(readLinkUse)),
+  ];
+  return services.flatMap(({ index }, position): Finding[] => {
+    const use = own[position]!;
+    const worst = findFullestLink(use, uses);
+    if (use.share <= 0 || worst.sum <= 1 + ROUNDING) return [];
+    return [{
+      code: "link-oversubscribed",
+      path: ["services", index, "linkShare"],
+      found: describeValue(use.share),
+      expected: `shares that add up to at most 1 on the link between ` +
+        `${worst.link}, where they are ${Number(worst.sum.toFixed(6))}`,
+      hint: "Lower linkShare here or agree with the other teams on theirs",
+    }];
+  });
+}
+
+function readLinkUse(service: unknown): LinkUse {
+  const regions = getValueAt(service, ["regions"]);
+  const share = getValueAt(service, ["linkShare"]);
+  return {
+    regions: new Set(Array.isArray(regions) ? regions.map(String) : []),
+    share: typeof share === "number" && share > 0 ? share : 0,
+  };
+}
+
+function findFullestLink(
+  use: LinkUse,
+  uses: readonly LinkUse[],
+): { readonly link: string; readonly sum: number } {
+  const regions = new Set(uses.flatMap((other) => [...other.regions]));
+  let fullest = { link: "", sum: 0 };
+  for (const near of use.regions) {
+    for (const far of regions) {
+      if (far === near && regions.size > 1) continue;
+      const sum = uses
+        .filter((other) => other.regions.has(near) || other.regions.has(far))
+        .reduce((total, other) => total + other.share, 0);
+      if (sum > fullest.sum) fullest = { link: `${near} and ${far}`, sum };
+    }
+  }
+  return fullest;
 }
