--- a/packages/config/settings/src/rendering.ts
+++ b/packages/config/settings/src/rendering.ts
@@ -3,21 +3,50 @@
  *
  * @module
  */
+import { stringify } from "yaml";
 import type { EntrySettings, SettingsError } from "./entry_settings.ts";
+import { makeFlag, makeVariable, SETTINGS } from "./flags.ts";
+
+/** Stands in place of a secret value. */
+const REDACTED = "(set)";
 
 /** Renders settings as YAML without secret values. */
-export function renderEntrySettings(_settings: EntrySettings): string {
-  throw new Error("Not implemented");
+export function renderEntrySettings(settings: EntrySettings): string {
+  const { printSettings: _, operatorTokens, ...rest } = settings;
+  return stringify({
+    ...rest,
+    peerToken: REDACTED,
+    operatorTokens: operatorTokens.map((entry) => ({
+      ...entry,
+      token: REDACTED,
+    })),
+  });
 }
 
 /** Renders errors as text, one block of two lines for each. */
 export function formatSettingsErrors(
-  _errors: readonly SettingsError[],
+  errors: readonly SettingsError[],
 ): string {
-  throw new Error("Not implemented");
+  return errors.map(({ source, message, code, hint }) =>
+    `${source}: ${message} (${code})\n  hint: ${hint}`
+  ).join("\n");
 }
 
 /** Describes every flag with its variable and setting. */
 export function describeEntryFlags(): string {
-  throw new Error("Not implemented");
+  const lines = SETTINGS.map(({ setting, help, list }) =>
+    [
+      `  --${makeFlag(setting)} <value>`,
+      `      ${help}${list ? " (comma-separated)" : ""}`,
+      `      file: ${setting}  variable: ${makeVariable(setting)}`,
+    ].join("\n")
+  );
+  return [
+    "  --settings <file>",
+    "      YAML file with settings; flags and variables override it",
+    "      variable: DOTTERELMOOR_SETTINGS",
+    ...lines,
+    "  --print-settings",
+    "      Print the settings without secret values and end",
+  ].join("\n");
 }
