--- /dev/null
+++ b/packages/core/dispatching/src/request_queue.ts
@@ -0,0 +1,113 @@
+/**
+ * Waiting requests by priority class.
+ *
+ * @module
+ */
+
+import type { Priority } from "@dotterelmoor/core.types";
+import type { DispatchRequest } from "./types.ts";
+
+/** A request that waits, with the sends that certainly did not run. */
+export interface QueuedRequest {
+  readonly request: DispatchRequest;
+  readonly tries: number;
+}
+
+/** Classes in the order of dispatch; requests are shed in reverse order. */
+const CLASSES: readonly Priority[] = ["critical", "normal", "background"];
+
+/** First in, first out within a class; a higher class goes first. */
+export class RequestQueue {
+  readonly #classes: Readonly<Record<Priority, QueuedRequest[]>> = {
+    critical: [],
+    normal: [],
+    background: [],
+  };
+  readonly #ids = new Map<string, QueuedRequest>();
+  /** No request is due before this time; may be too early. */
+  #earliestDeadlineMs = Infinity;
+
+  get length(): number {
+    return this.#ids.size;
+  }
+
+  get earliestDeadlineMs(): number {
+    return this.length === 0 ? Infinity : this.#earliestDeadlineMs;
+  }
+
+  has(id: string): boolean {
+    return this.#ids.has(id);
+  }
+
+  /** Requests of the class and of higher classes. */
+  countAhead(priority: Priority): number {
+    let count = 0;
+    for (const name of CLASSES) {
+      count += this.#classes[name].length;
+      if (name === priority) break;
+    }
+    return count;
+  }
+
+  add(queued: QueuedRequest): void {
+    this.#register(queued);
+    this.#classes[queued.request.priority].push(queued);
+  }
+
+  /** Puts a request back to the head of its class. */
+  addFirst(queued: QueuedRequest): void {
+    this.#register(queued);
+    this.#classes[queued.request.priority].unshift(queued);
+  }
+
+  remove(id: string): QueuedRequest | undefined {
+    const queued = this.#ids.get(id);
+    if (queued === undefined) return undefined;
+    this.#ids.delete(id);
+    const list = this.#classes[queued.request.priority];
+    list.splice(list.indexOf(queued), 1);
+    return queued;
+  }
+
+  /** The last request of the lowest class. */
+  findLast(): QueuedRequest | undefined {
+    for (const name of CLASSES.toReversed()) {
+      const last = this.#classes[name].at(-1);
+      if (last !== undefined) return last;
+    }
+    return undefined;
+  }
+
+  /** Copy in the order of dispatch, safe against changes while it is read. */
+  list(): QueuedRequest[] {
+    return CLASSES.flatMap((name) => this.#classes[name]);
+  }
+
+  /** Takes out the requests that have no more than the margin left. */
+  takeDue(nowMs: number, marginMs: number): QueuedRequest[] {
+    if (this.earliestDeadlineMs - marginMs > nowMs) return [];
+    this.#earliestDeadlineMs = Infinity;
+    const due: QueuedRequest[] = [];
+    for (const queued of this.list()) {
+      const { deadlineAtMs, id } = queued.request;
+      if (deadlineAtMs - marginMs <= nowMs) {
+        this.remove(id);
+        due.push(queued);
+      } else {
+        this.#earliestDeadlineMs = Math.min(
+          this.#earliestDeadlineMs,
+          deadlineAtMs,
+        );
+      }
+    }
+    return due;
+  }
+
+  #register(queued: QueuedRequest): void {
+    this.#ids.set(queued.request.id, queued);
+    this.#earliestDeadlineMs = Math.min(
+      this.#earliestDeadlineMs,
+      queued.request.deadlineAtMs,
+    );
+  }
+}
