--- a/packages/daemon/entry/src/process/group_owner.ts
+++ b/packages/daemon/entry/src/process/group_owner.ts
@@ -24,7 +24,10 @@
   Random,
   ServiceDocument,
 } from "@dotterelmoor/core.types";
-import type { BackendClient, BackendResult } from "@dotterelmoor/network.backend";
+import type {
+  BackendClient,
+  BackendResult,
+} from "@dotterelmoor/network.backend";
 import type { Execution } from "../request/execution.ts";
 import { createGroupRun } from "../request/group_run.ts";
 import type { GroupRun } from "../request/group_run.ts";
--- a/packages/daemon/entry/src/process/membership_part.ts
+++ b/packages/daemon/entry/src/process/membership_part.ts
@@ -7,10 +7,10 @@
 import { createMembership } from "@dotterelmoor/core.membership";
 import type {
   MemberRecord,
-  MemberState,
   Membership,
   MembershipEvent,
   MembershipMessage,
+  MemberState,
 } from "@dotterelmoor/core.membership";
 import type {
   DisposableStore,
--- a/packages/daemon/entry/src/request/front.ts
+++ b/packages/daemon/entry/src/request/front.ts
@@ -65,7 +65,10 @@
 
 /** A claim on an idempotency key, and how to end it. */
 export interface KeyClaim {
-  readonly result: ClaimResult | { readonly type: "forwarded"; readonly outcome: Outcome };
+  readonly result: ClaimResult | {
+    readonly type: "forwarded";
+    readonly outcome: Outcome;
+  };
   /** Gives the key back; the request certainly did not run. */
   release(): void;
   finish(): void;
@@ -98,7 +101,8 @@
 ): Promise<Outcome> {
   const view = parts.getView();
   const service = findService(view?.snapshot, request.service);
-  const kind = service && findRequestKind(service, request.method, request.path);
+  const kind = service &&
+    findRequestKind(service, request.method, request.path);
   if (view === undefined || kind === undefined) {
     return makeNotRun("not-configured");
   }
--- a/packages/daemon/entry/src/wiring.ts
+++ b/packages/daemon/entry/src/wiring.ts
@@ -19,7 +19,10 @@
 } from "@dotterelmoor/core.types";
 import type { EntrySettings } from "@dotterelmoor/config.settings";
 import { createBackendClient } from "@dotterelmoor/network.backend";
-import { createPeerPool, createPeerServer } from "@dotterelmoor/network.peering";
+import {
+  createPeerPool,
+  createPeerServer,
+} from "@dotterelmoor/network.peering";
 import type {
   PeerHandlers,
   PeerIdentity,
@@ -31,7 +34,11 @@
 import { createClock } from "./process/clock.ts";
 import { createConfigurationPart } from "./process/configuration_part.ts";
 import { createGroupOwner } from "./process/group_owner.ts";
-import { createGroups, findService, listGroupResources } from "./process/groups.ts";
+import {
+  createGroups,
+  findService,
+  listGroupResources,
+} from "./process/groups.ts";
 import { ENTRY_SERVICE, startInstanceWatch } from "./process/instance_watch.ts";
 import { startInterval } from "./process/intervals.ts";
 import { leaveSystem } from "./process/leaving.ts";
