Add the demo's launcher and its scenario

A newcomer needs one command that shows a whole system. The launcher starts the platform, backend servers and entries as processes; the scenario sends requests, drains a server and changes a document.

--- /dev/null
+++ b/packages/testing/demo/src/main.ts
@@ -0,0 +1,212 @@
+#!/usr/bin/env node
+/**
+ * Demo: a two-region system of separate processes on loopback.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import process from "node:process";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { callOperators, lookUp, sendRequest, waitUntil } from "./calling.ts";
+import type { LookupView, RequestView } from "./calling.ts";
+import type { ExampleName } from "./example_rows.ts";
+import { startSystem } from "./system.ts";
+import type { RunningSystem } from "./system.ts";
+
+/** What the demo uses of an example. */
+interface Scenario {
+  readonly regions: readonly [string, string];
+  readonly query: { readonly service: string; readonly path: string };
+  readonly booking: { readonly service: string; readonly path: string };
+}
+
+const SCENARIOS: Readonly<Record<ExampleName, Scenario>> = {
+  consortium: {
+    regions: ["southeast", "farnorth"],
+    query: { service: "availdesk", path: "/availability?suburb=Toowong" },
+    booking: { service: "holdkeeper", path: "/holds" },
+  },
+  hnojovka: {
+    regions: ["zapad", "stred"],
+    query: { service: "slot-finder", path: "/slots?week=12" },
+    booking: { service: "booking-desk", path: "/confirmations" },
+  },
+};
+
+/** Loopback address in the example's client blocks for the first region. */
+const CLIENT = "127.1.0.5";
+
+function printStep(text: string): void {
+  console.log(`\n== ${text}`);
+}
+
+function printOutcome(title: string, view: RequestView): void {
+  const reason = view.reason === "" ? "" : `, reason ${view.reason}`;
+  const server = view.server === "" ? "" : `, server ${view.server}`;
+  console.log(
+    `${title}: HTTP ${view.status}, outcome ${view.outcome}${reason}${server}`,
+  );
+}
+
+async function showRequests(
+  system: RunningSystem,
+  scenario: Scenario,
+): Promise<LookupView> {
+  const { query, booking } = scenario;
+  printStep("A caller asks which entry to use");
+  const found = await lookUp(system.entries[0]!.callers, {
+    service: query.service,
+    from: CLIENT,
+  });
+  console.log(JSON.stringify(found, null, 2));
+  const entry = found.entries[0]!.address;
+
+  printStep("A query, and its whole answer");
+  const view = await sendRequest(entry, { ...query, from: CLIENT });
+  printOutcome(query.service, view);
+  console.log(view.body);
+
+  printStep("A booking, and the same booking again through another entry");
+  const key = randomUUID();
+  const request = { ...booking, method: "POST", from: CLIENT, key } as const;
+  printOutcome(
+    "first",
+    await sendRequest(entry, { ...request, body: "slot 7" }),
+  );
+  const other = system.entries.at(-1)!.callers;
+  printOutcome(
+    "again",
+    await sendRequest(other, { ...request, body: "slot 7" }),
+  );
+  return found;
+}
+
+async function showDrain(
+  system: RunningSystem,
+  scenario: Scenario,
+  entry: string,
+): Promise<void> {
+  const { service } = scenario.query;
+  const server = system.servers.find(({ instance }) =>
+    instance.service === service && instance.region === scenario.regions[0]
+  )!;
+  printStep(`An operator drains ${server.instance.id}`);
+  const operators = system.entries[0]!.operators;
+  const answer = await callOperators(
+    operators,
+    `/v1/drains/${server.instance.id}`,
+    { method: "PUT", json: { why: "Demo", changeId: randomUUID() } },
+  );
+  console.log(`operators' interface: ${JSON.stringify(answer.body)}`);
+  let last = "";
+  const waitedMs = await waitUntil(async () => {
+    const view = await sendRequest(entry, { ...scenario.query, from: CLIENT });
+    last = view.server;
+    return last !== server.instance.id;
+  }, { timeoutMs: 5_000, what: "another server in use" });
+  console.log(
+    `after ${Math.round(waitedMs)} ms requests go to ${last} instead`,
+  );
+}
+
+interface DocumentView {
+  readonly text: string;
+  readonly version: number;
+}
+
+async function showChange(
+  system: RunningSystem,
+  scenario: Scenario,
+): Promise<void> {
+  const team = scenario.booking.service;
+  printStep(`The team changes the cap in the document of ${team}`);
+  const { operators } = system.entries[0]!;
+  const path = `/v1/documents/${team}`;
+  const { body: before } = await callOperators<DocumentView>(operators, path);
+  const answer = await callOperators<{ readonly sequence: number }>(
+    operators,
+    path,
+    {
+      method: "PUT",
+      json: {
+        text: before.text.replace(/cap: \d+/, "cap: 20"),
+        editedFrom: before.version,
+        changeId: randomUUID(),
+        why: "Demo: a lower cap",
+      },
+    },
+  );
+  console.log(`accepted: ${JSON.stringify(answer.body)}`);
+  const { sequence } = answer.body;
+  const waitedMs = await waitUntil(async () => {
+    const sequences = await Promise.all(
+      system.entries.map((entry) => readSequence(entry.operators)),
+    );
+    return sequences.every((value) => value >= sequence);
+  }, { timeoutMs: 5_000, what: "the change in force everywhere" });
+  console.log(
+    `in force on all ${system.entries.length} entries after ` +
+      `${Math.round(waitedMs)} ms`,
+  );
+  const { body: history } = await callOperators(operators, "/v1/history");
+  console.log(`audit trail: ${JSON.stringify(history, null, 2)}`);
+}
+
+async function readSequence(operators: string): Promise<number> {
+  const { body } = await callOperators<
+    { readonly configuration: { readonly sequence: number } }
+  >(operators, "/v1/status");
+  return body.configuration.sequence;
+}
+
+async function runDemo(example: ExampleName): Promise<void> {
+  const scenario = SCENARIOS[example];
+  printStep(
+    `Starting the ${example} example in ${scenario.regions.join(", ")}`,
+  );
+  const system = await startSystem({
+    example,
+    regions: scenario.regions,
+    entriesPerRegion: 2,
+    serversPerGroup: 2,
+    teams: [scenario.query.service, scenario.booking.service],
+  });
+  try {
+    for (const entry of system.entries) {
+      console.log(`${entry.instance} (${entry.zone}): ${entry.callers}`);
+    }
+    await waitForGroups(system, scenario);
+    const found = await showRequests(system, scenario);
+    await showDrain(system, scenario, found.entries[0]!.address);
+    await showChange(system, scenario);
+  } finally {
+    await system.stop();
+  }
+  printStep("All processes have ended");
+}
+
+/** Waits until every group of the example has an owner that serves. */
+async function waitForGroups(
+  system: RunningSystem,
+  scenario: Scenario,
+): Promise<void> {
+  await waitUntil(async () => {
+    const { body } = await callOperators<
+      { readonly groups: readonly { readonly value: { open: boolean } }[] }
+    >(system.entries[0]!.operators, "/v1/status");
+    const open = body.groups.filter(({ value }) => value.open);
+    return open.length === scenario.regions.length * 2;
+  }, { timeoutMs: 15_000, what: "an owner for each group" });
+}
+
+const flags = await yargs(hideBin(process.argv))
+  .usage("Runs a small system on loopback and shows what it decides.")
+  .option("example", {
+    choices: ["consortium", "hnojovka"] as const,
+    default: "consortium" as const,
+  })
+  .strict()
+  .parse();
+await runDemo(flags.example);
--- a/packages/testing/demo/src/mod.ts
+++ b/packages/testing/demo/src/mod.ts
@@ -4,5 +4,34 @@
  * @module
  */
 
+export {
+  callOperators,
+  lookUp,
+  readCounters,
+  sendRequest,
+  setFaults,
+  waitUntil,
+} from "./calling.ts";
+export type {
+  CallOperatorsOptions,
+  LookUpOptions,
+  LookupView,
+  RequestView,
+  SendRequestOptions,
+} from "./calling.ts";
+export { loadExampleRows } from "./example_rows.ts";
+export type {
+  ExampleName,
+  ExampleRows,
+  LoadExampleRowsOptions,
+} from "./example_rows.ts";
 export { startProcess } from "./processes.ts";
 export type { ProcessOptions, RunningProcess } from "./processes.ts";
+export { OPERATOR_TOKEN, startSystem } from "./system.ts";
+export type {
+  EntryProcess,
+  PublishOptions,
+  RunningSystem,
+  ServerProcess,
+  SystemOptions,
+} from "./system.ts";
--- /dev/null
+++ b/packages/testing/demo/src/system.ts
@@ -0,0 +1,298 @@
+/**
+ * Starts a small system of separate processes on loopback.
+ *
+ * @module
+ */
+
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import got from "got";
+import { DisposableStore } from "@dotterelmoor/core.types";
+import type {
+  ListedInstance,
+  PlatformDocument,
+} from "@dotterelmoor/core.types";
+import { loadExampleRows } from "./example_rows.ts";
+import type { ExampleName, LoadExampleRowsOptions } from "./example_rows.ts";
+import { startProcess } from "./processes.ts";
+import type { RunningProcess } from "./processes.ts";
+
+const PACKAGES = new URL("../../../", import.meta.url);
+const PEER_TOKEN = "example-peer-token-0123456789abcdef0123";
+
+/** Token of an administrator in systems that this module starts. */
+export const OPERATOR_TOKEN = "example-operator-token-0123456789abcdef";
+
+/** Options of `startSystem`. */
+export interface SystemOptions extends LoadExampleRowsOptions {
+  readonly example: ExampleName;
+  /** Regions with entries and servers; the others stay empty. */
+  readonly regions: readonly string[];
+  readonly entriesPerRegion: number;
+  readonly serversPerGroup: number;
+  /** Flags of each backend server process. */
+  readonly serverFlags?: readonly string[];
+  /** Environment of each entry process. */
+  readonly entryEnv?: Readonly<Record<string, string>>;
+  readonly lookupTtlMs?: number;
+}
+
+/** An entry process. */
+export interface EntryProcess {
+  readonly instance: string;
+  readonly region: string;
+  readonly zone: string;
+  readonly process: RunningProcess;
+  /** `host:port` of each listener. */
+  readonly callers: string;
+  readonly peers: string;
+  readonly operators: string;
+}
+
+/** A backend server process. */
+export interface ServerProcess {
+  readonly instance: ListedInstance;
+  readonly process: RunningProcess;
+  readonly controlUrl: string;
+}
+
+/** A system of processes. */
+export interface RunningSystem {
+  readonly platformUrl: string;
+  readonly platformControlUrl: string;
+  readonly platform: PlatformDocument;
+  readonly entries: EntryProcess[];
+  readonly servers: ServerProcess[];
+  startEntry(region: string, zone: string): Promise<EntryProcess>;
+  /** Publishes the list of instances without those that are left out. */
+  publishInstances(options?: PublishOptions): Promise<void>;
+  setPlatformFaults(faults: Readonly<Record<string, unknown>>): Promise<void>;
+  /** Ends every process. */
+  stop(): Promise<void>;
+}
+
+/** Options of `publishInstances`. */
+export interface PublishOptions {
+  /** Ids that the list shows as leaving. */
+  readonly leaving?: readonly string[];
+  /** Ids that the list no longer shows. */
+  readonly without?: readonly string[];
+}
+
+/** Starts the platform, backend servers and entries, and waits for them. */
+export async function startSystem(
+  options: SystemOptions,
+): Promise<RunningSystem> {
+  const store = new DisposableStore();
+  const directory = mkdtempSync(join(tmpdir(), "dotterelmoor-"));
+  store.add(() => rmSync(directory, { recursive: true, force: true }));
+  const files = writeFiles(directory);
+  const example = loadExampleRows(options.example, options);
+  writeFileSync(files.rows, JSON.stringify(example.rows));
+  const platform = await startProcess({
+    script: findScript("testing/platform"),
+    args: ["--initial-rows", files.rows],
+  });
+  store.add(() => stopProcess(platform));
+  const platformUrl = String(platform.ready.url);
+  const platformControlUrl = String(platform.ready.controlUrl);
+  const entries: EntryProcess[] = [];
+  const servers: ServerProcess[] = [];
+
+  async function startEntry(
+    region: string,
+    zone: string,
+  ): Promise<EntryProcess> {
+    const instance = `entry-${region}-${entries.length + 1}`;
+    const process = await startProcess({
+      script: findScript("daemon/entry"),
+      env: {
+        ...makeEntryEnv({ instance, region, zone, platformUrl }, files),
+        ...makeSeedsEnv(entries),
+        DOTTERELMOOR_LOOKUP_TTL_MS: String(options.lookupTtlMs ?? 1_000),
+        ...options.entryEnv,
+      },
+    });
+    store.add(() => stopProcess(process));
+    const entry: EntryProcess = {
+      instance,
+      region,
+      zone,
+      process,
+      callers: String(process.ready.callers),
+      peers: String(process.ready.peers),
+      operators: String(process.ready.operators),
+    };
+    entries.push(entry);
+    return entry;
+  }
+
+  async function startServer(
+    service: string,
+    region: string,
+    zone: string,
+    number: number,
+  ): Promise<void> {
+    const id = `${service}-${region}-${number}`;
+    const process = await startProcess({
+      script: findScript("testing/server"),
+      args: ["--name", id, ...options.serverFlags ?? []],
+    });
+    store.add(() => stopProcess(process));
+    servers.push({
+      process,
+      controlUrl: String(process.ready.controlUrl),
+      instance: {
+        id,
+        service,
+        region,
+        zone,
+        address: String(process.ready.address),
+        state: "live",
+        slots: 3,
+        connections: 650,
+      },
+    });
+  }
+
+  async function publishInstances(publish: PublishOptions = {}): Promise<void> {
+    const listed = [
+      ...servers.map((server) => server.instance),
+      ...entries.map(toListedInstance),
+    ].filter(({ id }) => !publish.without?.includes(id));
+    await got.put(`${platformControlUrl}/instances`, {
+      json: {
+        instances: listed.map((instance) =>
+          publish.leaving?.includes(instance.id)
+            ? { ...instance, state: "leaving" }
+            : instance
+        ),
+      },
+    });
+  }
+
+  const system: RunningSystem = {
+    platformUrl,
+    platformControlUrl,
+    platform: example.platform,
+    entries,
+    servers,
+    startEntry,
+    publishInstances,
+    setPlatformFaults: async (faults) => {
+      await got.post(`${platformControlUrl}/faults`, { json: faults });
+    },
+    stop: () => store.dispose(),
+  };
+  try {
+    for (const region of options.regions) {
+      const zones = example.platform.regions
+        .find(({ name }) => name === region)!.zones;
+      const services = example.teams.flatMap((team) => team.services);
+      await Promise.all(
+        services.flatMap(({ name }) =>
+          Array.from(
+            { length: options.serversPerGroup },
+            (_, index) =>
+              startServer(
+                name,
+                region,
+                zones[index % zones.length]!,
+                index + 1,
+              ),
+          )
+        ),
+      );
+    }
+    await publishInstances();
+    for (let index = 0; index < options.entriesPerRegion; index += 1) {
+      for (const region of options.regions) {
+        const zones = example.platform.regions
+          .find(({ name }) => name === region)!.zones;
+        await startEntry(region, zones[index % zones.length]!);
+      }
+    }
+    await publishInstances();
+  } catch (error) {
+    await system.stop();
+    throw error;
+  }
+  return system;
+}
+
+interface SystemFiles {
+  readonly peerToken: string;
+  readonly operatorTokens: string;
+  readonly rows: string;
+}
+
+function writeFiles(directory: string): SystemFiles {
+  const files = {
+    peerToken: join(directory, "peer-token"),
+    operatorTokens: join(directory, "operator-tokens.yaml"),
+    rows: join(directory, "rows.json"),
+  };
+  writeFileSync(files.peerToken, PEER_TOKEN);
+  writeFileSync(
+    files.operatorTokens,
+    `- { name: example, token: ${OPERATOR_TOKEN}, teams: ["*"], role: admin }\n`,
+  );
+  return files;
+}
+
+interface EntryEnvOptions {
+  readonly instance: string;
+  readonly region: string;
+  readonly zone: string;
+  readonly platformUrl: string;
+}
+
+function makeEntryEnv(
+  options: EntryEnvOptions,
+  files: SystemFiles,
+): Record<string, string> {
+  return {
+    DOTTERELMOOR_INSTANCE: options.instance,
+    DOTTERELMOOR_REGION: options.region,
+    DOTTERELMOOR_ZONE: options.zone,
+    DOTTERELMOOR_CALLERS_LISTEN: "127.0.0.1:0",
+    DOTTERELMOOR_PEERS_LISTEN: "127.0.0.1:0",
+    DOTTERELMOOR_OPERATORS_LISTEN: "127.0.0.1:0",
+    DOTTERELMOOR_PLATFORM_URL: options.platformUrl,
+    DOTTERELMOOR_PEER_TOKEN_FILE: files.peerToken,
+    DOTTERELMOOR_OPERATOR_TOKENS_FILE: files.operatorTokens,
+    DOTTERELMOOR_LOG_LEVEL: "info",
+  };
+}
+
+function makeSeedsEnv(entries: readonly EntryProcess[]) {
+  if (entries.length === 0) return {};
+  return {
+    DOTTERELMOOR_SEEDS: entries.map((entry) => entry.peers).join(","),
+  };
+}
+
+function toListedInstance(entry: EntryProcess): ListedInstance {
+  return {
+    id: entry.instance,
+    service: "dotterelmoor-entry",
+    address: entry.callers,
+    region: entry.region,
+    zone: entry.zone,
+    state: "live",
+    slots: 0,
+    connections: 0,
+  };
+}
+
+function findScript(name: string): string {
+  return fileURLToPath(new URL(`${name}/src/main.js`, PACKAGES));
+}
+
+async function stopProcess(process: RunningProcess): Promise<void> {
+  process.resume();
+  process.kill();
+  await process.exited;
+}
