--- a/packages/testing/demo/src/system.ts
+++ b/packages/testing/demo/src/system.ts
@@ -267,7 +267,9 @@
   };
 }
 
-function makeSeedsEnv(entries: readonly EntryProcess[]) {
+function makeSeedsEnv(
+  entries: readonly EntryProcess[],
+): Record<string, string> {
   if (entries.length === 0) return {};
   return {
     DOTTERELMOOR_SEEDS: entries.map((entry) => entry.peers).join(","),
