Add the backend client

The owner needs to know of each send whether the request may have run, and must never pass a remaining time that outlasts its authority. Connections are opened first; the limit on work is then read and the request written in one turn of the event loop. Each connection has an agent of its own, carries one request at a time and is closed after any failure.

--- a/packages/network/backend/src/client.ts
+++ b/packages/network/backend/src/client.ts
@@ -1,9 +1,108 @@
-/** @module */
-import type { BackendClient, BackendClientOptions } from "./types.ts";
+/**
+ * Client of the backend servers.
+ *
+ * @module
+ */
+
+import { performance } from "node:perf_hooks";
+import type { Connection } from "./connection.ts";
+import { runExchange } from "./exchange.ts";
+import type { Exchange } from "./exchange.ts";
+import { fetchHealth } from "./health.ts";
+import { ConnectionPool } from "./pool.ts";
+import type {
+  BackendClient,
+  BackendClientOptions,
+  BackendRequest,
+  BackendResult,
+} from "./types.ts";
+
+const DEFAULTS = {
+  maxConnectionsPerServer: 64,
+  maxAnswerBytes: 4 * 1024 * 1024,
+  // A connection in the same region opens in about 1 ms.
+  connectTimeoutMs: 500,
+  // Shorter than the 5 s after which Node.js servers close idle connections,
+  // because a request on a closing connection counts as lost.
+  idleMs: 2_000,
+};
 
 /** Creates a client of the backend servers. */
 export function createBackendClient(
-  _options: BackendClientOptions = {},
+  options: BackendClientOptions = {},
 ): BackendClient {
-  throw new Error("Not implemented");
+  const settings = { ...DEFAULTS, ...options };
+  const pool = new ConnectionPool(settings);
+  return {
+    send: (request) => sendRequest(request, { pool, ...settings }),
+    fetchHealth,
+    close: () => pool.close(),
+  };
+}
+
+interface SendOptions {
+  readonly pool: ConnectionPool;
+  readonly maxAnswerBytes: number;
+}
+
+async function sendRequest(
+  request: BackendRequest,
+  options: SendOptions,
+): Promise<BackendResult> {
+  if (request.signal?.aborted) return { type: "cancelled", sent: false };
+  const controller = new AbortController();
+  const abort = () => controller.abort(new Error("The caller cancelled"));
+  const timer = setTimeout(
+    () => controller.abort(new Error("The deadline has passed")),
+    request.deadlineMs,
+  );
+  request.signal?.addEventListener("abort", abort, { once: true });
+  const exchange: Exchange = {
+    request,
+    deadlineAt: performance.now() + request.deadlineMs,
+    maxAnswerBytes: options.maxAnswerBytes,
+    controller,
+    sent: false,
+    answerBegan: false,
+    answerRejected: false,
+    heldBack: false,
+  };
+  try {
+    return await takeAndRun(options.pool, exchange);
+  } finally {
+    clearTimeout(timer);
+    request.signal?.removeEventListener("abort", abort);
+  }
+}
+
+async function takeAndRun(
+  pool: ConnectionPool,
+  exchange: Exchange,
+): Promise<BackendResult> {
+  let connection: Connection | undefined;
+  try {
+    const { address } = exchange.request;
+    connection = await pool.take(address, exchange.controller.signal);
+    const result = await runExchange(connection, exchange);
+    if (result.type === "incomplete_answer") connection.close();
+    return result;
+  } catch {
+    // Bytes of this exchange may still come; they must reach no other one.
+    connection?.close();
+    return classifyFailure(exchange);
+  }
+}
+
+function classifyFailure(exchange: Exchange): BackendResult {
+  const { request, sent, controller } = exchange;
+  if (request.signal?.aborted) return { type: "cancelled", sent };
+  if (exchange.answerRejected) return { type: "incomplete_answer" };
+  if (exchange.heldBack) return { type: "not_authorized" };
+  if (controller.signal.aborted) {
+    return { type: sent ? "timed_out" : "not_authorized" };
+  }
+  if (!sent) return { type: "connection_refused" };
+  return {
+    type: exchange.answerBegan ? "incomplete_answer" : "connection_lost",
+  };
 }
--- /dev/null
+++ b/packages/network/backend/src/connection.ts
@@ -0,0 +1,140 @@
+/**
+ * One connection to one backend server; it carries one request at a time.
+ *
+ * @module
+ */
+
+import { Agent } from "node:http";
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+
+/** Where and how long to connect. */
+export interface ConnectOptions {
+  readonly address: string;
+  readonly connectTimeoutMs: number;
+  readonly idleMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** Told about the connection's state. */
+export interface ConnectionEvents {
+  /** The last answer was complete and the connection can be used again. */
+  onIdle(connection: Connection): void;
+  onClose(connection: Connection): void;
+}
+
+/** Opens a connection; throws if it cannot be opened in time. */
+export function openConnection(
+  options: ConnectOptions,
+  events: ConnectionEvents,
+): Promise<Connection> {
+  const { address, connectTimeoutMs, signal } = options;
+  const separator = address.lastIndexOf(":");
+  return new Promise((resolve, reject) => {
+    const socket = connect({
+      host: address.slice(0, separator),
+      port: Number(address.slice(separator + 1)),
+      noDelay: true,
+    });
+    const timer = setTimeout(
+      () => fail(new Error("The connection did not open in time")),
+      connectTimeoutMs,
+    );
+    function abort(): void {
+      fail(signal.reason);
+    }
+    function fail(error: unknown): void {
+      release();
+      socket.on("error", () => {});
+      socket.destroy();
+      reject(error);
+    }
+    function release(): void {
+      clearTimeout(timer);
+      signal.removeEventListener("abort", abort);
+      socket.removeListener("error", fail);
+    }
+    signal.addEventListener("abort", abort, { once: true });
+    socket.once("error", fail);
+    socket.once("connect", () => {
+      release();
+      resolve(new Connection(socket, { idleMs: options.idleMs, events }));
+    });
+  });
+}
+
+/** An open connection with an agent that uses no other. */
+export class Connection {
+  /** Agent for requests on this connection. */
+  readonly agent: Agent;
+  readonly #socket: Socket;
+  readonly #idleMs: number;
+  #idleTimer: NodeJS.Timeout | undefined;
+
+  constructor(
+    socket: Socket,
+    options: { readonly idleMs: number; readonly events: ConnectionEvents },
+  ) {
+    this.#socket = socket;
+    this.#idleMs = options.idleMs;
+    this.agent = new SingleSocketAgent(socket, () => {
+      this.#becomeIdle();
+      // The agent frees the socket only after this callback has returned.
+      queueMicrotask(() => options.events.onIdle(this));
+    });
+    socket.on("error", () => {});
+    socket.once("close", () => {
+      clearTimeout(this.#idleTimer);
+      options.events.onClose(this);
+    });
+  }
+
+  get isOpen(): boolean {
+    return !this.#socket.destroyed && this.#socket.writable &&
+      this.#socket.readable;
+  }
+
+  /** Takes the connection out of its idle state for one request. */
+  markBusy(): void {
+    clearTimeout(this.#idleTimer);
+    this.#socket.removeListener("data", this.#refuseData);
+  }
+
+  close(): void {
+    this.#socket.destroy();
+  }
+
+  #becomeIdle(): void {
+    // Bytes that nobody asked for would be read as the next request's answer.
+    this.#socket.on("data", this.#refuseData);
+    this.#idleTimer = setTimeout(() => this.close(), this.#idleMs);
+    this.#idleTimer.unref();
+  }
+
+  readonly #refuseData = (): void => {
+    this.close();
+  };
+}
+
+class SingleSocketAgent extends Agent {
+  readonly #socket: Socket;
+  readonly #onFree: () => void;
+
+  constructor(socket: Socket, onFree: () => void) {
+    super({ keepAlive: true, maxSockets: 1, maxFreeSockets: 1 });
+    this.#socket = socket;
+    this.#onFree = onFree;
+  }
+
+  override createConnection(): Duplex {
+    return this.#socket;
+  }
+
+  override keepSocketAlive(socket: Duplex): boolean {
+    // Node.js returns whether to keep the socket; its types omit this.
+    const isKept = super.keepSocketAlive(socket) as unknown as boolean;
+    if (isKept) this.#onFree();
+    return isKept;
+  }
+}
--- /dev/null
+++ b/packages/network/backend/src/health.ts
@@ -0,0 +1,58 @@
+/**
+ * Asks the health endpoint of a backend server.
+ *
+ * @module
+ */
+
+import { Agent } from "node:http";
+import got, { RequestError } from "got";
+import type { HealthResult } from "./types.ts";
+
+/** A health answer has three short fields. */
+const MAX_HEALTH_BYTES = 4_096;
+
+const REFUSED_CODES: readonly (string | undefined)[] = [
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+];
+
+/**
+ * Asks `GET /health` on a new connection, so that a server that no longer
+ * accepts connections does not look healthy.
+ */
+export async function fetchHealth(
+  address: string,
+  timeoutMs: number,
+): Promise<HealthResult> {
+  const controller = new AbortController();
+  try {
+    const pending = got(`http://${address}/health`, {
+      agent: { http: new Agent({ keepAlive: false }) },
+      retry: { limit: 0 },
+      followRedirect: false,
+      decompress: false,
+      responseType: "text",
+      timeout: { request: timeoutMs },
+      signal: controller.signal,
+    });
+    pending.on("downloadProgress", ({ transferred }) => {
+      if (transferred > MAX_HEALTH_BYTES) controller.abort();
+    });
+    return parseHealth(JSON.parse((await pending).body));
+  } catch (error) {
+    const isRefused = error instanceof RequestError &&
+      REFUSED_CODES.includes(error.code);
+    return { type: isRefused ? "connection_refused" : "unavailable" };
+  }
+}
+
+function parseHealth(body: unknown): HealthResult {
+  if (typeof body !== "object" || body === null) return { type: "unavailable" };
+  const { state, inFlight, slots } = body as Record<string, unknown>;
+  const isKnown = state === "ok" || state === "draining" || state === "cold";
+  if (!isKnown || typeof inFlight !== "number" || typeof slots !== "number") {
+    return { type: "unavailable" };
+  }
+  return { type: "health", state, inFlight, slots };
+}
--- /dev/null
+++ b/packages/network/backend/src/pool.ts
@@ -0,0 +1,134 @@
+/**
+ * Bounded pool of connections by backend server.
+ *
+ * @module
+ */
+
+import { openConnection } from "./connection.ts";
+import type { Connection, ConnectionEvents } from "./connection.ts";
+
+/** Bounds of a connection pool. */
+export interface PoolOptions {
+  readonly maxConnectionsPerServer: number;
+  readonly connectTimeoutMs: number;
+  readonly idleMs: number;
+}
+
+interface ServerEntry {
+  /** Connections that are open or being opened. */
+  opened: number;
+  readonly idle: Connection[];
+  readonly waiting: Set<() => void>;
+}
+
+/** Connections to all backend servers of one process. */
+export class ConnectionPool {
+  readonly #options: PoolOptions;
+  readonly #servers = new Map<string, ServerEntry>();
+  readonly #connections = new Set<Connection>();
+
+  constructor(options: PoolOptions) {
+    this.#options = options;
+  }
+
+  /** Takes an open connection; throws if none can be had. */
+  async take(address: string, signal: AbortSignal): Promise<Connection> {
+    while (true) {
+      signal.throwIfAborted();
+      const server = this.#getServer(address);
+      const idle = takeIdle(server);
+      if (idle !== undefined) return idle;
+      if (server.opened < this.#options.maxConnectionsPerServer) {
+        return await this.#open(address, signal);
+      }
+      await waitForTurn(server, signal);
+      // An aborted waiter passes its turn on.
+      if (signal.aborted) notifyNext(server);
+    }
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    for (const connection of this.#connections) connection.close();
+  }
+
+  #getServer(address: string): ServerEntry {
+    let server = this.#servers.get(address);
+    if (server === undefined) {
+      server = { opened: 0, idle: [], waiting: new Set() };
+      this.#servers.set(address, server);
+    }
+    return server;
+  }
+
+  async #open(address: string, signal: AbortSignal): Promise<Connection> {
+    const server = this.#getServer(address);
+    server.opened += 1;
+    const events: ConnectionEvents = {
+      onIdle: (connection) => {
+        if (!connection.isOpen) return;
+        server.idle.push(connection);
+        notifyNext(server);
+      },
+      onClose: (connection) => {
+        this.#connections.delete(connection);
+        const index = server.idle.indexOf(connection);
+        if (index >= 0) server.idle.splice(index, 1);
+        this.#forgetOne(address, server);
+      },
+    };
+    try {
+      const connection = await openConnection({
+        address,
+        signal,
+        connectTimeoutMs: this.#options.connectTimeoutMs,
+        idleMs: this.#options.idleMs,
+      }, events);
+      this.#connections.add(connection);
+      return connection;
+    } catch (error) {
+      this.#forgetOne(address, server);
+      throw error;
+    }
+  }
+
+  #forgetOne(address: string, server: ServerEntry): void {
+    server.opened -= 1;
+    notifyNext(server);
+    if (server.opened === 0 && server.waiting.size === 0) {
+      this.#servers.delete(address);
+    }
+  }
+}
+
+function takeIdle(server: ServerEntry): Connection | undefined {
+  while (server.idle.length > 0) {
+    const connection = server.idle.pop()!;
+    connection.markBusy();
+    if (connection.isOpen) return connection;
+    connection.close();
+  }
+  return undefined;
+}
+
+function notifyNext(server: ServerEntry): void {
+  const [next] = server.waiting;
+  if (next === undefined) return;
+  server.waiting.delete(next);
+  next();
+}
+
+function waitForTurn(server: ServerEntry, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve, reject) => {
+    function abort(): void {
+      server.waiting.delete(admit);
+      reject(signal.reason);
+    }
+    function admit(): void {
+      signal.removeEventListener("abort", abort);
+      resolve();
+    }
+    server.waiting.add(admit);
+    signal.addEventListener("abort", abort, { once: true });
+  });
+}
--- a/packages/network/backend/src/types.ts
+++ b/packages/network/backend/src/types.ts
@@ -50,7 +50,7 @@
   | { readonly type: "refused"; readonly draining: boolean }
   /** No byte of the request was sent. */
   | { readonly type: "connection_refused" }
-  /** `workLimitMs` was used up before any byte was sent. */
+  /** No byte was sent: no time was left, or HTTP cannot carry the request. */
   | { readonly type: "not_authorized" }
   /** The connection ended without an answer; the request may have run. */
   | { readonly type: "connection_lost" }
--- /dev/null
+++ b/packages/testing/server/src/backend_client_test.ts
@@ -0,0 +1,253 @@
+import { subscribe, unsubscribe } from "node:diagnostics_channel";
+import { once } from "node:events";
+import type { ClientRequest } from "node:http";
+import { createServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+import type { ExecutionContext } from "ava";
+import test from "ava";
+import { createBackendClient } from "@dotterelmoor/network.backend";
+import type {
+  BackendClientOptions,
+  BackendRequest,
+  BackendResult,
+} from "@dotterelmoor/network.backend";
+import { createRandom } from "./random.ts";
+import { startServer } from "./server.ts";
+import type { ServerOptions } from "./types.ts";
+
+const SEED = 7_717;
+
+function makeRequest(address: string, id: string): BackendRequest {
+  return {
+    address,
+    method: "POST",
+    path: `/echo/../${id}`,
+    headers: { "idempotency-key": id, connection: "x-hop", "x-hop": "1" },
+    body: new TextEncoder().encode(`body of ${id}`),
+    deadlineMs: 5_000,
+    requestId: id,
+  };
+}
+
+function openClient(t: ExecutionContext, options: BackendClientOptions = {}) {
+  const client = createBackendClient(options);
+  t.teardown(() => client.close());
+  return client;
+}
+
+async function openServer(t: ExecutionContext, options: ServerOptions = {}) {
+  const server = await startServer({ serviceMs: 1, ...options });
+  t.teardown(() => server.close());
+  return server;
+}
+
+/** Opens a TCP server that handles each chunk with the given function. */
+async function openRaw(
+  t: ExecutionContext,
+  onData: (socket: Socket, chunk: Buffer) => void,
+): Promise<{ address: string; server: Server }> {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.on("data", (chunk) => onData(socket, chunk));
+  }).listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.teardown(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  return { address: `127.0.0.1:${port}`, server };
+}
+
+function frameAnswer(body: string): string {
+  return `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+}
+
+function readAnswer(result: BackendResult): Record<string, unknown> {
+  if (result.type !== "answered") return { failed: result.type };
+  return JSON.parse(new TextDecoder().decode(result.body));
+}
+
+test("guards against answers that reach another request", async (t) => {
+  const random = createRandom(SEED);
+  const server = await openServer(t, {
+    slots: 1_000,
+    serviceMs: 20,
+    distribution: "exponential",
+    seed: SEED,
+    answerBytes: 5_000,
+  });
+  const client = openClient(t, { maxConnectionsPerServer: 16 });
+  const results = await Promise.all(
+    Array.from({ length: 200 }, async (_, i) => {
+      const request = makeRequest(server.address, `r${i}`);
+      const cancel = new AbortController();
+      const isImpatient = random() < 0.3;
+      if (random() < 0.2) setTimeout(() => cancel.abort(), 300 * random());
+      return await client.send({
+        ...request,
+        deadlineMs: isImpatient ? 10 + 200 * random() : 20_000,
+        signal: cancel.signal,
+      });
+    }),
+  );
+  const types = new Set<string>();
+  results.forEach((result, i) => {
+    types.add(result.type);
+    if (result.type !== "answered" || result.status === 504) return;
+    t.like(readAnswer(result), {
+      path: `/echo/../r${i}`,
+      requestId: `r${i}`,
+      key: `r${i}`,
+      body: `body of r${i}`,
+    }, `seed ${SEED}`);
+  });
+  t.true(types.has("answered") && types.has("cancelled"), `seed ${SEED}`);
+  const { runsByKey } = server.readCounters();
+  t.true(Object.values(runsByKey).every((runs) => runs === 1));
+});
+
+test("guards against a late answer on a connection used again", async (t) => {
+  let requests = 0;
+  const sockets: Socket[] = [];
+  const { address } = await openRaw(t, (socket) => {
+    requests += 1;
+    sockets.push(socket);
+    if (requests > 1) {
+      sockets[0]!.write(frameAnswer("late"));
+      socket.write(frameAnswer("own"));
+    }
+  });
+  const client = openClient(t, { maxConnectionsPerServer: 1 });
+  const first = makeRequest(address, "first");
+  t.like(await client.send({ ...first, deadlineMs: 40 }), {
+    type: "timed_out",
+  });
+  const second = await client.send(makeRequest(address, "second"));
+  t.like(second, { type: "answered", body: Buffer.from("own") });
+  t.not(sockets[0], sockets[1]);
+});
+
+test("guards against unasked bytes read as the next answer", async (t) => {
+  let requests = 0;
+  const { address } = await openRaw(t, (socket) => {
+    requests += 1;
+    const body = `answer ${requests}`;
+    socket.write(frameAnswer(body), () => {
+      if (requests === 1) setImmediate(() => socket.write(frameAnswer("bad")));
+    });
+    if (requests === 1) socket.once("close", () => closed());
+  });
+  let closed = () => {};
+  const isClosed = new Promise<void>((resolve) => closed = resolve);
+  const client = openClient(t, { maxConnectionsPerServer: 1 });
+  await client.send(makeRequest(address, "a"));
+  await isClosed;
+  const second = await client.send(makeRequest(address, "b"));
+  t.like(second, { type: "answered", body: Buffer.from("answer 2") });
+});
+
+test("guards against answers taken as whole that are cut or too large", async (t) => {
+  const server = await openServer(t, { answerBytes: 2_000 });
+  const client = openClient(t, { maxAnswerBytes: 3_000 });
+  server.setFaults({ cutBody: true });
+  const request = makeRequest(server.address, "a");
+  t.deepEqual(await client.send(request), { type: "incomplete_answer" });
+  server.setFaults({ cutBody: false });
+  t.like(await client.send(request), { type: "answered", status: 200 });
+  const small = openClient(t, { maxAnswerBytes: 1_000 });
+  t.deepEqual(await small.send(request), { type: "incomplete_answer" });
+
+  const endless = await openRaw(t, (socket) => {
+    socket.end("HTTP/1.1 200 OK\r\n\r\nperhaps cut");
+  });
+  t.deepEqual(await client.send(makeRequest(endless.address, "b")), {
+    type: "incomplete_answer",
+  });
+});
+
+test("guards against not-run claimed for a request that may have run", async (t) => {
+  const client = openClient(t);
+  const closing = await openRaw(t, (socket) => socket.destroy());
+  t.deepEqual(await client.send(makeRequest(closing.address, "a")), {
+    type: "connection_lost",
+  });
+  closing.server.close();
+  await once(closing.server, "close");
+  t.deepEqual(await client.send(makeRequest(closing.address, "b")), {
+    type: "connection_refused",
+  });
+
+  const server = await openServer(t);
+  server.setFaults({ draining: true });
+  t.deepEqual(await client.send(makeRequest(server.address, "c")), {
+    type: "refused",
+    draining: true,
+  });
+  t.is(server.readCounters().runs, 0);
+});
+
+test("guards against a cancelled request that keeps its connection", async (t) => {
+  const cancel = new AbortController();
+  let closed = () => {};
+  const isClosed = new Promise<void>((resolve) => closed = resolve);
+  const { address } = await openRaw(t, (socket) => {
+    socket.once("close", () => closed());
+    cancel.abort();
+  });
+  const client = openClient(t);
+  const request = { ...makeRequest(address, "a"), signal: cancel.signal };
+  t.deepEqual(await client.send(request), { type: "cancelled", sent: true });
+  await isClosed;
+  t.deepEqual(await client.send(request), { type: "cancelled", sent: false });
+});
+
+test("guards against work started on authority that has lapsed", async (t) => {
+  const server = await openServer(t);
+  const client = openClient(t);
+  const request = makeRequest(server.address, "authority");
+  const held = await client.send({ ...request, workLimitMs: () => 0 });
+  t.deepEqual(held, { type: "not_authorized" });
+  t.is(server.readCounters().runs, 0);
+
+  let isSameTurn = false;
+  let isWritten = false;
+  const onWritten = (message: unknown) => {
+    const { request } = message as { request: ClientRequest };
+    if (request.getHeader("dotterelmoor-request-id") !== "authority") return;
+    isWritten = isSameTurn && !request.socket!.connecting;
+  };
+  subscribe("http.client.request.start", onWritten);
+  t.teardown(() => unsubscribe("http.client.request.start", onWritten));
+  const workLimitMs = () => {
+    isSameTurn = true;
+    setImmediate(() => isSameTurn = false);
+    return 30;
+  };
+  server.setFaults({ hang: true });
+  const stopped = await client.send({ ...request, workLimitMs });
+  t.like(stopped, { type: "answered", status: 504 });
+  t.true(isWritten, "an open connection is written in the same turn");
+  t.is(server.readCounters().stoppedAtDeadline, 1);
+});
+
+test("guards against overload that the server does not count", async (t) => {
+  const server = await openServer(t, { slots: 2, serviceMs: 50 });
+  const client = openClient(t);
+  const send = () => client.send(makeRequest(server.address, "k"));
+  await Promise.all([send(), send(), send()]);
+  t.like(server.readCounters(), {
+    runs: 3,
+    maxInFlight: 3,
+    overSlots: 1,
+    runsByKey: { k: 3 },
+    inFlight: 0,
+  });
+  server.setFaults({ shed: true });
+  const results = await Promise.all([send(), send(), send()]);
+  t.is(results.filter((result) => result.type === "refused").length, 1);
+  t.is(server.readCounters().overSlots, 1);
+  t.deepEqual(await client.fetchHealth(server.address, 1_000), {
+    type: "health",
+    state: "ok",
+    inFlight: 0,
+    slots: 2,
+  });
+});
