Change the configuration in one transaction per change

Each change checks and writes its row, config/current, changes/<id> and audit/<sequence> together; applyChange reads, builds, sends and reads back.

--- /dev/null
+++ b/packages/config/changing/src/applying.ts
@@ -0,0 +1,133 @@
+/**
+ * Applies a change to the table: reads, builds, sends and reads back.
+ *
+ * @module
+ */
+import type {
+  TableRow,
+  TableTransaction,
+  TransactResult,
+} from "@dotterelmoor/core.types";
+import { Err, Ok } from "ts-results-es";
+import type { Result } from "ts-results-es";
+import type { BuildRefusal, BuiltChange } from "./building.ts";
+import { resolveSubmission } from "./resolving.ts";
+import type {
+  ChangeAlreadyApplied,
+  ChangeCommitted,
+  ChangeRefused,
+  ChangeUnknown,
+} from "./resolving.ts";
+import { makeChangeKey } from "./rows.ts";
+import type { ChangeError, ChangeRows, ConfigurationRows } from "./rows.ts";
+import {
+  loadConfigurationRows,
+  makeAbsentRow,
+  makeStoreError,
+} from "./snapshots.ts";
+import type { TableReader } from "./snapshots.ts";
+
+/** Operations of the platform's table. */
+export interface ChangeTable extends TableReader {
+  transact(transaction: TableTransaction): Promise<TransactResult>;
+}
+
+/** Options of `applyChange`. */
+export interface ApplyChangeOptions<Refusal extends { readonly type: string }> {
+  readonly changeId: string;
+  /** Key of the row that the change alters. */
+  readonly targetKey: string;
+  /**
+   * Builds the change from rows that were just read; runs again when another
+   * change has moved the sequence number.
+   */
+  readonly build: (
+    rows: ChangeRows,
+    configuration: ConfigurationRows,
+  ) => Result<BuiltChange, Refusal>;
+}
+
+/** Attempts before giving up; one of the changes that race always wins. */
+const MAX_ATTEMPTS = 20;
+
+/** Transactions without an answer before the outcome is left unknown. */
+const MAX_UNANSWERED = 2;
+
+/**
+ * Applies a change at most once. The answer `unknown` means that the change
+ * may still take effect; apply it again with the same change id.
+ */
+export async function applyChange<
+  Refusal extends { readonly type: string } = BuildRefusal,
+>(
+  table: ChangeTable,
+  options: ApplyChangeOptions<Refusal>,
+): Promise<
+  | ChangeCommitted
+  | ChangeAlreadyApplied
+  | ChangeUnknown
+  | ChangeRefused
+  | Refusal
+> {
+  let unanswered = 0;
+  for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+    const read = await readRows(table, options);
+    if (read.isErr()) {
+      return unanswered > 0
+        ? { type: "unknown" }
+        : { type: "refused", error: read.error };
+    }
+    // After a transaction without an answer a refusal is still certain: the
+    // rows that it was built from have changed, so it can no longer commit.
+    const built = options.build(read.value.rows, read.value.configuration);
+    if (built.isErr()) return built.error;
+    const result = await table.transact(built.value.transaction);
+    const resolution = resolveSubmission(result, built.value);
+    // A conflict is built again, from rows that also show a repeat of this id.
+    if (resolution.type === "conflict" || resolution.type === "retry") continue;
+    if (resolution.type !== "unknown") return resolution;
+    unanswered++;
+    if (unanswered >= MAX_UNANSWERED) break;
+  }
+  if (unanswered > 0) return { type: "unknown" };
+  return {
+    type: "refused",
+    error: {
+      code: "read-unstable",
+      message: `Other changes won ${MAX_ATTEMPTS} times in a row`,
+      hint: "Try again",
+    },
+  };
+}
+
+interface ReadRows {
+  readonly rows: ChangeRows;
+  readonly configuration: ConfigurationRows;
+}
+
+async function readRows(
+  table: TableReader,
+  options: { readonly changeId: string; readonly targetKey: string },
+): Promise<Result<ReadRows, ChangeError>> {
+  const loaded = await loadConfigurationRows(table);
+  if (loaded.isErr()) return loaded;
+  const target = await readRow(table, options.targetKey);
+  // Read last: rows that show this change's effect come with its id.
+  const change = await readRow(table, makeChangeKey(options.changeId));
+  if (target === undefined || change === undefined) {
+    return Err(makeStoreError());
+  }
+  return Ok({
+    rows: { current: loaded.value.current, target, change },
+    configuration: loaded.value,
+  });
+}
+
+async function readRow(
+  table: TableReader,
+  key: string,
+): Promise<TableRow | undefined> {
+  const result = await table.read(key);
+  if (result.type !== "rows") return undefined;
+  return result.rows[0] ?? makeAbsentRow(key);
+}
--- a/packages/config/changing/src/building.ts
+++ b/packages/config/changing/src/building.ts
@@ -3,18 +3,38 @@
  *
  * @module
  */
+import { createHash } from "node:crypto";
 import type {
+  JsonValue,
   PlatformDocument,
   TableTransaction,
   TeamDocument,
 } from "@dotterelmoor/core.types";
+import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
+import { describeDifferences } from "./differences.ts";
 import type { ChangeAlreadyApplied, ChangeConflict } from "./resolving.ts";
+import { findApplied, makeConflict } from "./resolving.ts";
+import {
+  CURRENT_KEY,
+  getRowValue,
+  getSequence,
+  makeAuditKey,
+  makeChangeKey,
+  makeDocumentKey,
+  makeDrainKey,
+  makeGroupKey,
+  makeQuarantineKey,
+} from "./rows.ts";
 import type {
+  AuditRowValue,
   ChangeError,
   ChangeKind,
   ChangeOrigin,
   ChangeRows,
+  ChangeRowValue,
+  DocumentRowValue,
+  DrainRowValue,
 } from "./rows.ts";
 
 /** A change that is ready to be sent to the table. */
@@ -68,30 +88,84 @@
 
 /** Builds the submission of a document. */
 export function buildSubmission(
-  _options: SubmissionOptions,
+  options: SubmissionOptions,
 ): Result<BuiltChange, BuildRefusal> {
-  throw new Error("Not implemented");
+  const { rows, team, text, document, editedFrom } = options;
+  const before = getRowValue<DocumentRowValue>(rows.target);
+  return buildChange(options, {
+    kind: "document",
+    subject: team,
+    targetKey: makeDocumentKey(team),
+    content: [editedFrom, text],
+    document,
+    refuse: () =>
+      (before?.version ?? 0) === editedFrom
+        ? undefined
+        : makeConflict(rows.target, document),
+    makeValue: (sequence): DocumentRowValue => ({
+      team,
+      version: sequence,
+      text,
+      document,
+      changeId: options.changeId,
+      who: options.who,
+      whenMs: options.whenMs,
+    }),
+    describe: () => {
+      const lines = describeDifferences(before?.document, document);
+      return lines.length > 0 ? lines : ["text: comments or layout only"];
+    },
+  });
 }
 
 /** Builds the drain of a backend server. */
 export function buildDrain(
-  _options: DrainOptions,
+  options: DrainOptions,
 ): Result<BuiltChange, BuildRefusal> {
-  throw new Error("Not implemented");
+  const { instance, who, why, whenMs } = options;
+  return buildChange(options, {
+    kind: "drain",
+    subject: instance,
+    targetKey: makeDrainKey(instance),
+    makeValue: (version): DrainRowValue => ({
+      instance,
+      version,
+      who,
+      why,
+      whenMs,
+    }),
+    describe: () => [`drains[${instance}]: added`],
+  });
 }
 
 /** Builds the withdrawal of a drain. */
 export function buildUndrain(
-  _options: DrainOptions,
+  options: DrainOptions,
 ): Result<BuiltChange, BuildRefusal> {
-  throw new Error("Not implemented");
+  const { instance } = options;
+  return buildChange(options, {
+    kind: "undrain",
+    subject: instance,
+    targetKey: makeDrainKey(instance),
+    refuse: () => refuseAbsent(options.rows, `drain of instance ${instance}`),
+    makeValue: () => null,
+    describe: () => [`drains[${instance}]: removed`],
+  });
 }
 
 /** Builds the lift of a quarantine. */
 export function buildQuarantineLift(
-  _options: QuarantineLiftOptions,
+  options: QuarantineLiftOptions,
 ): Result<BuiltChange, BuildRefusal> {
-  throw new Error("Not implemented");
+  const { fingerprint } = options;
+  return buildChange(options, {
+    kind: "quarantine-lift",
+    subject: fingerprint,
+    targetKey: makeQuarantineKey(fingerprint),
+    refuse: () => refuseAbsent(options.rows, `quarantine of ${fingerprint}`),
+    makeValue: () => null,
+    describe: () => [`quarantine[${fingerprint}]: removed`],
+  });
 }
 
 /**
@@ -101,7 +175,121 @@
  * the platform's list.
  */
 export function buildLeaseRelease(
-  _options: LeaseReleaseOptions,
+  options: LeaseReleaseOptions,
 ): Result<BuiltChange, BuildRefusal> {
-  throw new Error("Not implemented");
+  const { service, region, rows } = options;
+  return buildChange(options, {
+    kind: "lease-release",
+    subject: `${service}/${region}`,
+    targetKey: makeGroupKey(service, region),
+    refuse: () => refuseAbsent(rows, `lease of ${service} in ${region}`),
+    makeValue: () => ({
+      ...getRowValue<Record<string, JsonValue>>(rows.target),
+      released: true,
+    }),
+    describe: () => [`groups[${service}/${region}].released: true`],
+  });
+}
+
+interface ChangeContent {
+  readonly kind: ChangeKind;
+  readonly subject: string;
+  readonly targetKey: string;
+  /** Further content that tells a repeat from a reused change id. */
+  readonly content?: readonly JsonValue[];
+  readonly document?: TeamDocument | PlatformDocument;
+  readonly refuse?: () => BuildRefusal | undefined;
+  /** New value of the target row at a sequence number; null removes it. */
+  readonly makeValue: (sequence: number) => object | null;
+  readonly describe: () => string[];
+}
+
+function buildChange(
+  origin: ChangeOrigin & { readonly rows: ChangeRows },
+  content: ChangeContent,
+): Result<BuiltChange, BuildRefusal> {
+  const { rows, changeId } = origin;
+  const { kind, subject, document } = content;
+  const digest = createHash("sha256")
+    .update(JSON.stringify([kind, subject, ...content.content ?? []]))
+    .digest("hex");
+  // A repeat is recognised first: its own effect would look like a conflict.
+  const refusal = findApplied(rows.change, { digest, changeId }) ??
+    content.refuse?.();
+  if (refusal !== undefined) return Err(refusal);
+  const sequence = getSequence(rows.current) + 1;
+  return Ok({
+    transaction: buildTransaction(origin, { ...content, digest, sequence }),
+    kind,
+    subject,
+    changeId,
+    digest,
+    sequence,
+    rows,
+    ...(document === undefined ? {} : { document }),
+  });
+}
+
+function buildTransaction(
+  origin: ChangeOrigin & { readonly rows: ChangeRows },
+  content: ChangeContent & {
+    readonly digest: string;
+    readonly sequence: number;
+  },
+): TableTransaction {
+  const { rows, changeId, who, why, whenMs } = origin;
+  const { kind, subject, digest, sequence, targetKey } = content;
+  const changeKey = makeChangeKey(changeId);
+  const auditKey = makeAuditKey(sequence);
+  const change: ChangeRowValue = {
+    sequence,
+    kind,
+    subject,
+    digest,
+    who,
+    whenMs,
+  };
+  const audit: AuditRowValue = {
+    sequence,
+    changeId,
+    kind,
+    subject,
+    who,
+    why,
+    whenMs,
+    differences: content.describe(),
+  };
+  return {
+    checks: [
+      { key: changeKey, version: 0 },
+      { key: CURRENT_KEY, version: rows.current.version },
+      { key: targetKey, version: rows.target.version },
+      { key: auditKey, version: 0 },
+    ],
+    writes: [
+      { key: targetKey, value: toJson(content.makeValue(sequence)) },
+      { key: CURRENT_KEY, value: sequence },
+      { key: changeKey, value: toJson(change) },
+      { key: auditKey, value: toJson(audit) },
+    ],
+  };
+}
+
+function refuseAbsent(
+  rows: ChangeRows,
+  what: string,
+): BuildRefusal | undefined {
+  if (rows.target.value !== null) return undefined;
+  return {
+    type: "refused",
+    error: {
+      code: "not-found",
+      message: `There is no ${what}`,
+      hint: "List what exists and check the name",
+    },
+  };
+}
+
+function toJson(value: object | null): JsonValue {
+  return value as JsonValue;
 }
--- a/packages/config/changing/src/mod.ts
+++ b/packages/config/changing/src/mod.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+export { applyChange } from "./applying.ts";
+export type { ApplyChangeOptions, ChangeTable } from "./applying.ts";
 export {
   buildDrain,
   buildLeaseRelease,
@@ -26,6 +28,7 @@
   ChangeCommitted,
   ChangeConflict,
   ChangeMustRetry,
+  ChangeRefused,
   ChangeResolution,
   ChangeUnknown,
 } from "./resolving.ts";
@@ -55,6 +58,7 @@
 } from "./rows.ts";
 export {
   buildSnapshot,
+  getPlatform,
   loadConfigurationRows,
   loadSnapshot,
 } from "./snapshots.ts";
