Serve documents, drains, quarantine and leases to operators

Operators need one interface that is bounded, limited by role and team, and that answers an accepted change only after its commit. Documents are checked against all others in force inside the attempt that the transaction guards, so that racing teams cannot take one link's share twice. A repeat of a change id is recognised before any check.

--- a/packages/config/changing/src/applying.ts
+++ b/packages/config/changing/src/applying.ts
@@ -10,7 +10,7 @@
 } from "@dotterelmoor/core.types";
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
-import type { BuildRefusal, BuiltChange } from "./building.ts";
+import type { BuildRefusal, BuiltChange } from "./built_change.ts";
 import { resolveSubmission } from "./resolving.ts";
 import type {
   ChangeAlreadyApplied,
--- a/packages/config/changing/src/building.ts
+++ b/packages/config/changing/src/building.ts
@@ -13,7 +13,14 @@
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
 import { describeDifferences } from "./differences.ts";
-import type { ChangeAlreadyApplied, ChangeConflict } from "./resolving.ts";
+import type {
+  BuildRefusal,
+  BuiltChange,
+  DrainOptions,
+  LeaseReleaseOptions,
+  QuarantineLiftOptions,
+  SubmissionOptions,
+} from "./built_change.ts";
 import { findApplied, makeConflict } from "./resolving.ts";
 import {
   CURRENT_KEY,
@@ -28,7 +35,6 @@
 } from "./rows.ts";
 import type {
   AuditRowValue,
-  ChangeError,
   ChangeKind,
   ChangeOrigin,
   ChangeRows,
@@ -37,55 +43,6 @@
   DrainRowValue,
 } from "./rows.ts";
 
-/** A change that is ready to be sent to the table. */
-export interface BuiltChange {
-  readonly transaction: TableTransaction;
-  readonly kind: ChangeKind;
-  readonly subject: string;
-  readonly changeId: string;
-  readonly digest: string;
-  /** Sequence number that the change gets when it is committed. */
-  readonly sequence: number;
-  readonly rows: ChangeRows;
-  /** Document that was submitted, for differences with a winner. */
-  readonly document?: TeamDocument | PlatformDocument;
-}
-
-/** Why a change needs no transaction or cannot have one. */
-export type BuildRefusal =
-  | ChangeAlreadyApplied
-  | ChangeConflict
-  | { readonly type: "refused"; readonly error: ChangeError };
-
-/** Options of `buildSubmission`. */
-export interface SubmissionOptions extends ChangeOrigin {
-  readonly rows: ChangeRows;
-  readonly team: string;
-  readonly text: string;
-  readonly document: TeamDocument | PlatformDocument;
-  /** Version that the document was edited from; 0 when there was none. */
-  readonly editedFrom: number;
-}
-
-/** Options of `buildDrain` and `buildUndrain`. */
-export interface DrainOptions extends ChangeOrigin {
-  readonly rows: ChangeRows;
-  readonly instance: string;
-}
-
-/** Options of `buildQuarantineLift`. */
-export interface QuarantineLiftOptions extends ChangeOrigin {
-  readonly rows: ChangeRows;
-  readonly fingerprint: string;
-}
-
-/** Options of `buildLeaseRelease`. */
-export interface LeaseReleaseOptions extends ChangeOrigin {
-  readonly rows: ChangeRows;
-  readonly service: string;
-  readonly region: string;
-}
-
 /** Builds the submission of a document. */
 export function buildSubmission(
   options: SubmissionOptions,
@@ -191,6 +148,31 @@
   });
 }
 
+/** Repeat of an applied submission, or another use of its change id. */
+export function findSubmission(
+  options: Pick<
+    SubmissionOptions,
+    "rows" | "team" | "text" | "editedFrom" | "changeId"
+  >,
+): BuildRefusal | undefined {
+  const { rows, team, text, editedFrom, changeId } = options;
+  const digest = computeDigest({
+    kind: "document",
+    subject: team,
+    content: [editedFrom, text],
+  });
+  return findApplied(rows.change, { digest, changeId });
+}
+
+function computeDigest(
+  content: Pick<ChangeContent, "kind" | "subject" | "content">,
+): string {
+  const { kind, subject, content: further = [] } = content;
+  return createHash("sha256")
+    .update(JSON.stringify([kind, subject, ...further]))
+    .digest("hex");
+}
+
 interface ChangeContent {
   readonly kind: ChangeKind;
   readonly subject: string;
@@ -210,9 +192,7 @@
 ): Result<BuiltChange, BuildRefusal> {
   const { rows, changeId } = origin;
   const { kind, subject, document } = content;
-  const digest = createHash("sha256")
-    .update(JSON.stringify([kind, subject, ...content.content ?? []]))
-    .digest("hex");
+  const digest = computeDigest(content);
   // A repeat is recognised first: its own effect would look like a conflict.
   const refusal = findApplied(rows.change, { digest, changeId }) ??
     content.refuse?.();
@@ -237,7 +217,7 @@
     readonly sequence: number;
   },
 ): TableTransaction {
-  const { rows, changeId, who, why, whenMs } = origin;
+  const { rows, changeId, who, why, whenMs, team } = origin;
   const { kind, subject, digest, sequence, targetKey } = content;
   const changeKey = makeChangeKey(changeId);
   const auditKey = makeAuditKey(sequence);
@@ -254,6 +234,7 @@
     changeId,
     kind,
     subject,
+    ...(team === undefined ? {} : { team }),
     who,
     why,
     whenMs,
--- a/packages/config/changing/src/mod.ts
+++ b/packages/config/changing/src/mod.ts
@@ -12,6 +12,7 @@
   buildQuarantineLift,
   buildSubmission,
   buildUndrain,
+  findSubmission,
 } from "./building.ts";
 export type {
   BuildRefusal,
@@ -20,7 +21,7 @@
   LeaseReleaseOptions,
   QuarantineLiftOptions,
   SubmissionOptions,
-} from "./building.ts";
+} from "./built_change.ts";
 export { describeDifferences } from "./differences.ts";
 export { resolveSubmission } from "./resolving.ts";
 export type {
--- a/packages/config/changing/src/resolving.ts
+++ b/packages/config/changing/src/resolving.ts
@@ -9,7 +9,7 @@
   TeamDocument,
   TransactResult,
 } from "@dotterelmoor/core.types";
-import type { BuiltChange } from "./building.ts";
+import type { BuiltChange } from "./built_change.ts";
 import { describeDifferences } from "./differences.ts";
 import { getRowValue, makeChangeKey } from "./rows.ts";
 import type { ChangeError, ChangeRowValue, DocumentRowValue } from "./rows.ts";
--- a/packages/config/changing/src/rows.ts
+++ b/packages/config/changing/src/rows.ts
@@ -33,6 +33,8 @@
   readonly why: string;
   /** Wall-clock time in milliseconds since 1970. */
   readonly whenMs: number;
+  /** Team that the change concerns, when it is known. */
+  readonly team?: string;
 }
 
 /** Value of `documents/<team>`. */
@@ -75,6 +77,8 @@
   readonly changeId: string;
   readonly kind: ChangeKind;
   readonly subject: string;
+  /** Team that the change concerns, when it is known. */
+  readonly team?: string;
   readonly who: string;
   readonly why: string;
   readonly whenMs: number;
--- a/packages/daemon/operating/src/configuration_actions.ts
+++ b/packages/daemon/operating/src/configuration_actions.ts
@@ -3,17 +3,55 @@
  *
  * @module
  */
-import type { TableReader } from "@dotterelmoor/config.changing";
+import {
+  applyChange,
+  buildDrain,
+  buildLeaseRelease,
+  buildQuarantineLift,
+  buildSubmission,
+  buildUndrain,
+  findSubmission,
+  getRowValue,
+  loadConfigurationRows,
+  makeDocumentKey,
+  makeDrainKey,
+  makeGroupKey,
+  makeQuarantineKey,
+} from "@dotterelmoor/config.changing";
 import type {
-  TableTransaction,
-  TransactResult,
-} from "@dotterelmoor/core.types";
-import type { ConfigurationActions } from "./operator_actions.ts";
+  ApplyChangeOptions,
+  BuildRefusal,
+  BuiltChange,
+  ChangeRows,
+  ChangeTable,
+  DocumentRowValue,
+  DrainRowValue,
+} from "@dotterelmoor/config.changing";
+import type { DocumentError } from "@dotterelmoor/config.document";
+import type { JsonValue } from "@dotterelmoor/core.types";
+import { Err, Ok } from "ts-results-es";
+import type { Result } from "ts-results-es";
+import { checkSubmittedText } from "./document_checking.ts";
+import { loadHistory, makeReadError } from "./history.ts";
+import type {
+  AcceptedChange,
+  ConfigurationActions,
+  DocumentDetails,
+  DocumentSubmission,
+  DocumentSummary,
+  QuarantineRemoval,
+} from "./operator_actions.ts";
+import {
+  makeChangeError,
+  makeConflictError,
+  makeDocumentRefusal,
+  makeNotFoundError,
+  makeUnknownError,
+} from "./operator_error.ts";
+import type { OperatorError } from "./operator_error.ts";
 
 /** Operations of the platform's table. */
-export interface ConfigurationTable extends TableReader {
-  transact(transaction: TableTransaction): Promise<TransactResult>;
-}
+export type ConfigurationTable = ChangeTable;
 
 /** Options of `createConfigurationActions`. */
 export interface ConfigurationActionsOptions {
@@ -22,7 +60,171 @@
 
 /** Creates the operations that go to the table. */
 export function createConfigurationActions(
-  _options: ConfigurationActionsOptions,
+  options: ConfigurationActionsOptions,
 ): ConfigurationActions {
-  throw new Error("Not implemented");
+  const { table } = options;
+  return {
+    listDocuments: () => loadDocuments(table),
+    getDocument: (team) => loadDocument(table, team),
+    checkDocument: (team, text) => checkDocument(table, { team, text }),
+    submitDocument: (submission) => submitDocument(table, submission),
+    listHistory: (wanted) => loadHistory(table, wanted),
+    listDrains: () => loadDrains(table),
+    setDrain: (instance, origin) =>
+      submitChange(table, {
+        changeId: origin.changeId,
+        targetKey: makeDrainKey(instance),
+        build: (rows) => buildDrain({ ...origin, rows, instance }),
+      }),
+    removeDrain: (instance, origin) =>
+      submitChange(table, {
+        changeId: origin.changeId,
+        targetKey: makeDrainKey(instance),
+        build: (rows) => buildUndrain({ ...origin, rows, instance }),
+      }),
+    removeQuarantine: (fingerprint, removal) =>
+      submitChange(table, {
+        changeId: removal.changeId,
+        targetKey: makeQuarantineKey(fingerprint),
+        build: (rows) => buildLift(rows, { ...removal, fingerprint }),
+      }),
+    releaseLease: (group, origin) =>
+      submitChange(table, {
+        changeId: origin.changeId,
+        targetKey: makeGroupKey(group.service, group.region),
+        build: (rows) => buildLeaseRelease({ ...origin, ...group, rows }),
+      }),
+  };
+}
+
+async function loadDocuments(
+  table: ConfigurationTable,
+): Promise<Result<DocumentSummary[], OperatorError>> {
+  const result = await table.list("documents/");
+  if (result.type !== "rows") return Err(makeReadError());
+  return Ok(result.rows.flatMap((row) => {
+    const value = getRowValue<DocumentRowValue>(row);
+    return value === undefined ? [] : [makeSummary(value)];
+  }));
+}
+
+async function loadDocument(
+  table: ConfigurationTable,
+  team: string,
+): Promise<Result<DocumentDetails, OperatorError>> {
+  const result = await table.read(makeDocumentKey(team));
+  if (result.type !== "rows") return Err(makeReadError());
+  const [row] = result.rows;
+  const value = row && getRowValue<DocumentRowValue>(row);
+  if (value === undefined) {
+    return Err(makeNotFoundError(`document of team ${team}`));
+  }
+  return Ok({
+    ...makeSummary(value),
+    text: value.text,
+    document: value.document as unknown as JsonValue,
+  });
+}
+
+function makeSummary(value: DocumentRowValue): DocumentSummary {
+  const { team, version, who, whenMs } = value;
+  return { team, version, who, whenMs };
+}
+
+async function loadDrains(
+  table: ConfigurationTable,
+): Promise<Result<DrainRowValue[], OperatorError>> {
+  const result = await table.list("drains/");
+  if (result.type !== "rows") return Err(makeReadError());
+  return Ok(result.rows.map((row) => getRowValue<DrainRowValue>(row)!));
+}
+
+async function checkDocument(
+  table: ConfigurationTable,
+  submitted: { readonly team: string; readonly text: string },
+): Promise<Result<{ readonly version: number }, OperatorError>> {
+  const rows = (await loadConfigurationRows(table)).mapErr(makeChangeError);
+  return rows.andThen((configuration) =>
+    checkSubmittedText(submitted, configuration)
+      .mapErr(makeDocumentRefusal)
+      .map(() => {
+        const key = makeDocumentKey(submitted.team);
+        const row = configuration.documents.find((row) => row.key === key);
+        const value = row && getRowValue<DocumentRowValue>(row);
+        return { version: value?.version ?? 0 };
+      })
+  );
+}
+
+function submitDocument(
+  table: ConfigurationTable,
+  submission: DocumentSubmission,
+): Promise<Result<AcceptedChange, OperatorError>> {
+  return submitChange(table, {
+    changeId: submission.changeId,
+    targetKey: makeDocumentKey(submission.team),
+    build: (rows, configuration) => {
+      // A repeat of an applied change is not checked against later documents.
+      const repeat = findSubmission({ ...submission, rows });
+      if (repeat !== undefined) return Err(repeat);
+      // The transaction checks the sequence number, so that what is checked
+      // here still holds when the change commits.
+      return checkSubmittedText(submission, configuration)
+        .mapErr((errors): Refusal => ({ type: "invalid", errors }))
+        .andThen((document) =>
+          buildSubmission({ ...submission, rows, document })
+        );
+    },
+  });
+}
+
+function buildLift(
+  rows: ChangeRows,
+  options: QuarantineRemoval & { readonly fingerprint: string },
+): Result<BuiltChange, Refusal> {
+  const { checkService, ...lift } = options;
+  // Without a row there is nothing to permit: the change is a repeat or in
+  // vain, and a repeat must be told that it was applied.
+  if (rows.target.value === null) return buildQuarantineLift({ ...lift, rows });
+  const value = getRowValue<{ readonly service?: unknown }>(rows.target);
+  const service = typeof value?.service === "string"
+    ? value.service
+    : undefined;
+  return checkService(service)
+    .mapErr((error): Refusal => ({ type: "forbidden", error }))
+    .andThen((team) =>
+      buildQuarantineLift({
+        ...lift,
+        rows,
+        ...(team === undefined ? {} : { team }),
+      })
+    );
+}
+
+type Refusal =
+  | BuildRefusal
+  | { readonly type: "forbidden"; readonly error: OperatorError }
+  | { readonly type: "invalid"; readonly errors: readonly DocumentError[] };
+
+async function submitChange(
+  table: ConfigurationTable,
+  options: ApplyChangeOptions<Refusal>,
+): Promise<Result<AcceptedChange, OperatorError>> {
+  const outcome = await applyChange(table, options);
+  switch (outcome.type) {
+    case "committed":
+      return Ok({ sequence: outcome.sequence, alreadyApplied: false });
+    case "already-applied":
+      return Ok({ sequence: outcome.sequence, alreadyApplied: true });
+    case "conflict":
+      return Err(makeConflictError(outcome));
+    case "invalid":
+      return Err(makeDocumentRefusal(outcome.errors));
+    case "refused":
+      return Err(makeChangeError(outcome.error));
+    case "forbidden":
+      return Err(outcome.error);
+    case "unknown":
+      return Err(makeUnknownError(options.changeId));
+  }
 }
--- a/packages/daemon/operating/src/mod.ts
+++ b/packages/daemon/operating/src/mod.ts
@@ -20,12 +20,11 @@
   HistoryOptions,
   LeaseReport,
   OperatorActions,
-  OperatorError,
-  OperatorErrorCode,
   OperatorRole,
   OperatorToken,
   QuarantineReport,
 } from "./operator_actions.ts";
+export type { OperatorError, OperatorErrorCode } from "./operator_error.ts";
 export { createOperatorApp } from "./operator_app.ts";
 export type {
   OperatorAppOptions,
--- a/packages/daemon/operating/src/operator_actions.ts
+++ b/packages/daemon/operating/src/operator_actions.ts
@@ -8,9 +8,12 @@
   ChangeOrigin,
   DrainRowValue,
 } from "@dotterelmoor/config.changing";
-import type { DocumentError } from "@dotterelmoor/config.document";
-import type { CodedError, JsonValue } from "@dotterelmoor/core.types";
+import type {
+  ConfigurationSnapshot,
+  JsonValue,
+} from "@dotterelmoor/core.types";
 import type { Result } from "ts-results-es";
+import type { OperatorError } from "./operator_error.ts";
 
 /** What a token permits, from least to most. */
 export type OperatorRole = "viewer" | "operator" | "admin";
@@ -25,35 +28,6 @@
   readonly role: OperatorRole;
 }
 
-/** Codes of errors that operators get. */
-export type OperatorErrorCode =
-  | "body-too-large"
-  | "change-id-reused"
-  | "conflict"
-  | "document-invalid"
-  | "forbidden"
-  | "internal"
-  | "method-unknown"
-  | "not-found"
-  | "outcome-unknown"
-  | "request-invalid"
-  | "store-unavailable"
-  | "token-invalid";
-
-/** Error answer of the operators' interface. */
-export interface OperatorError extends CodedError {
-  readonly code: OperatorErrorCode;
-  /** Errors in a document, when the code is `document-invalid`. */
-  readonly errors?: readonly DocumentError[];
-  /** Version that won and what differs, when the code is `conflict`. */
-  readonly winner?: {
-    readonly version: number;
-    readonly who: string;
-    readonly whenMs: number;
-    readonly differences: readonly string[];
-  };
-}
-
 /** A document as it is listed. */
 export interface DocumentSummary {
   readonly team: string;
@@ -91,11 +65,19 @@
 
 /** Options of `listHistory`. */
 export interface HistoryOptions {
-  /** Teams whose changes are wanted; all when absent. */
-  readonly teams?: readonly string[];
+  /** Tells which changes are wanted. */
+  readonly isWanted: (change: AuditRowValue) => boolean;
   readonly limit: number;
 }
 
+/** Who lifts a quarantine, and whether its service permits that. */
+export interface QuarantineRemoval extends ChangeOrigin {
+  /** Team of the quarantined request's service, or why it is not permitted. */
+  readonly checkService: (
+    service: string | undefined,
+  ) => Result<string | undefined, OperatorError>;
+}
+
 /** Operations that go to the table. */
 export interface ConfigurationActions {
   listDocuments(): Promise<Result<DocumentSummary[], OperatorError>>;
@@ -119,16 +101,12 @@
   ): Promise<Result<AcceptedChange, OperatorError>>;
   removeQuarantine(
     fingerprint: string,
-    origin: ChangeOrigin,
+    options: QuarantineRemoval,
   ): Promise<Result<AcceptedChange, OperatorError>>;
   releaseLease(
     group: { readonly service: string; readonly region: string },
     origin: ChangeOrigin,
   ): Promise<Result<AcceptedChange, OperatorError>>;
-  /** Team that owns a service; undefined when no document names it. */
-  findServiceTeam(
-    service: string,
-  ): Promise<Result<string | undefined, OperatorError>>;
 }
 
 /** A quarantined request. */
@@ -155,6 +133,12 @@
   reportLeases(): readonly LeaseReport[] | Promise<readonly LeaseReport[]>;
   /** Service of a backend server; undefined when the instance is not known. */
   findInstanceService(instance: string): string | undefined;
+  /** Configuration in force here. */
+  getSnapshot(): ConfigurationSnapshot;
+  /** Learns of a committed change before its submitter does. */
+  notifyChange?(sequence: number): void;
+  /** Learns of a lifted quarantine, to spread the lift. */
+  notifyLift?(fingerprint: string): void;
 }
 
 /** All operations of the operators' interface. */
--- /dev/null
+++ b/packages/daemon/operating/src/operator_error.ts
@@ -0,0 +1,116 @@
+/**
+ * Errors of the operators' interface.
+ *
+ * @module
+ */
+import type {
+  ChangeConflict,
+  ChangeError,
+} from "@dotterelmoor/config.changing";
+import type { DocumentError } from "@dotterelmoor/config.document";
+import type { CodedError } from "@dotterelmoor/core.types";
+
+/** HTTP status of each error code. */
+export const ERROR_STATUS = {
+  "body-too-large": 413,
+  "change-id-reused": 409,
+  "conflict": 409,
+  "document-invalid": 422,
+  "forbidden": 403,
+  "internal": 500,
+  "method-unknown": 405,
+  "not-found": 404,
+  "outcome-unknown": 504,
+  "request-invalid": 400,
+  "store-unavailable": 503,
+  "token-invalid": 401,
+} as const;
+
+/** Codes of errors that operators get. */
+export type OperatorErrorCode = keyof typeof ERROR_STATUS;
+
+/** Error answer of the operators' interface. */
+export interface OperatorError extends CodedError {
+  readonly code: OperatorErrorCode;
+  /** Errors in a document, when the code is `document-invalid`. */
+  readonly errors?: readonly DocumentError[];
+  /** Version that won and what differs, when the code is `conflict`. */
+  readonly winner?: {
+    readonly version: number;
+    readonly who: string;
+    readonly whenMs: number;
+    readonly differences: readonly string[];
+  };
+}
+
+const CHANGE_ERROR_CODES: Record<ChangeError["code"], OperatorErrorCode> = {
+  "change-id-reused": "change-id-reused",
+  "not-found": "not-found",
+  "read-unstable": "store-unavailable",
+  "row-malformed": "internal",
+  "store-unavailable": "store-unavailable",
+};
+
+/** Converts an error of the table's rows. */
+export function makeChangeError(error: ChangeError): OperatorError {
+  const { code, message, hint } = error;
+  return { code: CHANGE_ERROR_CODES[code], message, hint };
+}
+
+/** Error for a submitter that lost a race. */
+export function makeConflictError(conflict: ChangeConflict): OperatorError {
+  const { version, who, whenMs, differences } = conflict;
+  return {
+    code: "conflict",
+    message: version === 0
+      ? "The document does not exist, but was edited from a version"
+      : `Version ${version} by ${who} is in force`,
+    hint: "Read the version in force, apply your edit to it and submit again",
+    winner: { version, who, whenMs, differences },
+  };
+}
+
+/** Error for a change whose fate the table did not tell. */
+export function makeUnknownError(changeId: string): OperatorError {
+  return {
+    code: "outcome-unknown",
+    message: `The table did not tell whether change ${changeId} was applied`,
+    hint: "Submit again with the same change id; it is applied once",
+  };
+}
+
+/** Error for a document that is refused. */
+export function makeDocumentRefusal(
+  errors: readonly DocumentError[],
+): OperatorError {
+  return {
+    code: "document-invalid",
+    message: `The document has ${errors.length} ` +
+      (errors.length === 1 ? "error" : "errors"),
+    hint: "Correct every error and submit again",
+    errors,
+  };
+}
+
+/** Error for a request that is malformed. */
+export function makeRequestError(message: string, hint: string): OperatorError {
+  return { code: "request-invalid", message, hint };
+}
+
+/** Error for something that does not exist. */
+export function makeNotFoundError(what: string): OperatorError {
+  return {
+    code: "not-found",
+    message: `There is no ${what}`,
+    hint: "List what exists and check the name",
+  };
+}
+
+/** Error for a token that does not permit a request. */
+export function makeForbiddenError(needed: string): OperatorError {
+  return {
+    code: "forbidden",
+    message: `The token does not permit this, it needs ${needed}`,
+    hint: "Use a token of the owning team with the needed role",
+  };
+}
