Add the operators' command line dotterelmoor-ctl

Operators need to check, submit and follow documents, drains, quarantines and leases with errors that name file, line, key and expectation. Each subcommand is a module with its names, flags, help and handler; a change whose answer was lost is sent again with the same change id.

--- /dev/null
+++ b/packages/command/ctl/src/exit_codes.ts
@@ -0,0 +1,58 @@
+/**
+ * Exit codes of the command line.
+ *
+ * @module
+ */
+import type { OperatorErrorCode } from "@dotterelmoor/daemon.operating";
+
+/** What each exit code means. */
+export const EXIT_CODES = {
+  ok: 0,
+  refused: 1,
+  wrongUse: 2,
+  conflict: 3,
+  unreachable: 4,
+} as const;
+
+/** An exit code. */
+export type ExitCode = typeof EXIT_CODES[keyof typeof EXIT_CODES];
+
+/** Errors of the operators' interface and errors on the way to it. */
+export type FailureCode =
+  | OperatorErrorCode
+  | "answer-invalid"
+  | "answer-lost"
+  | "unreachable";
+
+const FAILURE_EXIT_CODES: Record<FailureCode, ExitCode> = {
+  "answer-invalid": EXIT_CODES.unreachable,
+  "answer-lost": EXIT_CODES.unreachable,
+  "body-too-large": EXIT_CODES.refused,
+  "change-id-reused": EXIT_CODES.refused,
+  "conflict": EXIT_CODES.conflict,
+  "document-invalid": EXIT_CODES.refused,
+  "forbidden": EXIT_CODES.refused,
+  "internal": EXIT_CODES.unreachable,
+  "method-unknown": EXIT_CODES.refused,
+  "not-found": EXIT_CODES.refused,
+  "outcome-unknown": EXIT_CODES.unreachable,
+  "request-invalid": EXIT_CODES.wrongUse,
+  "store-unavailable": EXIT_CODES.unreachable,
+  "token-invalid": EXIT_CODES.refused,
+  "unreachable": EXIT_CODES.unreachable,
+};
+
+/** Exit code of a failure. */
+export function getExitCode(code: FailureCode): ExitCode {
+  return FAILURE_EXIT_CODES[code] ?? EXIT_CODES.unreachable;
+}
+
+/** Text of the help that lists the exit codes. */
+export const EXIT_CODE_HELP = [
+  "Exit codes:",
+  "  0  done",
+  "  1  refused: the document, the token or the request",
+  "  2  wrong use or settings",
+  "  3  conflict: another version won",
+  "  4  unreachable, or the outcome is unknown",
+].join("\n");
--- a/packages/command/ctl/src/mod.ts
+++ b/packages/command/ctl/src/mod.ts
@@ -4,4 +4,13 @@
  * @module
  */
 
-export {};
+export { COMMANDS } from "./commands/mod.ts";
+export type {
+  CtlArguments,
+  CtlCommand,
+  CtlContext,
+  CtlSurroundings,
+} from "./ctl_command.ts";
+export { EXIT_CODES } from "./exit_codes.ts";
+export type { ExitCode } from "./exit_codes.ts";
+export { runCtl } from "./running.ts";
--- /dev/null
+++ b/packages/command/ctl/src/running.ts
@@ -0,0 +1,179 @@
+/**
+ * Runs the command line.
+ *
+ * @module
+ */
+import type { Argv } from "yargs";
+import yargs from "yargs";
+import { COMMANDS } from "./commands/mod.ts";
+import { readNamedFile, UsageError } from "./ctl_command.ts";
+import type {
+  CtlArguments,
+  CtlCommand,
+  CtlContext,
+  CtlSurroundings,
+} from "./ctl_command.ts";
+import { EXIT_CODE_HELP, EXIT_CODES } from "./exit_codes.ts";
+import type { ExitCode } from "./exit_codes.ts";
+import { createOperatorClient } from "./operator_client.ts";
+
+/** Name of the binary. */
+const PROGRAM = "dotterelmoor-ctl";
+
+/** Variables that stand in for flags. */
+const VARIABLES = {
+  "operator-url": "DOTTERELMOOR_CTL_URL",
+  "token-file": "DOTTERELMOOR_CTL_TOKEN_FILE",
+} as const;
+
+/** Runs the command line with arguments and gives its exit code. */
+export async function runCtl(
+  argv: readonly string[],
+  surroundings: CtlSurroundings,
+): Promise<ExitCode> {
+  let exitCode: ExitCode = EXIT_CODES.ok;
+  const program = buildProgram(async (command, args) => {
+    exitCode = await command.handler(args, makeContext(args, surroundings));
+  });
+  try {
+    const output = await parseArguments(program, argv);
+    if (output !== "") surroundings.writeOut(output);
+    return exitCode;
+  } catch (error) {
+    if (error instanceof UsageError) {
+      surroundings.writeError(`${error.message}\nhint: ${error.hint}`);
+      return EXIT_CODES.wrongUse;
+    }
+    surroundings.writeError(`The command failed: ${String(error)}`);
+    return EXIT_CODES.unreachable;
+  }
+}
+
+type RunCommand = (command: CtlCommand, args: CtlArguments) => Promise<void>;
+
+function buildProgram(run: RunCommand): Argv {
+  const program = yargs()
+    .scriptName(PROGRAM)
+    .usage("$0 <command>")
+    .parserConfiguration({
+      "camel-case-expansion": false,
+      "duplicate-arguments-array": false,
+      "greedy-arrays": false,
+      "parse-positional-numbers": false,
+    })
+    .option("operator-url", {
+      type: "string",
+      describe: `URL of an entry's operators' listener (${
+        VARIABLES["operator-url"]
+      })`,
+      requiresArg: true,
+    })
+    .option("token-file", {
+      type: "string",
+      describe: `File with the operator's token (${VARIABLES["token-file"]})`,
+      requiresArg: true,
+    })
+    .option("json", { type: "boolean", describe: "Print JSON" })
+    .epilogue(EXIT_CODE_HELP)
+    .demandCommand(1, "Name a command")
+    .strict()
+    .exitProcess(false)
+    .version(false)
+    .locale("en")
+    .wrap(80)
+    .fail((message, error) => {
+      // Errors of the parser itself come as YError, those of handlers as thrown.
+      if (error && error.name !== "YError") throw error;
+      throw new UsageError(
+        message || error.message,
+        `Run ${PROGRAM} --help`,
+      );
+    });
+  return COMMANDS.reduce(
+    (built, command) => addCommand(built, { command, run }),
+    program as Argv,
+  );
+}
+
+function addCommand(
+  program: Argv,
+  options: { readonly command: CtlCommand; readonly run: RunCommand },
+): Argv {
+  const { command, run } = options;
+  return program.command(
+    [...command.names],
+    command.help,
+    (builder) => {
+      const positionals = command.names[0]!.match(/(?<=[<[])[a-z]+/g) ?? [];
+      let built = builder.options({ ...command.flags });
+      for (const name of positionals) {
+        built = built.positional(name, { type: "string" });
+      }
+      for (const [example, effect] of command.examples) {
+        built = built.example(`$0 ${example}`, effect);
+      }
+      return built;
+    },
+    (args) => run(command, args),
+  );
+}
+
+/** Parses and runs; gives the text of the help when it was asked for. */
+function parseArguments(
+  program: Argv,
+  argv: readonly string[],
+): Promise<string> {
+  return new Promise((resolve, reject) => {
+    let help = "";
+    Promise.resolve(
+      program.parseAsync([...argv], {}, (error, _args, output) => {
+        if (error) reject(error);
+        help = output;
+      }),
+    ).then(() => resolve(help), reject);
+  });
+}
+
+function makeContext(
+  args: CtlArguments,
+  surroundings: CtlSurroundings,
+): CtlContext {
+  return {
+    ...surroundings,
+    json: args.json === true,
+    openClient: () => {
+      const url = getSetting(args, { name: "operator-url", surroundings });
+      const file = getSetting(args, { name: "token-file", surroundings });
+      if (!URL.canParse(url) || !/^https?:/.test(url)) {
+        throw new UsageError(
+          `Setting operator-url has ${url}, expected a URL with http or https`,
+          "Name an entry's operators' listener, such as http://10.0.0.7:7003",
+        );
+      }
+      const token = readNamedFile(surroundings, file).trim();
+      if (!/^[\x21-\x7e]+$/.test(token)) {
+        throw new UsageError(
+          `File ${file} holds no token`,
+          "Write the token alone into the file",
+        );
+      }
+      return createOperatorClient({ url, token });
+    },
+  };
+}
+
+function getSetting(
+  args: CtlArguments,
+  options: {
+    readonly name: keyof typeof VARIABLES;
+    readonly surroundings: CtlSurroundings;
+  },
+): string {
+  const { name, surroundings } = options;
+  const value = args[name] ?? surroundings.env[VARIABLES[name]];
+  if (typeof value === "string" && value !== "") return value;
+  throw new UsageError(
+    `Setting ${name} is missing`,
+    `Give --${name} or set ${VARIABLES[name]}`,
+  );
+}
--- /dev/null
+++ b/packages/command/ctl/src/submitting.ts
@@ -0,0 +1,135 @@
+/**
+ * Sends changes, again with the same change id when the answer was lost.
+ *
+ * @module
+ */
+import type { AcceptedChange } from "@dotterelmoor/daemon.operating";
+import { Err } from "ts-results-es";
+import type { Result } from "ts-results-es";
+import type { CtlArguments, CtlContext } from "./ctl_command.ts";
+import { getText, UsageError } from "./ctl_command.ts";
+import { EXIT_CODES } from "./exit_codes.ts";
+import type { ExitCode, FailureCode } from "./exit_codes.ts";
+import type { OperatorFailure, OperatorRequest } from "./operator_client.ts";
+import { printFailure, printValue } from "./printing.ts";
+
+/** Flags of every command that changes something. */
+export const CHANGE_FLAGS = {
+  why: {
+    type: "string",
+    describe: "Reason, kept in the audit row",
+    demandOption: true,
+    requiresArg: true,
+  },
+  "change-id": {
+    type: "string",
+    describe: "Id of an earlier attempt whose outcome is unknown",
+    requiresArg: true,
+  },
+} as const;
+
+/** Failures after which the change may have been applied. */
+const UNCERTAIN: ReadonlySet<FailureCode> = new Set<FailureCode>([
+  "answer-invalid",
+  "answer-lost",
+  "internal",
+  "outcome-unknown",
+]);
+
+/** Failures after which the change was not applied, but may be later. */
+const PASSING: ReadonlySet<FailureCode> = new Set<FailureCode>([
+  "store-unavailable",
+  "unreachable",
+]);
+
+/** Waits before the second and later attempts. */
+const RETRY_DELAYS_MS = [250, 500, 1_000, 2_000] as const;
+
+/** A change before its id and reason are added. */
+export interface ChangeRequest {
+  readonly method: "PUT" | "DELETE";
+  readonly path: string;
+  readonly fields?: Readonly<Record<string, unknown>>;
+  /** What the change is, for its answer. */
+  readonly what: string;
+  /** File whose errors the answer may carry, and the name that it has there. */
+  readonly file?: { readonly path: string; readonly name: string };
+}
+
+/** Sends a change and prints what became of it. */
+export async function submitChange(
+  context: CtlContext,
+  options: { readonly args: CtlArguments; readonly change: ChangeRequest },
+): Promise<ExitCode> {
+  const { args, change } = options;
+  const why = getText(args, "why");
+  const changeId = args["change-id"] === undefined
+    ? context.makeChangeId()
+    : checkChangeId(getText(args, "change-id"));
+  const request = makeRequest(change, { why, changeId });
+  const result = await sendRepeatedly(context, { request, changeId });
+  if (result.isErr()) {
+    return printFailure(context, result.error, { file: change.file });
+  }
+  const { sequence, alreadyApplied } = result.value;
+  const state = alreadyApplied ? "was applied before" : "is accepted";
+  printValue(context, { changeId, ...result.value }, {
+    text: `Change ${sequence} ${state}: ${change.what}`,
+  });
+  return EXIT_CODES.ok;
+}
+
+function checkChangeId(changeId: string): string {
+  if (/^[A-Za-z0-9_-]{8,64}$/.test(changeId)) return changeId;
+  throw new UsageError(
+    `Argument change-id has ${changeId}, expected 8 to 64 letters, digits, ` +
+      "hyphens and underscores",
+    "Copy the change id from the earlier attempt",
+  );
+}
+
+function makeRequest(
+  change: ChangeRequest,
+  origin: { readonly why: string; readonly changeId: string },
+): OperatorRequest {
+  const { method, path, fields } = change;
+  return method === "PUT"
+    ? { method, path, body: { ...fields, ...origin } }
+    : { method, path, query: origin };
+}
+
+async function sendRepeatedly(
+  context: CtlContext,
+  options: {
+    readonly request: OperatorRequest;
+    readonly changeId: string;
+  },
+): Promise<Result<AcceptedChange, OperatorFailure>> {
+  const client = context.openClient();
+  let uncertain = false;
+  for (let attempt = 0;; attempt++) {
+    const result = await client.send<AcceptedChange>(options.request);
+    if (result.isOk()) return result;
+    const { code } = result.error;
+    // Any other answer settles the earlier attempts too: the interface finds
+    // a repeat before it refuses.
+    if (!UNCERTAIN.has(code) && !PASSING.has(code)) return result;
+    uncertain ||= UNCERTAIN.has(code);
+    const delayMs = RETRY_DELAYS_MS[attempt];
+    if (delayMs !== undefined) await context.wait(delayMs);
+    else if (!uncertain) return result;
+    else return Err(addRepeatHint(result.error, options.changeId));
+  }
+}
+
+function addRepeatHint(
+  failure: OperatorFailure,
+  changeId: string,
+): OperatorFailure {
+  return {
+    ...failure,
+    message: `${failure.message}; the change may have been applied`,
+    hint: `Run the same command with --change-id ${changeId}; ` +
+      "it is applied once",
+  };
+}
