--- a/packages/config/changing/src/mod.ts
+++ b/packages/config/changing/src/mod.ts
@@ -4,12 +4,15 @@
  * @module
  */
 
+export { applyChange } from "./applying.ts";
+export type { ApplyChangeOptions, ChangeTable } from "./applying.ts";
 export {
   buildDrain,
   buildLeaseRelease,
   buildQuarantineLift,
   buildSubmission,
   buildUndrain,
+  findSubmission,
 } from "./building.ts";
 export type {
   BuildRefusal,
@@ -18,7 +21,7 @@
   LeaseReleaseOptions,
   QuarantineLiftOptions,
   SubmissionOptions,
-} from "./building.ts";
+} from "./built_change.ts";
 export { describeDifferences } from "./differences.ts";
 export { resolveSubmission } from "./resolving.ts";
 export type {
@@ -26,6 +29,7 @@
   ChangeCommitted,
   ChangeConflict,
   ChangeMustRetry,
+  ChangeRefused,
   ChangeResolution,
   ChangeUnknown,
 } from "./resolving.ts";
@@ -55,6 +59,7 @@
 } from "./rows.ts";
 export {
   buildSnapshot,
+  getPlatform,
   loadConfigurationRows,
   loadSnapshot,
 } from "./snapshots.ts";
