Add the shift gate with an exact sliding window and a ramp

Counting per fixed window admits up to twice the cap across a border, and a new owner does not know what the last one admitted. The gate counts in 64 buckets per window, rounds to the safe side, and stays closed while any part of the window is unknown: after a takeover, or after the window became longer.

--- /dev/null
+++ b/packages/core/shifting/src/ramp.ts
@@ -0,0 +1,92 @@
+/**
+ * Share of the cap that a shift may use.
+ *
+ * @module
+ */
+
+import type { ShiftLimits } from "@dotterelmoor/core.types";
+import type { TargetCondition } from "./types.ts";
+
+/** Windows without demand after which the next shift starts a new ramp. */
+const IDLE_WINDOWS = 3;
+
+/** Part of the allowance that must be used, or good measurements say nothing. */
+const USED_SHARE = 0.5;
+
+/**
+ * Grows by a step per window of good measurements, goes back a step when they
+ * are bad and holds when they are missing.
+ */
+export class Ramp {
+  #limits: ShiftLimits;
+  #share: number;
+  /** Start of the present run of good measurements. */
+  #goodSinceMs: number | undefined;
+  #lastMeasuredMs = -Infinity;
+  #lastStepMs = -Infinity;
+  #lastBackMs = -Infinity;
+  #lastDemandMs = -Infinity;
+
+  constructor(limits: ShiftLimits) {
+    this.#limits = limits;
+    this.#share = limits.startShare;
+  }
+
+  get share(): number {
+    return this.#share;
+  }
+
+  /** Requests that the ramp allows in a window; a cap above 0 allows one. */
+  get allowed(): number {
+    const { cap } = this.#limits;
+    // The sum of steps such as 0.1 may be just below the exact share.
+    const allowed = Math.floor(cap * this.#share + 1e-9);
+    return Math.min(Math.floor(cap), Math.max(allowed, 1));
+  }
+
+  setLimits(limits: ShiftLimits): void {
+    this.#limits = limits;
+    this.#share = Math.min(1, Math.max(this.#share, limits.startShare));
+  }
+
+  recordDemand(nowMs: number): void {
+    const idleMs = nowMs - this.#lastDemandMs;
+    if (idleMs > IDLE_WINDOWS * this.#limits.windowMs) {
+      this.#share = this.#limits.startShare;
+      this.#lastStepMs = nowMs;
+    }
+    this.#lastDemandMs = nowMs;
+  }
+
+  recordMeasurement(
+    condition: TargetCondition,
+    options: { used: number; nowMs: number },
+  ): void {
+    const { nowMs } = options;
+    const gapMs = nowMs - this.#lastMeasuredMs;
+    if (condition !== "good" || gapMs > this.#limits.windowMs) {
+      this.#goodSinceMs = undefined;
+    }
+    this.#lastMeasuredMs = nowMs;
+    if (condition === "good") this.#grow(options);
+    if (condition === "bad") this.#goBack(nowMs);
+  }
+
+  #grow({ used, nowMs }: { used: number; nowMs: number }): void {
+    const { windowMs, stepShare } = this.#limits;
+    this.#goodSinceMs ??= nowMs;
+    const sinceMs = Math.max(this.#goodSinceMs, this.#lastStepMs);
+    if (nowMs - sinceMs < windowMs) return;
+    if (used < this.allowed * USED_SHARE) return;
+    this.#share = Math.min(1, this.#share + stepShare);
+    this.#lastStepMs = nowMs;
+  }
+
+  #goBack(nowMs: number): void {
+    const { windowMs, stepShare, startShare } = this.#limits;
+    if (nowMs - this.#lastBackMs < windowMs) return;
+    this.#share = Math.max(startShare, this.#share - stepShare);
+    this.#lastStepMs = nowMs;
+    this.#lastBackMs = nowMs;
+  }
+}
--- a/packages/core/shifting/src/shift_gate.ts
+++ b/packages/core/shifting/src/shift_gate.ts
@@ -4,9 +4,102 @@
  * @module
  */
 
-import type { ShiftGate, ShiftGateOptions } from "./types.ts";
+import type { ShiftLimits } from "@dotterelmoor/core.types";
+import { Ramp } from "./ramp.ts";
+import { SlidingWindow } from "./sliding_window.ts";
+import type {
+  ShiftAction,
+  ShiftEvent,
+  ShiftGate,
+  ShiftGateOptions,
+} from "./types.ts";
+
+type Handlers = {
+  readonly [Type in ShiftEvent["type"]]: (
+    event: Extract<ShiftEvent, { type: Type }>,
+    nowMs: number,
+  ) => ShiftAction[];
+};
+
+/** Wait named when the cap is 0 and no window will free a place. */
+const CLOSED_RETRY_MS = 60_000;
 
 /** Creates the gate for traffic shifted into one target group. */
-export function createShiftGate(_options: ShiftGateOptions): ShiftGate {
-  throw new Error("Not implemented");
+export function createShiftGate(options: ShiftGateOptions): ShiftGate {
+  return new CappedGate(options);
+}
+
+class CappedGate implements ShiftGate {
+  readonly #jitterMs: number;
+  readonly #ramp: Ramp;
+  readonly #window: SlidingWindow;
+  #limits: ShiftLimits;
+  /** The clock of a caller may step back; the window must not. */
+  #latestMs: number;
+
+  readonly #handlers: Handlers = {
+    admit: ({ id }, nowMs) => this.#admit(id, nowMs),
+    measurement: ({ condition }, nowMs) => {
+      const used = this.getUsed(nowMs);
+      this.#ramp.recordMeasurement(condition, { used, nowMs });
+      return [];
+    },
+    settings: ({ limits }) => {
+      this.#setLimits(limits);
+      return [];
+    },
+  };
+
+  constructor(options: ShiftGateOptions) {
+    const { limits, startedAtMs, jitterMs = 0 } = options;
+    this.#limits = limits;
+    this.#jitterMs = jitterMs;
+    this.#ramp = new Ramp(limits);
+    // The last owner may have admitted a whole cap just before.
+    this.#window = new SlidingWindow(limits.windowMs + jitterMs, startedAtMs);
+    this.#latestMs = startedAtMs;
+  }
+
+  get share(): number {
+    return this.#ramp.share;
+  }
+
+  getUsed(nowMs: number): number {
+    const used = this.#window.getUsed(Math.max(nowMs, this.#latestMs));
+    return Math.min(used, this.#limits.cap);
+  }
+
+  getRoom(nowMs: number): number {
+    return Math.max(0, this.#ramp.allowed - this.getUsed(nowMs));
+  }
+
+  handle(event: ShiftEvent, nowMs: number): ShiftAction[] {
+    this.#latestMs = Math.max(nowMs, this.#latestMs);
+    const handler = this.#handlers[event.type] as (
+      event: ShiftEvent,
+      nowMs: number,
+    ) => ShiftAction[];
+    return handler(event, this.#latestMs);
+  }
+
+  #admit(id: string, nowMs: number): ShiftAction[] {
+    this.#ramp.recordDemand(nowMs);
+    if (this.getRoom(nowMs) > 0) {
+      this.#window.add(nowMs);
+      return [{ type: "admitted", id }];
+    }
+    const { allowed } = this.#ramp;
+    const waitMs = allowed === 0
+      ? CLOSED_RETRY_MS
+      : this.#window.getWaitMs(allowed - 1, nowMs);
+    // Both ends of the window count, so the place is free just after it.
+    const retryAfterMs = Math.floor(waitMs) + 1;
+    return [{ type: "refused", id, retryAfterMs }];
+  }
+
+  #setLimits(limits: ShiftLimits): void {
+    this.#window.setWindowMs(limits.windowMs + this.#jitterMs);
+    this.#ramp.setLimits(limits);
+    this.#limits = limits;
+  }
 }
--- /dev/null
+++ b/packages/core/shifting/src/sliding_window.ts
@@ -0,0 +1,77 @@
+/**
+ * Counts admissions in a sliding window, never too few.
+ *
+ * @module
+ */
+
+/** Counters per window: the window ends late by at most 1/64 of its length. */
+const BUCKETS_PER_WINDOW = 64;
+
+interface Bucket {
+  readonly startMs: number;
+  /** Latest admission counted in it. */
+  lastMs: number;
+  count: number;
+}
+
+/**
+ * Sliding window over bounded memory. Admissions close to each other share a
+ * bucket, which counts until the window has passed for the latest of them.
+ */
+export class SlidingWindow {
+  #windowMs: number;
+  #buckets: Bucket[] = [];
+  #used = 0;
+  /** Admissions up to this time are not known. */
+  #unknownUntilMs: number;
+
+  constructor(windowMs: number, startedAtMs: number) {
+    this.#windowMs = windowMs;
+    this.#unknownUntilMs = startedAtMs;
+  }
+
+  add(nowMs: number): void {
+    const last = this.#buckets.at(-1);
+    const widthMs = this.#windowMs / BUCKETS_PER_WINDOW;
+    this.#used += 1;
+    if (last !== undefined && nowMs - last.startMs < widthMs) {
+      last.lastMs = nowMs;
+      last.count += 1;
+    } else {
+      this.#buckets.push({ startMs: nowMs, lastMs: nowMs, count: 1 });
+    }
+  }
+
+  /**
+   * Admissions that count at the time, infinite while some of the window is
+   * unknown. Both ends of the window count.
+   */
+  getUsed(nowMs: number): number {
+    while (this.#buckets[0] !== undefined) {
+      if (this.#buckets[0].lastMs + this.#windowMs >= nowMs) break;
+      const { lastMs, count } = this.#buckets.shift()!;
+      this.#unknownUntilMs = lastMs;
+      this.#used -= count;
+    }
+    const known = this.#unknownUntilMs + this.#windowMs < nowMs;
+    return known ? this.#used : Infinity;
+  }
+
+  /** Time until no more than the given number of admissions count. */
+  getWaitMs(allowed: number, nowMs: number): number {
+    const unknownMs = this.#unknownUntilMs + this.#windowMs - nowMs;
+    let used = this.#used;
+    for (const { lastMs, count } of this.#buckets) {
+      if (used <= allowed) break;
+      used -= count;
+      const waitMs = lastMs + this.#windowMs - nowMs;
+      if (used <= allowed) return Math.max(waitMs, unknownMs, 0);
+    }
+    return Math.max(unknownMs, 0);
+  }
+
+  /** Changes the length; a longer window may reach back to unknown times. */
+  setWindowMs(windowMs: number): void {
+    this.#windowMs = windowMs;
+  }
+}
--- a/packages/core/shifting/src/types.ts
+++ b/packages/core/shifting/src/types.ts
@@ -40,7 +40,7 @@
 export interface ShiftGate extends StateMachine<ShiftEvent, ShiftAction> {
   /** Share of the cap, 0 to 1, that the ramp allows now. */
   readonly share: number;
-  /** Requests counted in the current window. */
+  /** Requests counted in the current window; the cap while it is unknown. */
   getUsed(nowMs: number): number;
   /** Requests that would be admitted at once. */
   getRoom(nowMs: number): number;
