Add the retry budget

Retries without a bound multiply an overload. The budget grants retries up to a share of the requests in a sliding window plus a floor; bucketed counters round to the safe side.

--- a/packages/core/retrying/src/retry_budget.ts
+++ b/packages/core/retrying/src/retry_budget.ts
@@ -36,6 +36,83 @@
 }
 
 /** Creates a retry budget. */
-export function createRetryBudget(_options: RetryBudgetOptions): RetryBudget {
-  throw new Error("Not implemented");
+export function createRetryBudget(options: RetryBudgetOptions): RetryBudget {
+  return new WindowedBudget(options.limits);
+}
+
+/** Counters per window. */
+const BUCKETS_PER_WINDOW = 20;
+
+interface Bucket {
+  readonly startMs: number;
+  requests: number;
+  retries: number;
+}
+
+type Handlers = {
+  readonly [Type in RetryEvent["type"]]: (
+    event: Extract<RetryEvent, { type: Type }>,
+    nowMs: number,
+  ) => RetryAction[];
+};
+
+class WindowedBudget implements RetryBudget {
+  #limits: RetryLimits;
+  #buckets: Bucket[] = [];
+
+  readonly #handlers: Handlers = {
+    request: (_event, nowMs) => {
+      this.#getBucket(nowMs).requests += 1;
+      return [];
+    },
+    retry: ({ id }, nowMs) => {
+      if (this.getRoom(nowMs) < 1) return [{ type: "denied", id }];
+      this.#getBucket(nowMs).retries += 1;
+      return [{ type: "granted", id }];
+    },
+    settings: ({ limits }) => {
+      this.#limits = limits;
+      return [];
+    },
+  };
+
+  constructor(limits: RetryLimits) {
+    this.#limits = limits;
+  }
+
+  handle(event: RetryEvent, nowMs: number): RetryAction[] {
+    const handler = this.#handlers[event.type] as (
+      event: RetryEvent,
+      nowMs: number,
+    ) => RetryAction[];
+    return handler(event, nowMs);
+  }
+
+  getRoom(nowMs: number): number {
+    const { ratio, floor, windowMs } = this.#limits;
+    const widthMs = windowMs / BUCKETS_PER_WINDOW;
+    let requests = 0;
+    let retries = 0;
+    for (const bucket of this.#buckets) {
+      // Retries count until the window has passed for the last in the bucket,
+      // requests only until it has passed for the first.
+      const ageMs = nowMs - bucket.startMs;
+      if (ageMs <= windowMs) requests += bucket.requests;
+      if (ageMs <= windowMs + widthMs) retries += bucket.retries;
+    }
+    return Math.max(0, Math.floor(ratio * requests + floor) - retries);
+  }
+
+  #getBucket(nowMs: number): Bucket {
+    const { windowMs } = this.#limits;
+    const widthMs = windowMs / BUCKETS_PER_WINDOW;
+    const last = this.#buckets.at(-1);
+    if (last !== undefined && nowMs - last.startMs < widthMs) return last;
+    const bucket = { startMs: nowMs, requests: 0, retries: 0 };
+    this.#buckets = this.#buckets.filter(({ startMs }) =>
+      nowMs - startMs <= windowMs + widthMs
+    );
+    this.#buckets.push(bucket);
+    return bucket;
+  }
 }
