Add the quarantine of requests that crash servers

A poisoned request that its caller repeats crashes one server after another, and requests that share a server with it must not be refused for it. Requests in flight at a crash run alone from then on; copies of a request that was never answered run one after another; only a crash with one fingerprint convicts.

--- /dev/null
+++ b/packages/core/quarantine/src/admissions.ts
@@ -0,0 +1,74 @@
+/**
+ * Requests that wait for a run or have one.
+ *
+ * @module
+ */
+
+import type { Run } from "./server_runs.ts";
+
+/** A request that was admitted or waits for it. */
+export interface Admission {
+  readonly id: string;
+  readonly fingerprint: string;
+  state: "waiting" | "queued" | "running";
+  /** Present run; a request that is recalled gets a new one. */
+  run: Run | undefined;
+  server: string | undefined;
+}
+
+/** Admissions by request and by fingerprint. */
+export class Admissions {
+  readonly #byId = new Map<string, Admission>();
+  readonly #byFingerprint = new Map<string, Set<Admission>>();
+  #waiting = 0;
+
+  get waiting(): number {
+    return this.#waiting;
+  }
+
+  get(id: string): Admission | undefined {
+    return this.#byId.get(id);
+  }
+
+  /** Admissions of the fingerprint in the order of their arrival. */
+  listOf(fingerprint: string): Admission[] {
+    return [...this.#byFingerprint.get(fingerprint) ?? []];
+  }
+
+  /** Whether a request with the fingerprint is queued or runs. */
+  isActive(fingerprint: string): boolean {
+    const admissions = this.#byFingerprint.get(fingerprint);
+    if (admissions === undefined) return false;
+    for (const { state } of admissions) if (state !== "waiting") return true;
+    return false;
+  }
+
+  add(id: string, fingerprint: string): Admission {
+    const admission: Admission = {
+      id,
+      fingerprint,
+      state: "waiting",
+      run: undefined,
+      server: undefined,
+    };
+    this.#waiting += 1;
+    this.#byId.set(id, admission);
+    const same = this.#byFingerprint.get(fingerprint) ?? new Set();
+    this.#byFingerprint.set(fingerprint, same.add(admission));
+    return admission;
+  }
+
+  setState(admission: Admission, state: Admission["state"]): void {
+    if (admission.state === "waiting") this.#waiting -= 1;
+    if (state === "waiting") this.#waiting += 1;
+    admission.state = state;
+  }
+
+  remove(admission: Admission): void {
+    if (admission.state === "waiting") this.#waiting -= 1;
+    this.#byId.delete(admission.id);
+    const same = this.#byFingerprint.get(admission.fingerprint);
+    same?.delete(admission);
+    if (same?.size === 0) this.#byFingerprint.delete(admission.fingerprint);
+  }
+}
--- /dev/null
+++ b/packages/core/quarantine/src/standings.ts
@@ -0,0 +1,142 @@
+/**
+ * What is known about each fingerprint.
+ *
+ * @module
+ */
+
+import { BoundedMap } from "./bounded_map.ts";
+import type { QuarantineEntry, Standing } from "./types.ts";
+
+interface Mark {
+  readonly crashes: number;
+  readonly untilMs: number;
+}
+
+/** Settings of the standings. */
+export interface StandingsOptions {
+  readonly convictionMs: number;
+  readonly suspicionMs: number;
+  readonly liftHoldMs: number;
+  readonly maxFingerprints: number;
+}
+
+/** Suspects, convicted and proven fingerprints in bounded memory. */
+export class Standings {
+  readonly #options: StandingsOptions;
+  readonly #suspects: BoundedMap<Mark>;
+  readonly #convicted: BoundedMap<Mark>;
+  /** Fingerprints that were answered and have not crashed since. */
+  readonly #proven: BoundedMap<true>;
+  readonly #liftedUntilMs: BoundedMap<number>;
+
+  constructor(options: StandingsOptions) {
+    const { maxFingerprints } = options;
+    this.#options = options;
+    this.#suspects = new BoundedMap(maxFingerprints);
+    this.#convicted = new BoundedMap(maxFingerprints);
+    this.#proven = new BoundedMap(maxFingerprints);
+    this.#liftedUntilMs = new BoundedMap(maxFingerprints);
+  }
+
+  get isEmpty(): boolean {
+    return this.#suspects.size + this.#convicted.size === 0;
+  }
+
+  classify(fingerprint: string, nowMs: number): Standing {
+    if (this.getRemainingMs(fingerprint, nowMs) > 0) return "convicted";
+    const suspect = this.#suspects.get(fingerprint);
+    return suspect !== undefined && suspect.untilMs > nowMs
+      ? "suspect"
+      : "clear";
+  }
+
+  isProven(fingerprint: string): boolean {
+    return this.#proven.get(fingerprint) === true;
+  }
+
+  /** Time until a conviction expires, 0 without one. */
+  getRemainingMs(fingerprint: string, nowMs: number): number {
+    const untilMs = this.#convicted.get(fingerprint)?.untilMs ?? nowMs;
+    return Math.max(0, untilMs - nowMs);
+  }
+
+  getCrashes(fingerprint: string): number {
+    return this.#suspects.get(fingerprint)?.crashes ?? 0;
+  }
+
+  markSuspect(fingerprint: string, nowMs: number): void {
+    const crashes = this.getCrashes(fingerprint) + 1;
+    const untilMs = nowMs + this.#options.suspicionMs;
+    this.#proven.delete(fingerprint);
+    this.#suspects.set(fingerprint, { crashes, untilMs });
+  }
+
+  markConvicted(fingerprint: string, nowMs: number): void {
+    this.#liftedUntilMs.delete(fingerprint);
+    this.#setConvicted(fingerprint, nowMs + this.#options.convictionMs);
+  }
+
+  /** Takes over a conviction by another owner; false if it was lifted. */
+  addConvicted(
+    fingerprint: string,
+    options: { remainingMs: number; nowMs: number },
+  ): boolean {
+    const { remainingMs, nowMs } = options;
+    const heldUntilMs = this.#liftedUntilMs.get(fingerprint) ?? -Infinity;
+    if (heldUntilMs > nowMs || remainingMs <= 0) return false;
+    const untilMs = nowMs + Math.min(remainingMs, this.#options.convictionMs);
+    const knownMs = this.#convicted.get(fingerprint)?.untilMs ?? -Infinity;
+    this.#setConvicted(fingerprint, Math.max(untilMs, knownMs));
+    return true;
+  }
+
+  markProven(fingerprint: string): void {
+    this.#suspects.delete(fingerprint);
+    this.#proven.set(fingerprint, true);
+  }
+
+  /** Clears a fingerprint; false if it was clear. */
+  lift(fingerprint: string, nowMs: number): boolean {
+    const wasConvicted = this.#convicted.delete(fingerprint);
+    const wasSuspect = this.#suspects.delete(fingerprint);
+    const untilMs = nowMs + this.#options.liftHoldMs;
+    this.#liftedUntilMs.set(fingerprint, untilMs);
+    return wasConvicted || wasSuspect;
+  }
+
+  /** Removes what has expired and returns the fingerprints that are clear now. */
+  expire(nowMs: number): string[] {
+    const expired: string[] = [];
+    for (const marks of [this.#suspects, this.#convicted]) {
+      for (const [fingerprint, { untilMs }] of marks.entries()) {
+        if (untilMs > nowMs) continue;
+        marks.delete(fingerprint);
+        expired.push(fingerprint);
+      }
+    }
+    return expired;
+  }
+
+  list(nowMs: number): QuarantineEntry[] {
+    const kinds = [
+      ["suspect", this.#suspects],
+      ["convicted", this.#convicted],
+    ] as const;
+    return kinds.flatMap(([standing, marks]) =>
+      [...marks.entries()].map(([fingerprint, { crashes, untilMs }]) => ({
+        fingerprint,
+        standing,
+        crashes,
+        remainingMs: untilMs - nowMs,
+      }))
+    ).filter(({ remainingMs }) => remainingMs > 0);
+  }
+
+  #setConvicted(fingerprint: string, untilMs: number): void {
+    const known = this.#convicted.get(fingerprint)?.crashes ?? 0;
+    const crashes = Math.max(known, this.getCrashes(fingerprint));
+    this.#suspects.delete(fingerprint);
+    this.#proven.delete(fingerprint);
+    this.#convicted.set(fingerprint, { crashes, untilMs });
+  }
+}
