Connect operators' reports to the configuration

The operators' interface checks teams against the configuration in force and reports committed changes itself, so the daemon no longer wraps each action. Cancelled sends no longer count as timeouts of their server.

--- a/packages/daemon/entry/src/process/group_owner.ts
+++ b/packages/daemon/entry/src/process/group_owner.ts
@@ -144,7 +144,9 @@
 
   function finishSend(run: GroupRun, sent: FinishedSend): void {
     const { id, result, server, startedMs } = sent;
-    const finish = toFinishResult(result);
+    // The run ended when it was cancelled; its slot stays in use for a while.
+    if (result.type === "cancelled") return;
+    const finish = FINISH_RESULTS[result.type];
     recordSend(result, clock.nowMs() - startedMs);
     quarantine.send({ type: "finish", id, result: finish });
     const draining = result.type === "refused" && result.draining;
@@ -162,7 +164,7 @@
 
   function recordSend(result: BackendResult, latencyMs: number): void {
     if (result.type === "answered") monitor.recordAnswer(latencyMs);
-    else if (result.type !== "cancelled") monitor.recordFailure();
+    else monitor.recordFailure();
   }
 
   function canRetry(run: GroupRun, result: BackendResult): boolean {
@@ -296,7 +298,9 @@
 }
 
 /** How the dispatcher and the quarantine see a result of the client. */
-const FINISH_RESULTS: Readonly<Record<BackendResult["type"], FinishResult>> = {
+const FINISH_RESULTS: Readonly<
+  Record<Exclude<BackendResult["type"], "cancelled">, FinishResult>
+> = {
   answered: "answered",
   refused: "refused",
   connection_refused: "connection_refused",
@@ -304,13 +308,8 @@
   connection_lost: "connection_lost",
   timed_out: "timed_out",
   incomplete_answer: "connection_lost",
-  cancelled: "timed_out",
 };
 
-function toFinishResult(result: BackendResult): FinishResult {
-  return FINISH_RESULTS[result.type];
-}
-
 /** Outcome of a send, or undefined if the dispatcher decides what follows. */
 function toOutcome(result: BackendResult, server: string): Outcome | undefined {
   switch (result.type) {
--- a/packages/daemon/entry/src/process/operators.ts
+++ b/packages/daemon/entry/src/process/operators.ts
@@ -9,7 +9,6 @@
   createOperatorApp,
 } from "@dotterelmoor/daemon.operating";
 import type {
-  ConfigurationActions,
   DaemonReports,
   OperatorToken,
 } from "@dotterelmoor/daemon.operating";
@@ -28,16 +27,13 @@
   readonly reports: DaemonReports;
   readonly tokens: readonly OperatorToken[];
   readonly log: Logger;
-  /** A change was accepted through this entry. */
-  readonly onAccepted: () => void;
-  readonly onLifted: (fingerprint: string) => void;
 }
 
 /** Opens the listener for operators. */
 export function openOperators(options: OperatorsOptions): Promise<Listener> {
   const table = createConfigurationActions({ table: options.platform });
   const app = createOperatorApp({
-    actions: { ...notifyChanges(table, options), ...options.reports },
+    actions: { ...table, ...options.reports },
     tokens: options.tokens,
     log: options.log,
   });
@@ -48,37 +44,3 @@
     handler: app.callback(),
   });
 }
-
-/** Reports each accepted change, so that it spreads from here at once. */
-function notifyChanges(
-  table: ConfigurationActions,
-  options: OperatorsOptions,
-): ConfigurationActions {
-  const { onAccepted } = options;
-  return {
-    ...table,
-    submitDocument: (submission) =>
-      table.submitDocument(submission).then((result) => {
-        if (result.isOk()) onAccepted();
-        return result;
-      }),
-    setDrain: (instance, origin) =>
-      table.setDrain(instance, origin).then((result) => {
-        if (result.isOk()) onAccepted();
-        return result;
-      }),
-    removeDrain: (instance, origin) =>
-      table.removeDrain(instance, origin).then((result) => {
-        if (result.isOk()) onAccepted();
-        return result;
-      }),
-    removeQuarantine: (fingerprint, origin) =>
-      table.removeQuarantine(fingerprint, origin).then((result) => {
-        if (result.isOk()) {
-          onAccepted();
-          options.onLifted(fingerprint);
-        }
-        return result;
-      }),
-  };
-}
--- a/packages/daemon/entry/src/process/reports.ts
+++ b/packages/daemon/entry/src/process/reports.ts
@@ -4,7 +4,11 @@
  * @module
  */
 
-import type { JsonValue, ListedInstance } from "@dotterelmoor/core.types";
+import type {
+  ConfigurationSnapshot,
+  JsonValue,
+  ListedInstance,
+} from "@dotterelmoor/core.types";
 import type {
   DaemonReports,
   LeaseReport,
@@ -33,6 +37,19 @@
   readonly findQuarantinedService: (fingerprint: string) => string | undefined;
 }
 
+/** Stands for the configuration before the first one is known. */
+const NO_SNAPSHOT: ConfigurationSnapshot = {
+  sequence: 0,
+  platform: {
+    regions: [],
+    links: [],
+    clientBlocks: [],
+    limits: { maxDeadlineMs: 0, maxConcurrency: 0, maxShiftCap: 0 },
+  },
+  teams: {},
+  drains: [],
+};
+
 /** Creates the reports. */
 export function createReports(options: ReportsOptions): DaemonReports {
   return {
@@ -41,6 +58,10 @@
     reportLeases: () => listLeases(options),
     findInstanceService: (instance) =>
       options.listInstances().find(({ id }) => id === instance)?.service,
+    getSnapshot: () => options.configuration.keeper.current() ?? NO_SNAPSHOT,
+    notifyChange: () => options.configuration.readStore(),
+    notifyLift: (fingerprint) =>
+      options.quarantine.send({ type: "lift", fingerprint }),
   };
 }
 
--- a/packages/daemon/entry/src/wiring.ts
+++ b/packages/daemon/entry/src/wiring.ts
@@ -511,9 +511,6 @@
     platform: base.platform,
     tokens: settings.operatorTokens,
     log: base.logOf("operator"),
-    onAccepted: () => parts.configuration.readStore(),
-    onLifted: (fingerprint) =>
-      parts.quarantine.send({ type: "lift", fingerprint }),
     reports: createReports({
       ...parts,
       instance: settings.instance,
