Add peer connections with frames, hello and calls

Entries pass requests, promises, permits and configuration to each other and need to know whether a call was written.

--- /dev/null
+++ b/packages/network/peering/src/frame_socket.ts
@@ -0,0 +1,103 @@
+/**
+ * A TCP connection that carries frames.
+ *
+ * @module
+ */
+
+import type { Socket } from "node:net";
+import { buildFrameValue } from "./envelope.ts";
+import type { Envelope } from "./envelope.ts";
+import { decodeFrame, encodeFrame, FrameReader } from "./frames.ts";
+import { buildError } from "./hello.ts";
+import { MAX_HELLO_BYTES } from "./limits.ts";
+
+/** Time for a refused peer to read the reason and close. */
+const CLOSE_TIMEOUT_MS = 500;
+
+/** Told about frames and the end of the connection. */
+export interface FrameSocketEvents {
+  /** Gets the decoded value; undefined if it was malformed. */
+  onFrame(value: unknown): void;
+  onClose(): void;
+}
+
+/** A TCP connection that carries frames in both directions. */
+export class FrameSocket {
+  readonly #socket: Socket;
+  readonly #reader = new FrameReader(MAX_HELLO_BYTES);
+  readonly #events: FrameSocketEvents;
+  readonly #maxFrameBytes: number;
+
+  constructor(
+    socket: Socket,
+    options: {
+      readonly maxFrameBytes: number;
+      readonly events: FrameSocketEvents;
+    },
+  ) {
+    this.#socket = socket;
+    this.#events = options.events;
+    this.#maxFrameBytes = options.maxFrameBytes;
+    socket.setNoDelay(true);
+    socket.on("error", () => {});
+    socket.on("data", (chunk: Buffer) => this.#readChunk(chunk));
+    socket.once("close", () => this.#events.onClose());
+  }
+
+  get isOpen(): boolean {
+    return this.#socket.writable && !this.#socket.destroyed;
+  }
+
+  /** Bytes that wait to be written. */
+  get waitingBytes(): number {
+    return this.#socket.writableLength;
+  }
+
+  /** Allows frames of the full size once the peer has proved its token. */
+  acceptLargeFrames(): void {
+    this.#reader.maxBytes = this.#maxFrameBytes;
+  }
+
+  /** Writes a value; false if no byte was written. */
+  sendValue(value: unknown): boolean {
+    if (!this.isOpen) return false;
+    const frame = encodeFrame(value, this.#maxFrameBytes);
+    if (frame === undefined) return false;
+    this.#socket.write(frame);
+    return true;
+  }
+
+  /** Writes an envelope; false if no byte was written. */
+  send(envelope: Envelope): boolean {
+    return this.sendValue(buildFrameValue(envelope));
+  }
+
+  /** Tells the peer why, then closes the connection. */
+  refuse(code: string, message: string): void {
+    this.sendValue(buildError(code, message));
+    // Frames that are still coming in belong to no valid conversation.
+    this.#socket.removeAllListeners("data");
+    this.#socket.resume();
+    this.#socket.end();
+    const timer = setTimeout(() => this.#socket.destroy(), CLOSE_TIMEOUT_MS);
+    this.#socket.once("close", () => clearTimeout(timer));
+  }
+
+  close(): void {
+    this.#socket.destroy();
+  }
+
+  #readChunk(chunk: Buffer): void {
+    this.#reader.push(chunk);
+    try {
+      while (this.#socket.listenerCount("data") > 0) {
+        const payload = this.#reader.take();
+        if (payload === undefined) return;
+        this.#events.onFrame(decodeFrame(payload));
+      }
+    } catch (error) {
+      if (!(error instanceof RangeError)) throw error;
+      this.refuse("frame-too-large", error.message);
+    }
+  }
+}
--- /dev/null
+++ b/packages/network/peering/src/frames.ts
@@ -0,0 +1,82 @@
+/**
+ * Frames: a 4-byte big-endian length and one cbor value.
+ *
+ * @module
+ */
+
+import { Encoder } from "cbor-x";
+
+const PREFIX_BYTES = 4;
+
+const codec = new Encoder({
+  useRecords: false,
+  mapsAsObjects: true,
+  tagUint8Array: false,
+});
+
+/** Encodes a value; undefined if its frame would be too large. */
+export function encodeFrame(
+  value: unknown,
+  maxBytes: number,
+): Buffer | undefined {
+  const payload = codec.encode(value);
+  if (payload.length > maxBytes) return undefined;
+  const frame = Buffer.allocUnsafe(PREFIX_BYTES + payload.length);
+  frame.writeUInt32BE(payload.length, 0);
+  frame.set(payload, PREFIX_BYTES);
+  return frame;
+}
+
+/** Decodes the payload of a frame; undefined if it is malformed. */
+export function decodeFrame(payload: Uint8Array): unknown {
+  try {
+    return codec.decode(payload);
+  } catch {
+    return undefined;
+  }
+}
+
+/** Splits a byte stream into payloads. */
+export class FrameReader {
+  #chunks: Buffer[] = [];
+  #length = 0;
+  #needed: number | undefined;
+
+  /** Largest payload that is accepted from now on. */
+  maxBytes: number;
+
+  constructor(maxBytes: number) {
+    this.maxBytes = maxBytes;
+  }
+
+  /** Adds bytes from the stream. */
+  push(chunk: Buffer): void {
+    this.#chunks.push(chunk);
+    this.#length += chunk.length;
+  }
+
+  /** Takes the next whole payload, if any; throws if it is too large. */
+  take(): Buffer | undefined {
+    if (this.#needed === undefined) {
+      if (this.#length < PREFIX_BYTES) return undefined;
+      this.#needed = this.#takeBytes(PREFIX_BYTES).readUInt32BE(0);
+    }
+    if (this.#needed > this.maxBytes) {
+      throw new RangeError(`A frame of ${this.#needed} bytes is too large`);
+    }
+    if (this.#length < this.#needed) return undefined;
+    const payload = this.#takeBytes(this.#needed);
+    this.#needed = undefined;
+    return payload;
+  }
+
+  #takeBytes(count: number): Buffer {
+    const all = this.#chunks.length === 1
+      ? this.#chunks[0]!
+      : Buffer.concat(this.#chunks, this.#length);
+    const rest = all.subarray(count);
+    this.#chunks = rest.length > 0 ? [rest] : [];
+    this.#length = rest.length;
+    return all.subarray(0, count);
+  }
+}
--- /dev/null
+++ b/packages/network/peering/src/guards.ts
@@ -0,0 +1,157 @@
+/**
+ * Shape checks of messages from peers.
+ *
+ * @module
+ */
+
+import type { Outcome } from "@dotterelmoor/core.types";
+import type { PeerMessage, PeerMessageType } from "./messages.ts";
+
+type Check = (value: unknown) => boolean;
+
+/** Tells whether a value is a map with string keys. */
+export function isRecord(value: unknown): value is Record<string, unknown> {
+  return typeof value === "object" && value !== null &&
+    !Array.isArray(value) && !ArrayBuffer.isView(value);
+}
+
+/** Tells whether a value is a string. */
+export function isString(value: unknown): value is string {
+  return typeof value === "string";
+}
+
+/** Tells whether a value is a whole number of at least 0. */
+export function isCount(value: unknown): value is number {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
+function isAmount(value: unknown): boolean {
+  return typeof value === "number" && Number.isFinite(value) && value >= 0;
+}
+
+function isBoolean(value: unknown): boolean {
+  return typeof value === "boolean";
+}
+
+function isBytes(value: unknown): boolean {
+  return value instanceof Uint8Array;
+}
+
+function isStringMap(value: unknown): boolean {
+  return isRecord(value) && Object.values(value).every(isString);
+}
+
+function isOptionalString(value: unknown): boolean {
+  return value === undefined || isString(value);
+}
+
+function isPriority(value: unknown): boolean {
+  return value === "critical" || value === "normal" || value === "background";
+}
+
+function isAnything(): boolean {
+  return true;
+}
+
+function hasFields(
+  value: unknown,
+  fields: Readonly<Record<string, Check>>,
+): boolean {
+  return isRecord(value) &&
+    Object.entries(fields).every(([name, check]) => check(value[name]));
+}
+
+const OUTCOME_FIELDS: Readonly<
+  Record<Outcome["type"], Readonly<Record<string, Check>>>
+> = {
+  answered: {
+    status: (value) =>
+      Number.isInteger(value) && (value as number) >= 100 &&
+      (value as number) <= 599,
+    headers: isStringMap,
+    body: isBytes,
+    server: isString,
+  },
+  "not-run": {
+    reason: isString,
+    retryAfterMs: isAmount,
+    ownerHint: isOptionalString,
+  },
+  unknown: { reason: isString },
+};
+
+function isOutcome(value: unknown): boolean {
+  if (!isRecord(value) || !isString(value.type)) return false;
+  return Object.hasOwn(OUTCOME_FIELDS, value.type) &&
+    hasFields(value, OUTCOME_FIELDS[value.type as Outcome["type"]]);
+}
+
+function isSnapshot(value: unknown): boolean {
+  return hasFields(value, {
+    sequence: isCount,
+    platform: isRecord,
+    teams: isRecord,
+    drains: (drains) => Array.isArray(drains) && drains.every(isString),
+  });
+}
+
+const REQUEST_FIELDS = {
+  service: isString,
+  method: isString,
+  path: isString,
+  headers: isStringMap,
+  body: isBytes,
+  deadlineMs: isAmount,
+  requestId: isString,
+};
+
+const MESSAGE_FIELDS: Readonly<
+  Record<PeerMessageType, Readonly<Record<string, Check>>>
+> = {
+  exec: {
+    ...REQUEST_FIELDS,
+    homeRegion: isString,
+    kind: isString,
+    priority: isPriority,
+    repeatable: isBoolean,
+    key: isOptionalString,
+    fingerprint: isString,
+    frontRegion: isString,
+  },
+  exec_result: { outcome: isOutcome },
+  submit: { ...REQUEST_FIELDS, client: isString },
+  promise: {
+    service: isString,
+    region: isString,
+    owner: isCount,
+    fence: isCount,
+    durationMs: isAmount,
+  },
+  promise_result: { granted: isBoolean },
+  permit: {
+    from: isString,
+    to: isString,
+    holder: isCount,
+    bytesPerSecond: isAmount,
+  },
+  permit_result: {
+    granted: isBoolean,
+    bytesPerSecond: isAmount,
+    validMs: isAmount,
+    ownerHint: isOptionalString,
+  },
+  membership: { message: isAnything },
+  config_push: { snapshot: isSnapshot, forward: isBoolean },
+  config_pull: { sequence: isCount },
+  config_unchanged: { sequence: isCount },
+  handover: { service: isString, region: isString, fence: isCount },
+  conviction: { fingerprint: isString, validMs: isAmount },
+  error: { code: isString, message: isString },
+};
+
+/** Tells whether a decoded value is a message of the protocol. */
+export function isPeerMessage(value: unknown): value is PeerMessage {
+  return isRecord(value) && isString(value.type) &&
+    Object.hasOwn(MESSAGE_FIELDS, value.type) &&
+    hasFields(value, MESSAGE_FIELDS[value.type as PeerMessageType]);
+}
--- a/packages/network/peering/src/types.ts
+++ b/packages/network/peering/src/types.ts
@@ -89,11 +89,17 @@
   readonly timeoutMs: number;
   /** Cancels the call at the peer too. */
   readonly signal?: AbortSignal;
+  /** Sends the call only if the peer's hello named this process. */
+  readonly processId?: string;
 }
 
 /** What became of one call. */
 export type CallResult =
-  | { readonly type: "answered"; readonly message: PeerMessage }
+  | {
+    readonly type: "answered";
+    readonly message: PeerMessage;
+    readonly peer: PeerIdentity;
+  }
   /** No byte of the call was written. */
   | { readonly type: "not_sent" }
   /** The call was written, and no usable answer came. */
