--- a/packages/testing/demo/src/processes.ts
+++ b/packages/testing/demo/src/processes.ts
@@ -4,6 +4,19 @@
  * @module
  */
 
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+import { once } from "node:events";
+import process from "node:process";
+import { createInterface } from "node:readline";
+import type { Readable } from "node:stream";
+
+/** Lines kept of each output stream. */
+const MAX_LINES = 2_000;
+
+/** Loading the compiled packages on a busy machine takes a few seconds. */
+const READY_TIMEOUT_MS = 20_000;
+
 /** A process to start. */
 export interface ProcessOptions {
   /** Compiled script that Node.js runs. */
@@ -35,9 +48,123 @@
   readonly exited: Promise<number | null>;
 }
 
+const started = new Set<ChildProcess>();
+let isRegistered = false;
+
 /** Starts a process and waits for its ready line. */
-export function startProcess(
-  _options: ProcessOptions,
+export async function startProcess(
+  options: ProcessOptions,
 ): Promise<RunningProcess> {
-  throw new Error("Not implemented");
+  registerCleanup();
+  const child = spawn(
+    process.execPath,
+    [options.script, ...options.args ?? []],
+    {
+      env: { ...process.env, ...options.env },
+      stdio: ["ignore", "pipe", "pipe"],
+    },
+  );
+  started.add(child);
+  const exited = new Promise<number | null>((resolve) => {
+    child.once("exit", (code) => {
+      started.delete(child);
+      resolve(code);
+    });
+    child.once("error", () => {
+      started.delete(child);
+      resolve(null);
+    });
+  });
+  const stderrLines: string[] = [];
+  collectLines(child.stderr, stderrLines);
+  const stdoutLines: string[] = [];
+  const ready = await waitForReady(child, {
+    lines: stdoutLines,
+    timeoutMs: options.readyTimeoutMs ?? READY_TIMEOUT_MS,
+    describe: () => `${options.script}: ${stderrLines.slice(-20).join("\n")}`,
+  });
+  return {
+    pid: child.pid!,
+    ready,
+    stdoutLines,
+    stderrLines,
+    kill: () => void child.kill("SIGKILL"),
+    freeze: () => void child.kill("SIGSTOP"),
+    resume: () => void child.kill("SIGCONT"),
+    terminate: () => void child.kill("SIGTERM"),
+    exited,
+  };
+}
+
+interface ReadyOptions {
+  readonly lines: string[];
+  readonly timeoutMs: number;
+  readonly describe: () => string;
+}
+
+async function waitForReady(
+  child: ChildProcess,
+  options: ReadyOptions,
+): Promise<Record<string, unknown>> {
+  const stop = new AbortController();
+  const timer = setTimeout(() => stop.abort(), options.timeoutMs);
+  const ready = new Promise<Record<string, unknown>>((resolve) => {
+    collectLines(child.stdout!, options.lines, (line) => {
+      const parsed = parseReadyLine(line);
+      if (parsed !== undefined) resolve(parsed);
+    });
+  });
+  const { signal } = stop;
+  const ended = once(child, "exit", { signal }).then(() => undefined);
+  try {
+    const result = await Promise.race([ready, ended]);
+    if (result !== undefined) return result;
+  } catch {
+    // The time has run out, or the process cannot be started.
+  } finally {
+    clearTimeout(timer);
+    stop.abort();
+    ended.catch(() => {});
+  }
+  child.kill("SIGKILL");
+  throw new Error(`The process printed no ready line: ${options.describe()}`);
+}
+
+function parseReadyLine(line: string): Record<string, unknown> | undefined {
+  try {
+    const value = JSON.parse(line);
+    return value?.ready === true ? value : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function collectLines(
+  stream: Readable,
+  lines: string[],
+  onLine: (line: string) => void = () => {},
+): void {
+  createInterface({ input: stream }).on("line", (line) => {
+    lines.push(line);
+    if (lines.length > MAX_LINES) lines.splice(0, MAX_LINES / 2);
+    onLine(line);
+  });
+}
+
+/** Ends every started process, frozen ones too, when this process ends. */
+function registerCleanup(): void {
+  if (isRegistered) return;
+  isRegistered = true;
+  process.once("exit", stopAll);
+  for (const signal of ["SIGINT", "SIGTERM"] as const) {
+    process.once(signal, () => {
+      stopAll();
+      process.exit(signal === "SIGINT" ? 130 : 143);
+    });
+  }
+}
+
+function stopAll(): void {
+  for (const child of started) child.kill("SIGKILL");
+  started.clear();
 }
--- /dev/null
+++ b/packages/testing/demo/src/processes_test.ts
@@ -0,0 +1,79 @@
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { once } from "node:events";
+import { connect } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { ExecutionContext } from "ava";
+import test from "ava";
+import { startProcess } from "./processes.ts";
+
+const CHILD = `
+import { createServer } from "node:net";
+const server = createServer((socket) => socket.end("alive"));
+server.listen(0, "127.0.0.1", () => {
+  console.log("not the ready line");
+  console.log(JSON.stringify({ ready: true, port: server.address().port }));
+});
+process.on("SIGTERM", () => process.exit(7));
+`;
+
+async function writeScript(t: ExecutionContext, text: string) {
+  const directory = await mkdtemp(join(tmpdir(), "dotterelmoor-"));
+  t.teardown(() => rm(directory, { recursive: true }));
+  const script = join(directory, "child.mjs");
+  await writeFile(script, text);
+  return script;
+}
+
+async function ask(port: unknown): Promise<string> {
+  const socket = connect(Number(port), "127.0.0.1");
+  const [answer] = await once(socket, "data");
+  return String(answer);
+}
+
+test("guards against processes that are not ready, frozen or ended as told", async (t) => {
+  const child = await startProcess({ script: await writeScript(t, CHILD) });
+  t.is(await ask(child.ready.port), "alive");
+  t.is(child.stdoutLines[0], "not the ready line");
+  child.freeze();
+  const answer = ask(child.ready.port);
+  child.resume();
+  t.is(await answer, "alive");
+  child.terminate();
+  t.is(await child.exited, 7);
+});
+
+test("guards against a failed start that hangs", async (t) => {
+  const script = await writeScript(t, `console.error("cannot bind");`);
+  await t.throwsAsync(startProcess({ script }), { message: /cannot bind/ });
+  const silent = await writeScript(t, "setInterval(() => {}, 1000);");
+  await t.throwsAsync(startProcess({ script: silent, readyTimeoutMs: 100 }));
+});
+
+test("guards against processes that outlive the one that started them", async (t) => {
+  const child = await writeScript(t, CHILD);
+  const module = new URL("./processes.js", import.meta.url).href;
+  const parent = await startProcess({
+    script: await writeScript(
+      t,
+      `import { startProcess } from ${JSON.stringify(module)};
+       const child = await startProcess({ script: ${JSON.stringify(child)} });
+       child.freeze();
+       console.log(JSON.stringify({ ready: true, port: child.ready.port }));`,
+    ),
+  });
+  parent.terminate();
+  t.is(await parent.exited, 143);
+  // The kernel closes the port of the frozen process on its own time.
+  while (await isListening(Number(parent.ready.port)));
+  t.pass();
+});
+
+function isListening(port: number): Promise<boolean> {
+  const socket = connect(port, "127.0.0.1");
+  return new Promise((resolve) => {
+    socket.once("connect", () => resolve(true));
+    socket.once("error", () => resolve(false));
+    socket.once("close", () => resolve(false));
+  }).finally(() => socket.destroy()) as Promise<boolean>;
+}
