Refuse keys that are not text and test documents with random edits

A list or map as a key of a document printed a process warning for each parse. The parser now requires text keys, and values are read only from text without syntax errors. A property test makes 1,000 random edits of a document: no parse throws, and every error has a place in the text.

--- a/packages/command/ctl/src/running.ts
+++ b/packages/command/ctl/src/running.ts
@@ -26,6 +26,22 @@
   "token-file": "DOTTERELMOOR_CTL_TOKEN_FILE",
 } as const;
 
+const GLOBAL_FLAGS = {
+  "operator-url": {
+    type: "string",
+    describe: `URL of an entry's operators' listener (${
+      VARIABLES["operator-url"]
+    })`,
+    requiresArg: true,
+  },
+  "token-file": {
+    type: "string",
+    describe: `File with the operator's token (${VARIABLES["token-file"]})`,
+    requiresArg: true,
+  },
+  json: { type: "boolean", describe: "Print JSON" },
+} as const;
+
 /** Runs the command line with arguments and gives its exit code. */
 export async function runCtl(
   argv: readonly string[],
@@ -61,19 +77,7 @@
       "greedy-arrays": false,
       "parse-positional-numbers": false,
     })
-    .option("operator-url", {
-      type: "string",
-      describe: `URL of an entry's operators' listener (${
-        VARIABLES["operator-url"]
-      })`,
-      requiresArg: true,
-    })
-    .option("token-file", {
-      type: "string",
-      describe: `File with the operator's token (${VARIABLES["token-file"]})`,
-      requiresArg: true,
-    })
-    .option("json", { type: "boolean", describe: "Print JSON" })
+    .options(GLOBAL_FLAGS)
     .epilogue(EXIT_CODE_HELP)
     .demandCommand(1, "Name a command")
     .strict()
--- a/packages/config/changing/src/applying.ts
+++ b/packages/config/changing/src/applying.ts
@@ -17,7 +17,7 @@
   ChangeCommitted,
   ChangeRefused,
   ChangeUnknown,
-} from "./resolving.ts";
+} from "./resolution.ts";
 import { makeChangeKey } from "./rows.ts";
 import type { ChangeError, ChangeRows, ConfigurationRows } from "./rows.ts";
 import {
--- a/packages/config/changing/src/building.ts
+++ b/packages/config/changing/src/building.ts
@@ -210,14 +210,16 @@
   });
 }
 
+type PlacedContent = ChangeContent & {
+  readonly digest: string;
+  readonly sequence: number;
+};
+
 function buildTransaction(
   origin: ChangeOrigin & { readonly rows: ChangeRows },
-  content: ChangeContent & {
-    readonly digest: string;
-    readonly sequence: number;
-  },
+  content: PlacedContent,
 ): TableTransaction {
-  const { rows, changeId, who, why, whenMs, team } = origin;
+  const { rows, changeId, who, whenMs } = origin;
   const { kind, subject, digest, sequence, targetKey } = content;
   const changeKey = makeChangeKey(changeId);
   const auditKey = makeAuditKey(sequence);
@@ -229,17 +231,6 @@
     who,
     whenMs,
   };
-  const audit: AuditRowValue = {
-    sequence,
-    changeId,
-    kind,
-    subject,
-    ...(team === undefined ? {} : { team }),
-    who,
-    why,
-    whenMs,
-    differences: content.describe(),
-  };
   return {
     checks: [
       { key: changeKey, version: 0 },
@@ -251,11 +242,30 @@
       { key: targetKey, value: toJson(content.makeValue(sequence)) },
       { key: CURRENT_KEY, value: sequence },
       { key: changeKey, value: toJson(change) },
-      { key: auditKey, value: toJson(audit) },
+      { key: auditKey, value: toJson(makeAudit(origin, content)) },
     ],
   };
 }
 
+function makeAudit(
+  origin: ChangeOrigin,
+  content: PlacedContent,
+): AuditRowValue {
+  const { changeId, who, why, whenMs, team } = origin;
+  const { sequence, kind, subject } = content;
+  return {
+    sequence,
+    changeId,
+    kind,
+    subject,
+    ...(team === undefined ? {} : { team }),
+    who,
+    why,
+    whenMs,
+    differences: content.describe(),
+  };
+}
+
 function refuseAbsent(
   rows: ChangeRows,
   what: string,
--- a/packages/config/changing/src/built_change.ts
+++ b/packages/config/changing/src/built_change.ts
@@ -12,7 +12,7 @@
   ChangeAlreadyApplied,
   ChangeConflict,
   ChangeRefused,
-} from "./resolving.ts";
+} from "./resolution.ts";
 import type { ChangeKind, ChangeOrigin, ChangeRows } from "./rows.ts";
 
 /** A change that is ready to be sent to the table. */
--- a/packages/config/changing/src/mod.ts
+++ b/packages/config/changing/src/mod.ts
@@ -32,7 +32,7 @@
   ChangeRefused,
   ChangeResolution,
   ChangeUnknown,
-} from "./resolving.ts";
+} from "./resolution.ts";
 export {
   CURRENT_KEY,
   getRowValue,
--- a/packages/config/document/src/parsing_test.ts
+++ b/packages/config/document/src/parsing_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import fc from "fast-check";
 import { readdirSync, readFileSync } from "node:fs";
 import type { TeamDocument } from "@dotterelmoor/core.types";
 import {
@@ -182,3 +183,44 @@
     "limits.maxDeadlineMs",
   ], formatDocumentErrors(errors));
 });
+
+test("guards against text that makes the parser throw or lose its place", (t) => {
+  const text = readExample("consortium/certledger.yaml");
+  const platform = readPlatform("consortium");
+  const edit = fc.record({
+    at: fc.nat(text.length),
+    cut: fc.nat(40),
+    insert: fc.oneof(
+      fc.constantFrom(
+        "null",
+        "[]",
+        "{}",
+        "-",
+        ": ",
+        "'",
+        "&a",
+        "*a",
+        "__proto__: 1",
+      ),
+      fc.string({ maxLength: 8 }),
+    ),
+  });
+  fc.assert(
+    fc.property(fc.array(edit, { minLength: 1, maxLength: 4 }), (edits) => {
+      const edited = edits.reduce(
+        (before, { at, cut, insert }) =>
+          before.slice(0, at) + insert + before.slice(at + cut),
+        text,
+      );
+      const result = parseTeamDocument(edited, { file: "f", platform });
+      const lines = edited.split("\n").length;
+      return result.isOk() ||
+        result.error.every((error) =>
+          error.line >= 1 && error.line <= lines && error.column >= 1 &&
+          error.message !== "" && error.expected !== ""
+        );
+    }),
+    { seed: 20_261_204, numRuns: 1_000 },
+  );
+  t.pass();
+});
--- a/packages/config/document/src/platform_checks.ts
+++ b/packages/config/document/src/platform_checks.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { PlatformDocument, TeamDocument } from "@dotterelmoor/core.types";
-import type { DocumentError } from "./document_error.ts";
+import type { DocumentError, DocumentErrorCode } from "./document_error.ts";
 import {
   describeValue,
   findDuplicates,
@@ -80,6 +80,14 @@
   };
 }
 
+type LimitName = keyof PlatformDocument["limits"];
+
+const LIMIT_CODES: Record<LimitName, DocumentErrorCode> = {
+  maxConcurrency: "limit-exceeded",
+  maxDeadlineMs: "deadline-above-limit",
+  maxShiftCap: "limit-exceeded",
+};
+
 function findPassedLimits(
   service: Record<string, unknown>,
   options: {
@@ -92,31 +100,26 @@
   const regions = typeof concurrency === "object" && concurrency !== null
     ? Object.keys(concurrency)
     : [];
-  const bounded: [ValuePath, number, string][] = [
-    [["shift", "cap"], limits.maxShiftCap, "maxShiftCap"],
-    ...regions.map((region): [ValuePath, number, string] => [
-      ["concurrency", region],
-      limits.maxConcurrency,
-      "maxConcurrency",
-    ]),
-    ...listRecords(service.kinds).map((
-      { index },
-    ): [ValuePath, number, string] => [
-      ["kinds", index, "deadlineMs"],
-      limits.maxDeadlineMs,
-      "maxDeadlineMs",
-    ]),
+  const kinds = listRecords(service.kinds);
+  const bounded: readonly { subPath: ValuePath; limit: LimitName }[] = [
+    { subPath: ["shift", "cap"], limit: "maxShiftCap" },
+    ...regions.map((region) => ({
+      subPath: ["concurrency", region],
+      limit: "maxConcurrency" as const,
+    })),
+    ...kinds.map(({ index }) => ({
+      subPath: ["kinds", index, "deadlineMs"],
+      limit: "maxDeadlineMs" as const,
+    })),
   ];
-  return bounded.flatMap(([subPath, limit, limitName]) => {
+  return bounded.flatMap(({ subPath, limit }): Finding[] => {
     const value = getValueAt(service, subPath);
-    if (typeof value !== "number" || value <= limit) return [];
+    if (typeof value !== "number" || value <= limits[limit]) return [];
     return [{
-      code: limitName === "maxDeadlineMs"
-        ? "deadline-above-limit" as const
-        : "limit-exceeded" as const,
+      code: LIMIT_CODES[limit],
       path: [...path, ...subPath],
       found: describeValue(value),
-      expected: `at most ${limit}, the platform's ${limitName}`,
+      expected: `at most ${limits[limit]}, the platform's ${limit}`,
       hint: "Lower the value or ask the platform team to raise the limit",
     }];
   });
--- a/packages/config/document/src/source.ts
+++ b/packages/config/document/src/source.ts
@@ -35,8 +35,11 @@
       this.#document = parseDocument(text, {
         lineCounter: this.#lines,
         prettyErrors: false,
+        stringKeys: true,
       });
-      this.#value = this.#document.toJS({ maxAliasCount: 0 });
+      if (this.#document.errors.length === 0) {
+        this.#value = this.#document.toJS({ maxAliasCount: 0 });
+      }
     } catch (error) {
       this.#document ??= new Document();
       this.#refusal = error instanceof RangeError
--- a/packages/config/settings/src/sources.ts
+++ b/packages/config/settings/src/sources.ts
@@ -138,7 +138,10 @@
 ): unknown {
   const text = loadText(file, options);
   if (text === undefined) return undefined;
-  const document = parseDocument(text, { prettyErrors: false });
+  const document = parseDocument(text, {
+    prettyErrors: false,
+    stringKeys: true,
+  });
   let reason = document.errors[0]?.code as string | undefined;
   try {
     if (reason === undefined) return document.toJS({ maxAliasCount: 0 });
