--- a/packages/network/peering/src/peering_test.ts
+++ b/packages/network/peering/src/peering_test.ts
@@ -200,6 +200,11 @@
 test("guards against a late answer given to a later call", async (t) => {
   const seen: Record<string, unknown>[] = [];
   const address = await openRawPeer(t, (socket, value) => {
+    if (value.type === "config_pull") {
+      const opened = { type: "config_unchanged", sequence: 0 };
+      socket.write(frame({ ...opened, replyTo: value.id }));
+      return;
+    }
     if (value.type !== "membership") return;
     seen.push(value);
     if (seen.length < 2) return;
@@ -208,6 +213,11 @@
     }
   });
   const pool = openPool(t);
+  // The short timeout below must not run out while the connection opens.
+  const open = { type: "config_pull", sequence: 0 } as const;
+  t.like(await pool.call(address, open, { timeoutMs: 5_000 }), {
+    type: "answered",
+  });
   const first = await pool.call(address, makeMessage("one"), { timeoutMs: 30 });
   t.deepEqual(first, { type: "lost" });
   const second = await pool.call(address, makeMessage("two"), {
