--- a/packages/daemon/entry/src/process/quarantine_spread.ts
+++ b/packages/daemon/entry/src/process/quarantine_spread.ts
@@ -26,7 +26,6 @@
   /** Sets soft state that all regions see. */
   readonly setState: (key: string, value: JsonValue, ttlMs: number) => void;
   readonly send: QuarantineEventSink;
-  readonly findService: (fingerprint: string) => string | undefined;
 }
 
 /** Passes suspects and convictions on, and takes those of others. */
@@ -42,7 +41,6 @@
 
 interface ConvictionRow {
   readonly fingerprint: string;
-  readonly service: string;
   readonly expiresWallMs: number;
 }
 
@@ -84,14 +82,13 @@
     notifySuspect: (fingerprint) =>
       options.setState(SUSPECT_PREFIX + fingerprint, true, SUSPECT_TTL_MS),
     notifyConvicted: (fingerprint, remainingMs) => {
-      const service = options.findService(fingerprint) ?? "";
       options.setState(
         CONVICTED_PREFIX + fingerprint,
         { remainingMs },
         remainingMs,
       );
       const expiresWallMs = clock.wallMs() + remainingMs;
-      void writeRow({ fingerprint, service, expiresWallMs });
+      void writeRow({ fingerprint, expiresWallMs });
     },
     notifyLifted: (fingerprint) =>
       options.setState(
--- /dev/null
+++ b/packages/daemon/entry/src/wiring/base.ts
@@ -0,0 +1,97 @@
+/**
+ * What every part of the entry daemon is built on.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import { DisposableStore } from "@dotterelmoor/core.types";
+import type { ListedInstance, Random } from "@dotterelmoor/core.types";
+import type { EntrySettings } from "@dotterelmoor/config.settings";
+import { createBackendClient } from "@dotterelmoor/network.backend";
+import type { BackendClient } from "@dotterelmoor/network.backend";
+import { createPeerPool } from "@dotterelmoor/network.peering";
+import type { PeerIdentity, PeerPool } from "@dotterelmoor/network.peering";
+import { createPlatformClient } from "@dotterelmoor/network.platform";
+import type { PlatformClient } from "@dotterelmoor/network.platform";
+import { createClock } from "../process/clock.ts";
+import type { Clock } from "../process/clock.ts";
+import { createLogging } from "../process/logging.ts";
+import type { LoggerOf } from "../process/logging.ts";
+import { createMetrics } from "../process/metrics.ts";
+import type { Metrics } from "../process/metrics.ts";
+import type { RoutingView } from "../version/routing_view.ts";
+
+const PLATFORM_TIMEOUT_MS = 2_000;
+
+/** State of the process that several parts read. */
+export interface ProcessState {
+  /** Incarnation of the session, 0 if there is none. */
+  incarnation: number;
+  leaving: boolean;
+  view: RoutingView | undefined;
+  instances: readonly ListedInstance[];
+}
+
+/** Clients, clock and state of one process. */
+export interface Base {
+  readonly settings: EntrySettings;
+  readonly store: DisposableStore;
+  readonly processId: string;
+  readonly state: ProcessState;
+  readonly identity: () => PeerIdentity;
+  readonly logOf: LoggerOf;
+  readonly platform: PlatformClient;
+  readonly backend: BackendClient;
+  readonly peers: PeerPool;
+  readonly metrics: Metrics;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+/** Creates the clients; nothing is sent yet. */
+export function createBase(settings: EntrySettings): Base {
+  const processId = randomUUID();
+  const state: ProcessState = {
+    incarnation: 0,
+    leaving: false,
+    view: undefined,
+    instances: [],
+  };
+  const { instance, region, zone } = settings;
+  const identity = () => ({
+    incarnation: state.incarnation,
+    processId,
+    instance,
+    region,
+    zone,
+  });
+  const logOf = createLogging({ level: settings.logLevel, instance });
+  const base: Base = {
+    settings,
+    store: new DisposableStore(),
+    processId,
+    state,
+    identity,
+    logOf,
+    platform: createPlatformClient({
+      url: settings.platformUrl,
+      timeoutMs: PLATFORM_TIMEOUT_MS,
+    }),
+    backend: createBackendClient(),
+    peers: createPeerPool({
+      identity,
+      token: settings.peerToken,
+      log: logOf("peer"),
+    }),
+    metrics: createMetrics({ receiver: settings.metrics, instance, region }),
+    clock: createClock(),
+    random: Math.random,
+  };
+  for (
+    const client of [base.metrics, base.platform, base.backend, base.peers]
+  ) {
+    base.store.add(() => client.close());
+  }
+  return base;
+}
