Check every field of the peer messages by type

Promise and permit messages got new fields, and the guards still asked for the old ones, so each such frame would have been refused as malformed. The table of checks is now typed by message, which makes a missing or left-over check a compile error. Two tests wait for an open connection before a short timeout, because opening it could use up the time.

--- a/packages/network/peering/src/guards.ts
+++ b/packages/network/peering/src/guards.ts
@@ -5,10 +5,17 @@
  */
 
 import type { Outcome } from "@dotterelmoor/core.types";
-import type { PeerMessage, PeerMessageType } from "./messages.ts";
+import type {
+  PeerMessage,
+  PeerMessageOf,
+  PeerMessageType,
+} from "./messages.ts";
 
 type Check = (value: unknown) => boolean;
 
+/** One check for each field, so that a new field cannot go unchecked. */
+type Checks<M> = { readonly [K in Exclude<keyof M, "type">]-?: Check };
+
 /** Tells whether a value is a map with string keys. */
 export function isRecord(value: unknown): value is Record<string, unknown> {
   return typeof value === "object" && value !== null &&
@@ -61,9 +68,9 @@
     Object.entries(fields).every(([name, check]) => check(value[name]));
 }
 
-const OUTCOME_FIELDS: Readonly<
-  Record<Outcome["type"], Readonly<Record<string, Check>>>
-> = {
+const OUTCOME_FIELDS: {
+  readonly [T in Outcome["type"]]: Checks<Extract<Outcome, { type: T }>>;
+} = {
   answered: {
     status: (value) =>
       Number.isInteger(value) && (value as number) >= 100 &&
@@ -105,9 +112,9 @@
   requestId: isString,
 };
 
-const MESSAGE_FIELDS: Readonly<
-  Record<PeerMessageType, Readonly<Record<string, Check>>>
-> = {
+const MESSAGE_FIELDS: {
+  readonly [T in PeerMessageType]: Checks<PeerMessageOf<T>>;
+} = {
   exec: {
     ...REQUEST_FIELDS,
     homeRegion: isString,
@@ -121,25 +128,21 @@
   exec_result: { outcome: isOutcome },
   submit: { ...REQUEST_FIELDS, client: isString },
   promise: {
-    service: isString,
-    region: isString,
-    owner: isCount,
+    from: isCount,
+    to: isCount,
+    resource: isString,
     fence: isCount,
-    durationMs: isAmount,
+    requestId: isCount,
   },
   promise_result: { granted: isBoolean },
   permit: {
     from: isString,
     to: isString,
-    holder: isCount,
-    bytesPerSecond: isAmount,
-  },
-  permit_result: {
-    granted: isBoolean,
-    bytesPerSecond: isAmount,
-    validMs: isAmount,
-    ownerHint: isOptionalString,
+    holder: isString,
+    requestId: isCount,
+    demand: isAmount,
   },
+  permit_result: { granted: isBoolean, rate: isAmount },
   membership: { message: isAnything },
   config_push: { snapshot: isSnapshot, forward: isBoolean },
   config_pull: { sequence: isCount },
--- a/packages/network/peering/src/peering_test.ts
+++ b/packages/network/peering/src/peering_test.ts
@@ -201,6 +201,10 @@
   const seen: Record<string, unknown>[] = [];
   const address = await openRawPeer(t, (socket, value) => {
     if (value.type !== "membership") return;
+    if (value.message === "open") {
+      socket.write(frame({ ...makeMessage("open"), replyTo: value.id }));
+      return;
+    }
     seen.push(value);
     if (seen.length < 2) return;
     for (const { id, message } of seen) {
@@ -208,6 +212,7 @@
     }
   });
   const pool = openPool(t);
+  await pool.call(address, makeMessage("open"), { timeoutMs: 5_000 });
   const first = await pool.call(address, makeMessage("one"), { timeoutMs: 30 });
   t.deepEqual(first, { type: "lost" });
   const second = await pool.call(address, makeMessage("two"), {
@@ -265,6 +270,93 @@
   });
 });
 
+test("guards against messages of the protocol refused as malformed", async (t) => {
+  const request = {
+    service: "holdkeeper",
+    method: "POST",
+    path: "/holds",
+    headers: { accept: "*/*" },
+    body: Buffer.from([0, 255]),
+    deadlineMs: 10.5,
+    requestId: "r",
+  };
+  const answered = {
+    status: 200,
+    headers: {},
+    body: request.body,
+    server: "s",
+  };
+  const snapshot = {
+    sequence: 3,
+    platform: {
+      regions: [],
+      links: [],
+      clientBlocks: [],
+      limits: { maxDeadlineMs: 1, maxConcurrency: 1, maxShiftCap: 1 },
+    },
+    teams: {},
+    drains: ["i-1"],
+  };
+  const messages: PeerMessage[] = [
+    {
+      ...request,
+      type: "exec",
+      homeRegion: "capricorn",
+      kind: "hold",
+      priority: "critical",
+      repeatable: false,
+      key: undefined,
+      fingerprint: "f",
+      frontRegion: "farnorth",
+    },
+    { type: "exec_result", outcome: { type: "answered", ...answered } },
+    {
+      type: "exec_result",
+      outcome: { type: "not-run", reason: "shift-cap", retryAfterMs: 5 },
+    },
+    { type: "exec_result", outcome: { type: "unknown", reason: "peer-lost" } },
+    { ...request, type: "submit", client: "203.0.113.9" },
+    {
+      type: "promise",
+      from: 1,
+      to: 2,
+      resource: "groups/holdkeeper/southeast",
+      fence: 1,
+      requestId: 0,
+    },
+    { type: "promise_result", granted: true },
+    {
+      type: "permit",
+      from: "a",
+      to: "b",
+      holder: "p",
+      requestId: 4,
+      demand: 1.5,
+    },
+    { type: "permit_result", granted: true, rate: 1e9 },
+    { type: "config_push", snapshot, forward: true },
+    { type: "config_pull", sequence: 0 },
+    { type: "config_unchanged", sequence: 9 },
+    { type: "handover", service: "s", region: "r", fence: 2 },
+    { type: "conviction", fingerprint: "f", validMs: 0 },
+  ];
+  const { address } = await openServer(t, { membership: echo });
+  const pool = openPool(t);
+  for (const message of messages) {
+    const options = { timeoutMs: 30_000 };
+    const wrapped = makeMessage(message);
+    const result = await pool.call(address, wrapped, options);
+    t.deepEqual(result.type === "answered" && result.message, message);
+  }
+});
+
+/** Answers with the message that a membership message carries. */
+function echo(received: PeerMessage): Promise<PeerMessage> {
+  return Promise.resolve(
+    (received as { message: unknown }).message as PeerMessage,
+  );
+}
+
 test("guards against notifications lost before the link opens", async (t) => {
   let notified = (_message: PeerMessage) => {};
   const message = new Promise<PeerMessage>((resolve) => notified = resolve);
--- a/packages/testing/server/src/backend_client_test.ts
+++ b/packages/testing/server/src/backend_client_test.ts
@@ -110,19 +110,22 @@
   const { address } = await openRaw(t, (socket) => {
     requests += 1;
     sockets.push(socket);
-    if (requests > 1) {
+    if (requests === 1) socket.write(frameAnswer("open"));
+    if (requests === 3) {
       sockets[0]!.write(frameAnswer("late"));
       socket.write(frameAnswer("own"));
     }
   });
   const client = openClient(t, { maxConnectionsPerServer: 1 });
+  await client.send(makeRequest(address, "open"));
   const first = makeRequest(address, "first");
   t.like(await client.send({ ...first, deadlineMs: 40 }), {
     type: "timed_out",
   });
   const second = await client.send(makeRequest(address, "second"));
   t.like(second, { type: "answered", body: Buffer.from("own") });
-  t.not(sockets[0], sockets[1]);
+  t.is(sockets[0], sockets[1]);
+  t.not(sockets[0], sockets[2]);
 });
 
 test("guards against unasked bytes read as the next answer", async (t) => {
