Release a lease by naming no owner and no deputy

The ownership library reads a group row with owner 0 as released and lets an entry take it after the takeover wait; it ignored the mark released: true. The release now writes owner 0 and deputy 0 and keeps the fence, and its audit row names the former owner and deputy.

--- a/packages/config/changing/src/building.ts
+++ b/packages/config/changing/src/building.ts
@@ -126,10 +126,9 @@
 }
 
 /**
- * Builds the release of a target group's lease: marks the group row with
- * `released: true`, which lets any entry of the region take the group over
- * after the sessions of its owner and deputy have lapsed, without waiting for
- * the platform's list.
+ * Builds the release of a target group's lease: the group row names no owner
+ * and no deputy, and keeps its fence. An entry of the region takes the group
+ * over after the takeover wait, which covers an owner that has not noticed.
  */
 export function buildLeaseRelease(
   options: LeaseReleaseOptions,
@@ -142,9 +141,14 @@
     refuse: () => refuseAbsent(rows, `lease of ${service} in ${region}`),
     makeValue: () => ({
       ...getRowValue<Record<string, JsonValue>>(rows.target),
-      released: true,
+      owner: 0,
+      deputy: 0,
     }),
-    describe: () => [`groups[${service}/${region}].released: true`],
+    describe: () => {
+      const value = getRowValue<Record<string, JsonValue>>(rows.target);
+      const { owner = 0, deputy = 0 } = value ?? {};
+      return [`owner: ${owner} -> 0`, `deputy: ${deputy} -> 0`];
+    },
   });
 }
 
