--- a/packages/daemon/entry/src/process/group_owner.ts
+++ b/packages/daemon/entry/src/process/group_owner.ts
@@ -186,7 +186,7 @@
     const id = `${options.fence}-${nextSequence++}`;
     const run = createGroupRun({ execution, resolve, abort, avoid });
     runs.set(id, run);
-    quarantine.admit(id, execution.fingerprint, {
+    quarantine.admit({ id, service, fingerprint: execution.fingerprint }, {
       run: (trial) => submitRun(id, run, trial),
       recall: () => submitEvent({ type: "cancel", id }),
       refuse: (retryAfterMs) =>
--- a/packages/daemon/entry/src/process/quarantine_part.ts
+++ b/packages/daemon/entry/src/process/quarantine_part.ts
@@ -25,16 +25,31 @@
   refuse(retryAfterMs: number): void;
 }
 
+/** A request that asks to run. */
+export interface Admission {
+  readonly id: string;
+  readonly fingerprint: string;
+  readonly service: string;
+}
+
 /** Takes events for the quarantine. */
 export type QuarantineEventSink = (event: QuarantineEvent) => void;
 
+/** A request that crashed backend servers. */
+export interface Conviction {
+  readonly fingerprint: string;
+  /** Empty if the service is not known. */
+  readonly service: string;
+  readonly remainingMs: number;
+}
+
 /** Options of `createQuarantinePart`. */
 export interface QuarantinePartOptions {
   readonly clock: Clock;
   readonly store: DisposableStore;
   readonly log: Logger;
   readonly onSuspect: (fingerprint: string) => void;
-  readonly onConvicted: (fingerprint: string, remainingMs: number) => void;
+  readonly onConvicted: (conviction: Conviction) => void;
   readonly onLifted: (fingerprint: string) => void;
 }
 
@@ -42,17 +57,22 @@
 export interface QuarantinePart {
   readonly quarantine: Quarantine;
   readonly send: QuarantineEventSink;
-  admit(id: string, fingerprint: string, handler: AdmissionHandler): void;
+  admit(admission: Admission, handler: AdmissionHandler): void;
   /** Ends the admission of a request. */
   release(id: string): void;
 }
 
+interface ActiveAdmission extends AdmissionHandler {
+  readonly service: string;
+  readonly fingerprint: string;
+}
+
 /** Creates the quarantine of this process. */
 export function createQuarantinePart(
   options: QuarantinePartOptions,
 ): QuarantinePart {
   const quarantine = createQuarantine({});
-  const handlers = new Map<string, AdmissionHandler>();
+  const handlers = new Map<string, ActiveAdmission>();
   const driver = createMachineDriver<QuarantineEvent, QuarantineAction>({
     machine: quarantine,
     clock: options.clock,
@@ -62,18 +82,28 @@
       refuse: ({ id, retryAfterMs }) => handlers.get(id)?.refuse(retryAfterMs),
       notify_suspect: ({ fingerprint }) => options.onSuspect(fingerprint),
       notify_convicted: ({ fingerprint, remainingMs }) => {
-        options.log.warn({ fingerprint }, "Request quarantined.");
-        options.onConvicted(fingerprint, remainingMs);
+        const service = findService(fingerprint);
+        options.log.warn({ fingerprint, service }, "Request quarantined.");
+        options.onConvicted({ fingerprint, service, remainingMs });
       },
       notify_lifted: ({ fingerprint }) => options.onLifted(fingerprint),
     },
   });
+
+  /** A request is convicted while a run of it is still admitted. */
+  function findService(fingerprint: string): string {
+    for (const admission of handlers.values()) {
+      if (admission.fingerprint === fingerprint) return admission.service;
+    }
+    return "";
+  }
+
   startInterval(options.store, TICK_MS, () => driver.send({ type: "tick" }));
   return {
     quarantine,
     send: (event) => driver.send(event),
-    admit: (id, fingerprint, handler) => {
-      handlers.set(id, handler);
+    admit: ({ id, fingerprint, service }, handler) => {
+      handlers.set(id, { ...handler, service, fingerprint });
       driver.send({ type: "admit", id, fingerprint });
     },
     release: (id) => {
--- a/packages/daemon/entry/src/process/quarantine_spread.ts
+++ b/packages/daemon/entry/src/process/quarantine_spread.ts
@@ -10,7 +10,7 @@
 import type { PlatformClient } from "@dotterelmoor/network.platform";
 import type { Clock } from "./clock.ts";
 import { startInterval } from "./intervals.ts";
-import type { QuarantineEventSink } from "./quarantine_part.ts";
+import type { Conviction, QuarantineEventSink } from "./quarantine_part.ts";
 
 const SUSPECT_PREFIX = "suspects/";
 const CONVICTED_PREFIX = "quarantine/";
@@ -31,7 +31,7 @@
 /** Passes suspects and convictions on, and takes those of others. */
 export interface QuarantineSpread {
   notifySuspect(fingerprint: string): void;
-  notifyConvicted(fingerprint: string, remainingMs: number): void;
+  notifyConvicted(conviction: Conviction): void;
   notifyLifted(fingerprint: string): void;
   /** Takes soft state of peers. */
   applyState(key: string, value: JsonValue): void;
@@ -41,6 +41,7 @@
 
 interface ConvictionRow {
   readonly fingerprint: string;
+  readonly service: string;
   readonly expiresWallMs: number;
 }
 
@@ -81,14 +82,14 @@
     readTable,
     notifySuspect: (fingerprint) =>
       options.setState(SUSPECT_PREFIX + fingerprint, true, SUSPECT_TTL_MS),
-    notifyConvicted: (fingerprint, remainingMs) => {
+    notifyConvicted: ({ fingerprint, service, remainingMs }) => {
       options.setState(
         CONVICTED_PREFIX + fingerprint,
         { remainingMs },
         remainingMs,
       );
       const expiresWallMs = clock.wallMs() + remainingMs;
-      void writeRow({ fingerprint, expiresWallMs });
+      void writeRow({ fingerprint, service, expiresWallMs });
     },
     notifyLifted: (fingerprint) =>
       options.setState(
--- a/packages/daemon/entry/src/wiring/parts.ts
+++ b/packages/daemon/entry/src/wiring/parts.ts
@@ -212,8 +212,7 @@
     store: base.store,
     log: base.logOf("owner"),
     onSuspect: (fingerprint) => parts.spread.notifySuspect(fingerprint),
-    onConvicted: (fingerprint, remainingMs) =>
-      parts.spread.notifyConvicted(fingerprint, remainingMs),
+    onConvicted: (conviction) => parts.spread.notifyConvicted(conviction),
     onLifted: (fingerprint) => parts.spread.notifyLifted(fingerprint),
   });
 }
