--- /dev/null
+++ b/packages/core/ownership/src/candidate.ts
@@ -0,0 +1,233 @@
+/**
+ * Everyone else's side: reading rows, taking resources, giving promises.
+ *
+ * @module
+ */
+
+import type { TableCheck, TransactResult } from "@dotterelmoor/core.types";
+import type { Departures } from "./departures.ts";
+import type { Keeper, Parts } from "./keeper.ts";
+import { GivenPromises } from "./promises.ts";
+import { spreadInstances } from "./rendezvous.ts";
+import { decodeResource, encodeRow, getSessionKey } from "./rows.ts";
+import { checkTakeover, hasLapsed, type TakeoverPlan } from "./takeover.ts";
+
+/** Head start of each candidate over the next one in the order. */
+const RANK_WAIT_MS = 500;
+
+/** Longest interval between readings, in units of the shortest. */
+const MAX_SLOWDOWN = 10;
+
+/** A takeover that may still take effect. */
+interface Attempt {
+  readonly checks: readonly TableCheck[];
+  inFlight: boolean;
+  readonly retryAtMs: number;
+}
+
+/** Parts of the candidate beyond those of both sides. */
+export interface CandidateOptions {
+  readonly keeper: Keeper;
+  readonly departures: Departures;
+}
+
+/** Observes resources that others own and takes those that are free. */
+export class Candidate {
+  readonly #parts: Parts;
+  readonly #keeper: Keeper;
+  readonly #departures: Departures;
+  readonly #given = new GivenPromises();
+  readonly #attempts = new Map<string, Attempt>();
+  readonly #freeSince = new Map<string, { version: number; sinceMs: number }>();
+  #resources: readonly string[] = [];
+
+  constructor(parts: Parts, options: CandidateOptions) {
+    this.#parts = parts;
+    this.#keeper = options.keeper;
+    this.#departures = options.departures;
+  }
+
+  get resources(): readonly string[] {
+    return this.#resources;
+  }
+
+  setResources(resources: readonly string[]): void {
+    this.#resources = [...resources];
+  }
+
+  /** Reads the rows that matter, more often where this process comes early. */
+  observe(nowMs: number): void {
+    const { views, session } = this.#parts;
+    for (const resource of this.#resources) {
+      const intervalMs = this.#computeInterval(resource);
+      views.poll(resource, intervalMs, nowMs);
+      const view = views.get(resource);
+      if (view === undefined || view.version === 0) continue;
+      const { owner, deputy } = decodeResource(view.value);
+      for (const incarnation of [owner, deputy]) {
+        if (incarnation === 0 || incarnation === session.incarnation) continue;
+        if (incarnation === deputy && !this.#concernsDeputy(owner, nowMs)) {
+          continue;
+        }
+        views.poll(getSessionKey(incarnation), intervalMs, nowMs);
+      }
+    }
+    views.expire(nowMs);
+  }
+
+  /** Takes every resource that the rules allow. */
+  take(nowMs: number): void {
+    const { session } = this.#parts;
+    this.#given.expire(nowMs);
+    if (session.phase !== "live" || session.leaseUntilMs <= nowMs) return;
+    if (this.#parts.members().length === 0) return;
+    for (const resource of this.#resources) {
+      if (this.#keeper.has(resource) || this.#isWaiting(resource, nowMs)) {
+        continue;
+      }
+      const plan = this.#makePlan(resource, nowMs);
+      if (plan !== undefined) this.#submit(resource, plan, nowMs);
+    }
+  }
+
+  /** Decides on a promise, and keeps it if it is given. */
+  answerRequest(
+    request: { from: number; to: number; resource: string; fence: number },
+    nowMs: number,
+  ): boolean {
+    const { session, timings, views } = this.#parts;
+    const { resource, fence } = request;
+    if (session.phase !== "live" || request.to !== session.incarnation) {
+      return false;
+    }
+    if (this.#keeper.has(resource) || this.#mayTakeEffect(resource)) {
+      return false;
+    }
+    const row = decodeResource(views.get(resource)?.value ?? null);
+    const isOther = row.owner !== request.from;
+    if (row.fence > fence || (row.fence === fence && isOther)) return false;
+    // The deputy's wait exceeds the owner's validity by the clock rate error.
+    this.#given.add(resource, nowMs + timings.takeoverMs);
+    return true;
+  }
+
+  /** The deputy matters to the owner, and to others once the owner lapsed. */
+  #concernsDeputy(owner: number, nowMs: number): boolean {
+    const { session, timings, views } = this.#parts;
+    if (owner === session.incarnation) return true;
+    const view = views.get(getSessionKey(owner));
+    return view !== undefined &&
+      hasLapsed(view, { nowMs, takeoverMs: timings.takeoverMs });
+  }
+
+  #computeInterval(resource: string): number {
+    const { session, timings, views } = this.#parts;
+    const view = views.get(resource);
+    const row = decodeResource(view?.value ?? null);
+    const self = session.incarnation;
+    const isInvolved = view === undefined || row.owner === self ||
+      row.deputy === self;
+    if (isInvolved) return timings.observeMs;
+    const slowdown = Math.min(1 + this.#computeRank(resource), MAX_SLOWDOWN);
+    return timings.observeMs * slowdown;
+  }
+
+  /** Place in the order of the live members without the present owner. */
+  #computeRank(resource: string): number {
+    const { identity: { instance }, members, views } = this.#parts;
+    const row = decodeResource(views.get(resource)?.value ?? null);
+    const others = members()
+      .filter((member) => member.incarnation !== row.owner)
+      .map((member) => member.instance);
+    const order = spreadInstances(resource, [
+      ...new Set([...others, instance]),
+    ]);
+    return order.indexOf(instance);
+  }
+
+  #isWaiting(resource: string, nowMs: number): boolean {
+    if (this.#given.endMs(resource) > nowMs) return true;
+    const attempt = this.#attempts.get(resource);
+    return attempt !== undefined &&
+      (attempt.inFlight || nowMs < attempt.retryAtMs);
+  }
+
+  /** Tells whether an unanswered takeover can still commit. */
+  #mayTakeEffect(resource: string): boolean {
+    const attempt = this.#attempts.get(resource);
+    if (attempt === undefined) return false;
+    if (attempt.inFlight) return true;
+    const isVoid = attempt.checks.some(({ key, version }) => {
+      const view = this.#parts.views.get(key);
+      return view !== undefined && view.version !== version;
+    });
+    return !isVoid;
+  }
+
+  /** Returns a plan once this process's turn has come. */
+  #makePlan(resource: string, nowMs: number): TakeoverPlan | undefined {
+    const { session, timings, views } = this.#parts;
+    const view = views.get(resource);
+    if (view === undefined) return undefined;
+    const plan = checkTakeover({
+      self: session.incarnation,
+      nowMs,
+      takeoverMs: timings.takeoverMs,
+      view,
+      session: (incarnation) => views.get(getSessionKey(incarnation)),
+      departures: this.#departures,
+    });
+    if (plan === undefined) {
+      this.#freeSince.delete(resource);
+      return undefined;
+    }
+    let free = this.#freeSince.get(resource);
+    if (free?.version !== view.version) {
+      free = { version: view.version, sinceMs: nowMs };
+      this.#freeSince.set(resource, free);
+    }
+    const waitMs = plan.exclusive
+      ? 0
+      : this.#computeRank(resource) * RANK_WAIT_MS;
+    return nowMs >= free.sinceMs + waitMs ? plan : undefined;
+  }
+
+  #submit(resource: string, plan: TakeoverPlan, nowMs: number): void {
+    const { operations, session, timings, views } = this.#parts;
+    const view = views.get(resource)!;
+    const row = {
+      owner: session.incarnation,
+      deputy: this.#keeper.chooseDeputy(resource, nowMs),
+      fence: decodeResource(view.value).fence + 1,
+    };
+    const checks = [{ key: resource, version: view.version }, ...plan.checks];
+    const writes = [{ key: resource, value: encodeRow(row) }, ...plan.writes];
+    const retryAtMs = nowMs + timings.observeMs;
+    const attempt = { checks, inFlight: true, retryAtMs };
+    this.#attempts.set(resource, attempt);
+    operations.submit({ checks, writes }, nowMs, (result, sentAtMs, at) => {
+      attempt.inFlight = false;
+      if (result.type === "unavailable") return;
+      this.#attempts.delete(resource);
+      const rows = listRows(result, writes);
+      rows.forEach((moved) => views.update(moved, sentAtMs, at));
+      if (result.type !== "committed") return;
+      const version = result.versions[resource]!;
+      const isCurrent = session.phase === "live" &&
+        session.incarnation === row.owner && session.leaseUntilMs > at &&
+        views.get(resource)?.version === version;
+      if (isCurrent) this.#keeper.open(resource, row, { version, sentAtMs });
+    });
+  }
+}
+
+/** Rows whose present version a result tells. */
+function listRows(
+  result: Exclude<TransactResult, { type: "unavailable" }>,
+  writes: TakeoverPlan["writes"],
+) {
+  return result.type === "conflict" ? result.rows : writes.map((write) => ({
+    ...write,
+    version: result.versions[write.key]!,
+  }));
+}
--- /dev/null
+++ b/packages/core/ownership/src/handover.ts
@@ -0,0 +1,110 @@
+/**
+ * Handing resources over to their deputies when this process leaves.
+ *
+ * @module
+ */
+
+import type { TransactResult } from "@dotterelmoor/core.types";
+import type { Keeper, Parts } from "./keeper.ts";
+import { findConflict } from "./operations.ts";
+import { buildReplacement, decodeResource, encodeRow } from "./rows.ts";
+import type { ResourceRow } from "./rows.ts";
+
+interface Transfer {
+  row: ResourceRow;
+  version: number;
+  busy: boolean;
+  nextMs: number;
+}
+
+/** Hands over each drained resource and ends the session when all are done. */
+export class Handover {
+  readonly #parts: Parts;
+  readonly #keeper: Keeper;
+  readonly #transfers = new Map<string, Transfer>();
+  /** End of the authority of resources that were closed with work in flight. */
+  #notBeforeMs = 0;
+
+  constructor(parts: Parts, keeper: Keeper) {
+    this.#parts = parts;
+    this.#keeper = keeper;
+  }
+
+  /** Asks the daemon to drain every held resource. */
+  start(): void {
+    for (const holding of this.#keeper.list()) {
+      holding.handingOver = true;
+      const { resource } = holding;
+      this.#parts.emit({ type: "handing_over", resource });
+    }
+  }
+
+  /** Closes a drained resource and offers it to its deputy. */
+  release(resource: string, nowMs: number): void {
+    const holding = this.#keeper.get(resource);
+    if (!holding?.handingOver) return;
+    const { row, version } = holding;
+    this.#keeper.close(resource, "handed-over");
+    const isCertain = holding.deputies.size === 1 && row.deputy !== 0 &&
+      !this.#keeper.hasDeputyEnded(row.deputy, nowMs);
+    // Without a sure deputy the end of the session row frees the resource.
+    if (!isCertain) return;
+    this.#transfers.set(resource, { row, version, busy: false, nextMs: 0 });
+  }
+
+  /** The session was revoked while leaving; no row can be handed over. */
+  abandon(notBeforeMs: number): void {
+    this.#transfers.clear();
+    this.#notBeforeMs = notBeforeMs;
+  }
+
+  /** Continues until the session has ended. */
+  update(nowMs: number): void {
+    const { session } = this.#parts;
+    if (session.phase !== "leaving") return;
+    for (const [resource, transfer] of this.#transfers) {
+      if (!transfer.busy && nowMs >= transfer.nextMs) {
+        this.#submit(resource, transfer, nowMs);
+      }
+    }
+    const isDone = this.#transfers.size === 0 || nowMs >= session.leaseUntilMs;
+    if (!isDone || this.#keeper.list().length > 0) return;
+    if (nowMs >= this.#notBeforeMs) session.close(nowMs);
+  }
+
+  #submit(resource: string, transfer: Transfer, nowMs: number): void {
+    const { operations, timings } = this.#parts;
+    transfer.busy = true;
+    transfer.nextMs = nowMs + timings.renewMs;
+    const { deputy, fence } = transfer.row;
+    const row = { owner: deputy, deputy: 0, fence: fence + 1 };
+    const write = buildReplacement(
+      resource,
+      transfer.version,
+      encodeRow(row),
+    );
+    operations.submit(write, nowMs, (result, _sentAtMs, at) => {
+      transfer.busy = false;
+      this.#answer(resource, transfer, result, at);
+    });
+  }
+
+  /** A row that no longer names this process was handed over or taken. */
+  #answer(
+    resource: string,
+    transfer: Transfer,
+    result: TransactResult,
+    nowMs: number,
+  ): void {
+    if (result.type === "unavailable") return;
+    const moved = findConflict(result, resource);
+    const row = decodeResource(moved?.value ?? null);
+    if (moved === undefined || row.owner !== transfer.row.owner) {
+      this.#transfers.delete(resource);
+      return;
+    }
+    transfer.row = row;
+    transfer.version = moved.version;
+    transfer.nextMs = nowMs;
+  }
+}
--- /dev/null
+++ b/packages/core/ownership/src/holdings.ts
@@ -0,0 +1,72 @@
+/**
+ * Resources that this process holds, and how long its authority lasts.
+ *
+ * @module
+ */
+
+import type { ResourceRow } from "./rows.ts";
+
+/** A held resource. */
+export interface Holding {
+  readonly resource: string;
+  row: ResourceRow;
+  version: number;
+  /** End of the validity of the last reading that showed the own row. */
+  confirmedUntilMs: number;
+  /**
+   * Deputies that the row may name: the last confirmed one and those of writes
+   * that may still take effect. A promise counts only if all of them gave it.
+   */
+  deputies: Set<number>;
+  /** End of the last promise of each deputy. */
+  readonly promises: Map<number, number>;
+  /** True while a change of deputy is in flight. */
+  writing: boolean;
+  nextAskMs: number;
+  handingOver: boolean;
+}
+
+/** Creates a holding from a row that names this process. */
+export function makeHolding(
+  resource: string,
+  row: ResourceRow,
+  state: { readonly version: number; readonly confirmedUntilMs: number },
+): Holding {
+  return {
+    resource,
+    row,
+    ...state,
+    deputies: new Set([row.deputy]),
+    promises: new Map(),
+    writing: false,
+    nextAskMs: 0,
+    handingOver: false,
+  };
+}
+
+/** End of the authority that rests on the store. */
+export function computeStoreAuthority(
+  holding: Holding,
+  leaseUntilMs: number,
+): number {
+  return Math.min(holding.confirmedUntilMs, leaseUntilMs);
+}
+
+/** End of the authority that rests on promises, 0 if there is none. */
+export function computePromisedAuthority(holding: Holding): number {
+  const ends = [...holding.deputies].map((deputy) =>
+    deputy === 0 ? 0 : holding.promises.get(deputy) ?? 0
+  );
+  return Math.min(...ends);
+}
+
+/** End of the authority from the store or from promises. */
+export function computeAuthority(
+  holding: Holding,
+  leaseUntilMs: number,
+): number {
+  return Math.max(
+    computeStoreAuthority(holding, leaseUntilMs),
+    computePromisedAuthority(holding),
+  );
+}
--- /dev/null
+++ b/packages/core/ownership/src/keeper.ts
@@ -0,0 +1,269 @@
+/**
+ * Owner's side: authority, deputies, promises received and handing over.
+ *
+ * @module
+ */
+
+import { chooseDeputy } from "./deputies.ts";
+import {
+  computeAuthority,
+  computePromisedAuthority,
+  computeStoreAuthority,
+  type Holding,
+  makeHolding,
+} from "./holdings.ts";
+import type { Operations } from "./operations.ts";
+import {
+  buildReplacement,
+  decodeResource,
+  encodeRow,
+  getSessionKey,
+  type ResourceRow,
+} from "./rows.ts";
+import type { Session } from "./session.ts";
+import { hasLapsed } from "./takeover.ts";
+import type {
+  CloseReason,
+  OwnershipAction,
+  OwnershipIdentity,
+  OwnershipMember,
+  OwnershipTimings,
+} from "./types.ts";
+import type { RowView, Views } from "./views.ts";
+
+/** Parts that both sides of the machine work with. */
+export interface Parts {
+  readonly identity: OwnershipIdentity;
+  readonly timings: OwnershipTimings;
+  readonly session: Session;
+  readonly operations: Operations;
+  readonly views: Views;
+  readonly emit: (action: OwnershipAction) => void;
+  readonly members: () => readonly OwnershipMember[];
+}
+
+interface Ask {
+  readonly resource: string;
+  readonly to: number;
+  readonly sentAtMs: number;
+}
+
+/** Keeps the resources that this process holds. */
+export class Keeper {
+  readonly #parts: Parts;
+  readonly #holdings = new Map<string, Holding>();
+  readonly #asks = new Map<number, Ask>();
+  #lastAsk = 0;
+
+  constructor(parts: Parts) {
+    this.#parts = parts;
+  }
+
+  has(resource: string): boolean {
+    return this.#holdings.has(resource);
+  }
+
+  get(resource: string): Holding | undefined {
+    return this.#holdings.get(resource);
+  }
+
+  list(): Holding[] {
+    return [...this.#holdings.values()];
+  }
+
+  /** End of the authority over a resource, 0 if there is none. */
+  authorityUntilMs(resource: string, nowMs: number): number {
+    const holding = this.#holdings.get(resource);
+    if (holding === undefined) return 0;
+    const untilMs = this.#computeAuthority(holding);
+    return untilMs > nowMs ? untilMs : 0;
+  }
+
+  /** Latest end of the authority over any held resource. */
+  lastAuthorityMs(): number {
+    return Math.max(0, ...this.list().map((h) => this.#computeAuthority(h)));
+  }
+
+  /** Opens a resource whose row names this process since the given write. */
+  open(
+    resource: string,
+    row: ResourceRow,
+    write: { readonly version: number; readonly sentAtMs: number },
+  ): void {
+    const holding = makeHolding(resource, row, {
+      version: write.version,
+      confirmedUntilMs: write.sentAtMs + this.#parts.timings.leaseMs,
+    });
+    this.#holdings.set(resource, holding);
+    this.#parts.emit({ type: "opened", resource, fence: row.fence });
+  }
+
+  close(resource: string, reason: CloseReason): void {
+    if (!this.#holdings.delete(resource)) return;
+    this.#parts.emit({ type: "closed", resource, reason });
+  }
+
+  /** Closes resources without authority; true if any was closed. */
+  expire(nowMs: number): boolean {
+    const lapsed = this.list().filter((holding) =>
+      this.#computeAuthority(holding) <= nowMs
+    );
+    lapsed.forEach(({ resource }) => this.close(resource, "authority-lapsed"));
+    for (const [requestId, ask] of this.#asks) {
+      if (ask.sentAtMs + this.#parts.timings.leaseMs <= nowMs) {
+        this.#asks.delete(requestId);
+      }
+    }
+    return lapsed.length > 0;
+  }
+
+  /** Applies a reading of the row of a held resource. */
+  answerView(resource: string, view: RowView, sentAtMs: number): void {
+    const holding = this.#holdings.get(resource);
+    if (holding === undefined || view.version < holding.version) return;
+    const row = decodeResource(view.value);
+    const isOwn = row.owner === this.#parts.session.incarnation &&
+      row.fence === holding.row.fence;
+    if (!isOwn) return this.close(resource, "owner-changed");
+    if (view.version > holding.version) {
+      confirmRow(holding, row, view.version);
+    }
+    holding.confirmedUntilMs = Math.max(
+      holding.confirmedUntilMs,
+      sentAtMs + this.#parts.timings.leaseMs,
+    );
+  }
+
+  answerPromise(
+    answer: { requestId: number; fence: number; granted: boolean },
+  ): void {
+    const ask = this.#asks.get(answer.requestId);
+    if (ask === undefined) return;
+    this.#asks.delete(answer.requestId);
+    const holding = this.#holdings.get(ask.resource);
+    if (!answer.granted || holding?.row.fence !== answer.fence) return;
+    // Counted from before the request, so that it ends before the deputy's view.
+    const untilMs = ask.sentAtMs + this.#parts.timings.leaseMs;
+    const knownMs = holding.promises.get(ask.to) ?? 0;
+    holding.promises.set(ask.to, Math.max(untilMs, knownMs));
+  }
+
+  /** Looks after deputies and promises. */
+  update(nowMs: number): void {
+    if (this.#parts.session.phase !== "live") return;
+    for (const holding of this.#holdings.values()) {
+      this.#askPromises(holding, nowMs);
+      this.#replaceDeputy(holding, nowMs);
+    }
+  }
+
+  /** Chooses a deputy for a resource, 0 if there is no candidate. */
+  chooseDeputy(resource: string, nowMs: number): number {
+    const { identity, members } = this.#parts;
+    return chooseDeputy(resource, {
+      instance: identity.instance,
+      zone: identity.zone,
+      members: members(),
+      hasEnded: (incarnation) => this.hasDeputyEnded(incarnation, nowMs),
+    });
+  }
+
+  /** Tells whether a deputy's session has ended or lapsed. */
+  hasDeputyEnded(incarnation: number, nowMs: number): boolean {
+    const { session, timings: { takeoverMs }, views } = this.#parts;
+    const view = views.get(getSessionKey(incarnation));
+    if (view === undefined) return false;
+    // After a store outage every session looks lapsed until it is renewed.
+    const isSteady = nowMs - session.steadySinceMs >= takeoverMs;
+    const seen = {
+      nowMs: isSteady ? view.readAtMs : view.firstSeenMs,
+      takeoverMs,
+    };
+    return hasLapsed(view, seen);
+  }
+
+  #computeAuthority(holding: Holding): number {
+    return computeAuthority(holding, this.#parts.session.leaseUntilMs);
+  }
+
+  /** Asks for promises when the store has not confirmed two renewals. */
+  #askPromises(holding: Holding, nowMs: number): void {
+    const { emit, session, timings } = this.#parts;
+    if (!this.#isLate(holding, nowMs) || nowMs < holding.nextAskMs) return;
+    holding.nextAskMs = nowMs + timings.renewMs;
+    const { resource, row: { fence } } = holding;
+    for (const to of holding.deputies) {
+      if (to === 0) continue;
+      const requestId = ++this.#lastAsk;
+      this.#asks.set(requestId, { resource, to, sentAtMs: nowMs });
+      const from = session.incarnation;
+      emit({ type: "request_promise", to, from, resource, fence, requestId });
+    }
+  }
+
+  #isLate(holding: Holding, nowMs: number): boolean {
+    const { session, timings } = this.#parts;
+    const untilMs = computeStoreAuthority(holding, session.leaseUntilMs);
+    return untilMs - nowMs < timings.leaseMs - 2 * timings.renewMs;
+  }
+
+  /**
+   * Another deputy would have to promise too, which would cut short authority
+   * that promises gave and work in flight relies on.
+   */
+  #reliesOnPromises(holding: Holding, nowMs: number): boolean {
+    const untilMs = computePromisedAuthority(holding);
+    const { leaseUntilMs } = this.#parts.session;
+    return this.#isLate(holding, nowMs) ||
+      untilMs > computeStoreAuthority(holding, leaseUntilMs);
+  }
+
+  #replaceDeputy(holding: Holding, nowMs: number): void {
+    const { timings } = this.#parts;
+    if (holding.writing || this.#reliesOnPromises(holding, nowMs)) return;
+    const deputy = this.chooseDeputy(holding.resource, nowMs);
+    if (deputy === 0 || !this.#isBetter(deputy, holding.row.deputy, nowMs)) {
+      return;
+    }
+    const row = { ...holding.row, deputy };
+    const write = buildReplacement(
+      holding.resource,
+      holding.version,
+      encodeRow(row),
+    );
+    holding.writing = true;
+    holding.deputies.add(deputy);
+    this.#parts.operations.submit(write, nowMs, (result, sentAtMs, at) => {
+      holding.writing = false;
+      if (this.#holdings.get(holding.resource) !== holding) return;
+      const rows = result.type === "conflict" ? result.rows : [];
+      rows.forEach((moved) => this.#parts.views.update(moved, sentAtMs, at));
+      if (result.type !== "committed") return;
+      confirmRow(holding, row, result.versions[holding.resource]!);
+      holding.confirmedUntilMs = Math.max(
+        holding.confirmedUntilMs,
+        sentAtMs + timings.leaseMs,
+      );
+    });
+  }
+
+  /** Tells whether the present deputy is gone or shares the owner's zone. */
+  #isBetter(candidate: number, present: number, nowMs: number): boolean {
+    if (candidate === present) return false;
+    const members = this.#parts.members();
+    const zoneOf = (incarnation: number) =>
+      members.find((member) => member.incarnation === incarnation)?.zone;
+    const zone = zoneOf(present);
+    if (zone === undefined || this.hasDeputyEnded(present, nowMs)) return true;
+    const own = this.#parts.identity.zone;
+    return zone === own && zoneOf(candidate) !== own;
+  }
+}
+
+/** A newer version voids every write that was still uncertain. */
+function confirmRow(holding: Holding, row: ResourceRow, version: number): void {
+  if (version <= holding.version) return;
+  holding.row = row;
+  holding.version = version;
+  holding.deputies = new Set([row.deputy]);
+}
--- a/packages/core/ownership/src/ownership.ts
+++ b/packages/core/ownership/src/ownership.ts
@@ -4,9 +4,229 @@
  * @module
  */
 
-import type { Ownership, OwnershipOptions } from "./types.ts";
+import { Candidate } from "./candidate.ts";
+import { Departures } from "./departures.ts";
+import { Handover } from "./handover.ts";
+import { Keeper, type Parts } from "./keeper.ts";
+import { Operations } from "./operations.ts";
+import { Predecessor } from "./predecessor.ts";
+import { decodeResource, decodeSession, getSessionKey } from "./rows.ts";
+import { Session } from "./session.ts";
+import type {
+  Ownership,
+  OwnershipAction,
+  OwnershipEvent,
+  OwnershipMember,
+  OwnershipOptions,
+  OwnershipStatus,
+  OwnershipTimings,
+  ResourceOwner,
+} from "./types.ts";
+import { Views } from "./views.ts";
+
+/** Durations of the design: lease 10 s, takeover after 11 s. */
+const DEFAULT_TIMINGS: OwnershipTimings = {
+  renewMs: 2_000,
+  leaseMs: 10_000,
+  takeoverMs: 11_000,
+  observeMs: 1_000,
+};
+
+type Handlers = {
+  readonly [Type in OwnershipEvent["type"]]: (
+    event: Extract<OwnershipEvent, { type: Type }>,
+    nowMs: number,
+  ) => void;
+};
 
 /** Creates the ownership state machine of one process. */
-export function createOwnership(_options: OwnershipOptions): Ownership {
-  throw new Error("Ownership is not implemented yet");
+export function createOwnership(options: OwnershipOptions): Ownership {
+  return new OwnershipMachine(options);
+}
+
+class OwnershipMachine implements Ownership {
+  readonly #instance: string;
+  readonly #session: Session;
+  readonly #views: Views;
+  readonly #operations: Operations;
+  readonly #keeper: Keeper;
+  readonly #candidate: Candidate;
+  readonly #handover: Handover;
+  readonly #departures = new Departures();
+  readonly #emit = (action: OwnershipAction) => void this.#actions.push(action);
+  #actions: OwnershipAction[] = [];
+  #members: readonly OwnershipMember[] = [];
+
+  readonly #handlers: Handlers = {
+    start: (_event, nowMs) => this.#session.start(nowMs),
+    resources: (event) => this.#setResources(event.resources),
+    members: (event) => void (this.#members = [...event.members]),
+    instances: (event, nowMs) => {
+      this.#departures.update(event.ids, nowMs);
+      if (event.ids.includes(this.#instance)) this.#session.markListed();
+    },
+    transacted: (event, nowMs) =>
+      this.#operations.resolve(event.operationId, event.result, nowMs),
+    rows_read: (event, nowMs) =>
+      this.#operations.resolve(event.operationId, event.result, nowMs),
+    promise_requested: (event, nowMs) => this.#answerRequest(event, nowMs),
+    promise_answered: (event) => this.#keeper.answerPromise(event),
+    drained: (event, nowMs) => this.#handover.release(event.resource, nowMs),
+    leave: () => this.#leave(),
+    tick: () => {},
+  };
+
+  constructor(options: OwnershipOptions) {
+    const { identity, random } = options;
+    const timings = { ...DEFAULT_TIMINGS, ...options.timings };
+    const emit = this.#emit;
+    this.#instance = identity.instance;
+    this.#operations = new Operations(emit);
+    const predecessor = new Predecessor({
+      identity,
+      timings,
+      operations: this.#operations,
+    });
+    this.#views = new Views(
+      this.#operations,
+      random,
+      (key, view, sentAtMs) => {
+        this.#keeper.answerView(key, view, sentAtMs);
+        predecessor.answerView(key, view);
+      },
+    );
+    this.#session = new Session({
+      identity,
+      timings,
+      operations: this.#operations,
+      listener: {
+        started: (incarnation, again) =>
+          emit({ type: again ? "rejoined" : "session_started", incarnation }),
+        revoked: (nowMs) => this.#answerRevocation(nowMs),
+        left: () => emit({ type: "left" }),
+      },
+    });
+    const parts: Parts = {
+      identity,
+      timings,
+      session: this.#session,
+      operations: this.#operations,
+      views: this.#views,
+      emit,
+      members: () => this.#members,
+    };
+    this.#keeper = new Keeper(parts);
+    this.#candidate = new Candidate(parts, {
+      keeper: this.#keeper,
+      departures: this.#departures,
+    });
+    this.#handover = new Handover(parts, this.#keeper);
+  }
+
+  handle(event: OwnershipEvent, nowMs: number): OwnershipAction[] {
+    // Lapsed authority goes first, so that no queued event can bring it back.
+    this.#expire(nowMs);
+    const handler = this.#handlers[event.type] as (
+      event: OwnershipEvent,
+      nowMs: number,
+    ) => void;
+    handler(event, nowMs);
+    this.#advance(nowMs);
+    const actions = this.#actions;
+    this.#actions = [];
+    return actions;
+  }
+
+  authorityUntilMs(resource: string, nowMs: number): number {
+    return this.#keeper.authorityUntilMs(resource, nowMs);
+  }
+
+  incarnation(): number {
+    return this.#session.incarnation;
+  }
+
+  owned(): string[] {
+    return this.#keeper.list().map(({ resource }) => resource);
+  }
+
+  ownerOf(resource: string): ResourceOwner | undefined {
+    const view = this.#views.get(resource);
+    if (view === undefined || view.version === 0) return undefined;
+    const row = decodeResource(view.value);
+    const session = this.#views.get(getSessionKey(row.owner));
+    const address = decodeSession(session?.value ?? null)?.address;
+    return address === undefined ? row : { ...row, address };
+  }
+
+  status(): OwnershipStatus {
+    return {
+      phase: this.#session.phase,
+      incarnation: this.#session.incarnation,
+      leaseUntilMs: this.#session.leaseUntilMs,
+      resources: this.#candidate.resources.map((resource) => ({
+        ...this.ownerOf(resource) ?? { owner: 0, deputy: 0, fence: 0 },
+        resource,
+        held: this.#keeper.has(resource),
+      })),
+    };
+  }
+
+  #advance(nowMs: number): void {
+    this.#operations.expire(nowMs);
+    this.#expire(nowMs);
+    this.#session.update(nowMs);
+    if (this.#session.phase === "left") return;
+    this.#candidate.observe(nowMs);
+    this.#candidate.take(nowMs);
+    this.#keeper.update(nowMs);
+    this.#handover.update(nowMs);
+  }
+
+  /** A process whose last authority has lapsed starts over. */
+  #expire(nowMs: number): void {
+    if (!this.#keeper.expire(nowMs)) return;
+    const { leaseUntilMs, phase } = this.#session;
+    const isOver = this.#keeper.list().length === 0 && leaseUntilMs <= nowMs;
+    if (isOver && phase === "live") this.#session.restart(nowMs);
+  }
+
+  /** Work sent under a promise may last until its end, so the row stays. */
+  #answerRevocation(nowMs: number): void {
+    const untilMs = Math.max(nowMs, this.#keeper.lastAuthorityMs());
+    for (const { resource } of this.#keeper.list()) {
+      this.#keeper.close(resource, "session-revoked");
+    }
+    this.#handover.abandon(untilMs);
+    if (this.#session.phase === "live") this.#session.restart(untilMs);
+  }
+
+  #setResources(resources: readonly string[]): void {
+    this.#candidate.setResources(resources);
+    for (const { resource } of this.#keeper.list()) {
+      if (!resources.includes(resource)) {
+        this.#keeper.close(resource, "not-configured");
+      }
+    }
+  }
+
+  #answerRequest(
+    event: Extract<OwnershipEvent, { type: "promise_requested" }>,
+    nowMs: number,
+  ): void {
+    const { from, resource, fence, requestId } = event;
+    const granted = this.#candidate.answerRequest(event, nowMs);
+    this.#emit({
+      type: "answer_promise",
+      to: from,
+      resource,
+      fence,
+      requestId,
+      granted,
+    });
+  }
+
+  #leave(): void {
+    this.#session.leave();
+    if (this.#session.phase === "leaving") this.#handover.start();
+  }
 }
--- a/packages/core/ownership/src/types.ts
+++ b/packages/core/ownership/src/types.ts
@@ -18,7 +18,10 @@
   readonly instance: string;
   readonly region: string;
   readonly zone: string;
-  /** `host:port` where peers reach this process. */
+  /**
+   * `host:port` where peers reach this process. It must listen there before the
+   * `start` event, which proves that earlier processes there have ended.
+   */
   readonly address: string;
   /** Unique for each run of the process. */
   readonly processId: string;
