Add the benchmark of dispatch policies

The design sets targets for the central queue and needs baselines to compare with in the same run. The benchmark drives the real dispatcher and shift gate under a virtual clock, beside random, round robin, two choices on stale load and an ideal queue, with a killed entry and cold servers as further scenarios.

--- a/packages/testing/bench/src/mod.ts
+++ b/packages/testing/bench/src/mod.ts
@@ -4,4 +4,9 @@
  * @module
  */
 
-export {};
+export {
+  renderPolicyTable,
+  runPolicyBench,
+  runTargetBench,
+} from "./policies/policy_bench.ts";
+export type { PolicyBenchOptions, PolicyRow } from "./policies/policy_bench.ts";
--- /dev/null
+++ b/packages/testing/bench/src/policies/scenario.ts
@@ -0,0 +1,163 @@
+/**
+ * Runs one policy in one scenario and measures it.
+ *
+ * @module
+ */
+
+import { DETECTION_MS } from "./owner_policy.ts";
+import { World } from "./world.ts";
+import type {
+  CallerResult,
+  ModelEntry,
+  ModelRequest,
+  Policy,
+} from "./world.ts";
+
+/** What happens during a run. */
+export type ScenarioName = "steady" | "entry killed" | "cold ramp";
+
+/** Settings of a run. */
+export interface RunOptions {
+  readonly scenario: ScenarioName;
+  readonly seed: number;
+  readonly load: number;
+  /** Time in which requests are measured. */
+  readonly durationMs: number;
+  /** Delay between a caller and its entry. */
+  readonly clientMs: number;
+  readonly makePolicy: (world: World) => Policy;
+}
+
+/** Figures of one run. */
+export interface RunFigures {
+  readonly answered: number;
+  /** Shares of the measured requests. */
+  readonly refusedShare: number;
+  readonly failedShare: number;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  /** Share of the requests that started at a server without a free slot. */
+  readonly overShare: number;
+  /** Most requests in flight at one server over its slots. */
+  readonly peakOverSlots: number;
+  /** Longest time from the report that a server leaves until it was idle. */
+  readonly drainMs: number;
+}
+
+const DEADLINE_MS = 2_000;
+const WARM_UP_MS = 1_000;
+
+/** Time in which one server of each group leaves, after the measured time. */
+const LEAVING_MS = 6_000;
+const COLD_FACTOR = 4;
+
+/** Runs one policy; runs with the same seed get the same requests. */
+export function runScenario(options: RunOptions): RunFigures {
+  return new Run(options).run();
+}
+
+class Run {
+  readonly #options: RunOptions;
+  readonly #world: World;
+  readonly #policy: Policy;
+  readonly #latencies: number[] = [];
+  readonly #counts = { answered: 0, refused: 0, failed: 0 };
+  readonly #open = new Map<ModelRequest, (result: CallerResult) => void>();
+  #killedAtMs = Infinity;
+
+  constructor(options: RunOptions) {
+    const { seed, load, scenario, durationMs } = options;
+    this.#options = options;
+    this.#world = new World({
+      seed,
+      load,
+      durationMs: durationMs + LEAVING_MS,
+      leavingAtMs: durationMs,
+      coldFactor: scenario === "cold ramp" ? COLD_FACTOR : 1,
+      deadlineMs: DEADLINE_MS,
+    });
+    this.#policy = options.makePolicy(this.#world);
+  }
+
+  run(): RunFigures {
+    const { clock, groups, entries } = this.#world;
+    const { scenario, durationMs } = this.#options;
+    this.#arrive(this.#world.makeRequests(), 0);
+    if (scenario === "entry killed") {
+      clock.runAt(durationMs / 4, () => this.#kill(entries[0]!));
+    }
+    for (const { servers } of groups) servers[0]!.leavingAtMs = durationMs;
+    clock.runUntil(durationMs + LEAVING_MS + DEADLINE_MS);
+    return this.#measure();
+  }
+
+  #arrive(requests: readonly ModelRequest[], index: number): void {
+    const request = requests[index];
+    if (request === undefined) return;
+    this.#world.clock.runAt(request.atMs, () => {
+      this.#submit(request);
+      this.#arrive(requests, index + 1);
+    });
+  }
+
+  #submit(request: ModelRequest): void {
+    const entry = this.#findEntry(request);
+    if (entry === undefined) return this.#record(request, "failed");
+    const moved = { ...request, entry };
+    const end = (result: CallerResult) => {
+      if (this.#open.delete(moved)) this.#record(request, result);
+    };
+    this.#open.set(moved, end);
+    this.#policy.submit(moved, end);
+  }
+
+  /** Callers use a dead entry until look-ups no longer name it. */
+  #findEntry({ entry }: ModelRequest): ModelEntry | undefined {
+    if (entry.alive) return entry;
+    const { clock } = this.#world;
+    if (clock.nowMs < this.#killedAtMs + DETECTION_MS) return undefined;
+    return this.#world.listEntries(entry.region).find(({ alive }) => alive);
+  }
+
+  #kill(entry: ModelEntry): void {
+    entry.alive = false;
+    this.#killedAtMs = this.#world.clock.nowMs;
+    for (const [request, end] of this.#open) {
+      if (request.entry === entry) end("failed");
+    }
+    this.#policy.kill?.(entry);
+  }
+
+  #record(request: ModelRequest, result: CallerResult): void {
+    const { scenario, clientMs, durationMs } = this.#options;
+    const startMs = scenario === "cold ramp" ? 0 : WARM_UP_MS;
+    if (request.atMs < startMs || request.atMs > durationMs) return;
+    this.#counts[result] += 1;
+    if (result !== "answered") return;
+    const passedMs = this.#world.clock.nowMs - request.atMs;
+    this.#latencies.push(passedMs + 2 * clientMs);
+  }
+
+  #measure(): RunFigures {
+    const { answered, refused, failed } = this.#counts;
+    const total = answered + refused + failed;
+    const servers = this.#world.groups.flatMap((group) => group.servers);
+    const sum = (counts: number[]) => counts.reduce((a, b) => a + b, 0);
+    const sorted = this.#latencies.sort((a, b) => a - b);
+    const drains = servers.filter(({ leavingAtMs }) => leavingAtMs < Infinity)
+      .map((one) => one.active > 0 ? Infinity : one.idleAtMs - one.leavingAtMs);
+    return {
+      answered,
+      refusedShare: refused / total,
+      failedShare: failed / total,
+      p50Ms: sorted[Math.floor(sorted.length * 0.5)] ?? NaN,
+      p99Ms: sorted[Math.floor(sorted.length * 0.99)] ?? NaN,
+      overShare: sum(servers.map((one) => one.startedOver)) /
+        sum(servers.map((one) => one.started)),
+      peakOverSlots: Math.max(
+        ...servers.map((one) => one.peak / one.options.slots),
+      ),
+      drainMs: Math.max(0, ...drains),
+    };
+  }
+}
--- /dev/null
+++ b/packages/testing/bench/src/policies/world.ts
@@ -0,0 +1,180 @@
+/**
+ * Entries, backend servers, delays and requests of a benchmark.
+ *
+ * @module
+ */
+
+import type { Random } from "@dotterelmoor/core.types";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { ModelServer } from "./model_server.ts";
+import { VirtualClock } from "./virtual_clock.ts";
+
+export const REGIONS = 3;
+export const SERVICES = 4;
+const ENTRIES_PER_REGION = 6;
+const SERVERS_PER_GROUP = 4;
+export const SLOTS = 3;
+const ZONE_DELAY_MS = 0.5;
+const REGION_DELAY_MS = 35;
+
+/** Health and instance list are read this often by each entry. */
+export const POLL_MS = 500;
+
+/** Mean of the service time, and the spread of its logarithm. */
+const MEAN_SERVICE_MS = 40;
+const SERVICE_SIGMA = 0.7;
+
+/** Share of the load that goes on while a quarter of the servers leaves. */
+const LEAVING_LOAD = 0.6;
+
+/** Slots of a target group. */
+export const GROUP_SLOTS = SERVERS_PER_GROUP * SLOTS;
+
+/** Requests per second that the warm slots of a group can answer. */
+export const GROUP_RATE = GROUP_SLOTS * 1000 / MEAN_SERVICE_MS;
+
+/** A place in the network. */
+export interface Place {
+  readonly region: number;
+  readonly zone: number;
+}
+
+/** One of our entries. */
+export interface ModelEntry extends Place {
+  /** Offset of its polls, so that entries do not poll together. */
+  readonly pollPhaseMs: number;
+  alive: boolean;
+}
+
+/** A service in a region. */
+export interface ModelGroup {
+  readonly service: number;
+  readonly region: number;
+  readonly servers: readonly ModelServer[];
+}
+
+/** A request that reaches an entry. */
+export interface ModelRequest {
+  readonly id: string;
+  readonly atMs: number;
+  readonly group: ModelGroup;
+  readonly entry: ModelEntry;
+  readonly serviceMs: number;
+}
+
+/** How a request ended for its caller. */
+export type CallerResult = "answered" | "refused" | "failed";
+
+/** Takes each request at its entry and reports the end at the entry. */
+export interface Policy {
+  submit(
+    request: ModelRequest,
+    onEnd: (result: CallerResult) => void,
+  ): void;
+  /** Called when an entry is killed. */
+  kill?(entry: ModelEntry): void;
+}
+
+/** Settings of a world. */
+export interface WorldOptions {
+  readonly seed: number;
+  /** Share of the warm slots that the requests need. */
+  readonly load: number;
+  readonly durationMs: number;
+  /** Time from which the load is lower, as servers leave. */
+  readonly leavingAtMs: number;
+  readonly coldFactor: number;
+  readonly deadlineMs: number;
+}
+
+/** Everything that the policies share; the same for each policy of a run. */
+export class World {
+  readonly options: WorldOptions;
+  readonly clock = new VirtualClock();
+  readonly groups: ModelGroup[] = [];
+  readonly entries: ModelEntry[] = [];
+
+  constructor(options: WorldOptions) {
+    this.options = options;
+    const { clock } = this;
+    for (let region = 0; region < REGIONS; region++) {
+      for (let n = 0; n < ENTRIES_PER_REGION; n++) {
+        const pollPhaseMs = POLL_MS * n / ENTRIES_PER_REGION;
+        this.entries.push({ region, zone: n % 2, pollPhaseMs, alive: true });
+      }
+      for (let service = 0; service < SERVICES; service++) {
+        const servers = Array.from({ length: SERVERS_PER_GROUP }, (_, n) => {
+          const id = `server-${service}-${region}-${n}`;
+          const { coldFactor } = options;
+          const zone = n % 2;
+          return new ModelServer({
+            id,
+            region,
+            zone,
+            slots: SLOTS,
+            coldFactor,
+            clock,
+          });
+        });
+        this.groups.push({ service, region, servers });
+      }
+    }
+  }
+
+  /** Random numbers of one purpose. */
+  makeRandom(purpose: number): Random {
+    const generator = xoroshiro128plus(this.options.seed * 1000 + purpose);
+    return () => uniformFloat64(generator);
+  }
+
+  listEntries(region: number): ModelEntry[] {
+    return this.entries.filter((entry) => entry.region === region);
+  }
+
+  getGroup(service: number, region: number): ModelGroup {
+    return this.groups[region * SERVICES + service]!;
+  }
+
+  /** Whether a poll of the entry has shown that the server leaves. */
+  hasSeenLeaving(entry: ModelEntry, server: ModelServer): boolean {
+    const sinceMs = server.leavingAtMs - entry.pollPhaseMs;
+    const seenMs = Math.ceil(sinceMs / POLL_MS) * POLL_MS + entry.pollPhaseMs;
+    return this.clock.nowMs >= seenMs;
+  }
+
+  /** Arrivals of all groups with exponential gaps, by time. */
+  makeRequests(): ModelRequest[] {
+    const requests: ModelRequest[] = [];
+    for (const [index, group] of this.groups.entries()) {
+      const random = this.makeRandom(index);
+      const entries = this.listEntries(group.region);
+      const gapMs = 1000 / (GROUP_RATE * this.options.load);
+      let atMs = 0;
+      for (let n = 0;; n++) {
+        const isLate = atMs > this.options.leavingAtMs;
+        const factor = isLate ? 1 / LEAVING_LOAD : 1;
+        atMs -= factor * gapMs * Math.log(1 - random());
+        if (atMs > this.options.durationMs) break;
+        const entry = entries[Math.floor(random() * entries.length)]!;
+        const serviceMs = drawServiceMs(random);
+        requests.push({ id: `${index}-${n}`, atMs, group, entry, serviceMs });
+      }
+    }
+    return requests.sort((left, right) => left.atMs - right.atMs);
+  }
+}
+
+/** Delay in one direction. */
+export function computeDelayMs(from: Place, to: Place): number {
+  if (from.region !== to.region) return REGION_DELAY_MS;
+  return from.zone === to.zone ? 0 : ZONE_DELAY_MS;
+}
+
+/** Draws a lognormal service time. */
+function drawServiceMs(random: Random): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - random()));
+  const normal = radius * Math.cos(2 * Math.PI * random());
+  const mu = Math.log(MEAN_SERVICE_MS) - SERVICE_SIGMA ** 2 / 2;
+  return Math.exp(mu + SERVICE_SIGMA * normal);
+}
