Add the load tool

Experiments need an open-loop load whose latency does not hide stalls, sent as callers do it: by look-up, with cached answers and a spare. Functions of the other packages are renamed to the verbs of the design page.

--- /dev/null
+++ b/packages/command/load/src/lookups.ts
@@ -0,0 +1,119 @@
+/**
+ * Look-up answers, cached for as long as they say.
+ *
+ * @module
+ */
+
+import { performance } from "node:perf_hooks";
+import { z } from "zod";
+
+const ANSWER = z.looseObject({
+  entries: z.array(z.looseObject({
+    address: z.string(),
+    role: z.enum(["preferred", "spare"]).default("preferred"),
+  })),
+  ttlMs: z.number().min(0),
+  issuedKey: z.string().optional(),
+});
+
+/** What a look-up says. */
+export type LookupAnswer = z.infer<typeof ANSWER>;
+
+/** Question of a look-up. */
+export interface LookupQuestion {
+  readonly service: string;
+  readonly client?: string;
+}
+
+/** Where a request may be sent, the best one first. */
+export interface Targets {
+  readonly addresses: readonly string[];
+  readonly issuedKey?: string;
+}
+
+/** Settings of the look-ups. */
+export interface LookupOptions {
+  /** Entries that are asked, in turn. */
+  readonly entries: readonly string[];
+  /** Asks one entry; throws if it does not answer. */
+  readonly ask: (entry: string, question: LookupQuestion) => Promise<unknown>;
+  /** Throws if test traffic may not go to an address. */
+  readonly assertAllowed: (address: string) => void;
+  readonly nowMs?: () => number;
+}
+
+interface CachedAnswer {
+  readonly until: number;
+  readonly addresses: readonly string[];
+}
+
+/** Look-ups of one run, as one caching client makes them. */
+export class Lookups {
+  readonly #options: LookupOptions;
+  readonly #nowMs: () => number;
+  readonly #cache = new Map<string, CachedAnswer>();
+  readonly #open = new Map<string, Promise<LookupAnswer>>();
+  #next = 0;
+  /** Look-ups that no entry answered. */
+  failures = 0;
+
+  constructor(options: LookupOptions) {
+    this.#options = options;
+    this.#nowMs = options.nowMs ?? (() => performance.now());
+  }
+
+  /** Finds the targets of a request; throws if no entry answers. */
+  async find(
+    question: LookupQuestion,
+    needsKey: boolean,
+  ): Promise<Targets> {
+    const key = `${question.service} ${question.client ?? ""}`;
+    const cached = this.#cache.get(key);
+    if (!needsKey && cached !== undefined && this.#nowMs() < cached.until) {
+      return { addresses: cached.addresses };
+    }
+    // Requests of one group share one look-up, but each needs its own key.
+    const answer =
+      await (needsKey
+        ? this.#requestAny(question)
+        : this.#requestShared(key, question));
+    const addresses = answer.entries
+      .toSorted((a, b) =>
+        Number(a.role === "spare") - Number(b.role === "spare")
+      )
+      .map(({ address }) => address);
+    addresses.forEach((address) => this.#options.assertAllowed(address));
+    this.#cache.set(key, { until: this.#nowMs() + answer.ttlMs, addresses });
+    return { addresses, issuedKey: answer.issuedKey };
+  }
+
+  /** Drops a cached answer whose entries all failed. */
+  remove(question: LookupQuestion): void {
+    this.#cache.delete(`${question.service} ${question.client ?? ""}`);
+  }
+
+  #requestShared(key: string, question: LookupQuestion): Promise<LookupAnswer> {
+    const open = this.#open.get(key);
+    if (open !== undefined) return open;
+    const asked = this.#requestAny(question).finally(() =>
+      this.#open.delete(key)
+    );
+    this.#open.set(key, asked);
+    return asked;
+  }
+
+  async #requestAny(question: LookupQuestion): Promise<LookupAnswer> {
+    const { entries, ask } = this.#options;
+    for (let tried = 0; tried < entries.length; tried++) {
+      const entry = entries[this.#next % entries.length]!;
+      try {
+        return ANSWER.parse(await ask(entry, question));
+      } catch {
+        // The next entry is asked from now on, by later look-ups too.
+        this.#next += 1;
+      }
+    }
+    this.failures += 1;
+    throw new Error("No entry answers the look-up");
+  }
+}
--- /dev/null
+++ b/packages/command/load/src/outcomes.ts
@@ -0,0 +1,86 @@
+/**
+ * Sorts answers and failures by outcome and reason.
+ *
+ * @module
+ */
+
+import { RequestError, TimeoutError } from "got";
+
+type Headers = Readonly<Record<string, string | string[] | undefined>>;
+
+/** What became of one request. */
+export interface RequestOutcome {
+  readonly outcome: "answered" | "not-run" | "unknown" | "failed";
+  readonly reason: string;
+  /** Free share of slots or link, 0 to 1, if the answer tells. */
+  readonly headroom?: number;
+  /** True if the answer came from an entry that is leaving. */
+  readonly isDraining: boolean;
+}
+
+/** What an answer says about itself. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: Headers;
+  /** Id of the request that was sent. */
+  readonly requestId: string;
+}
+
+/** Sorts a whole answer. */
+export function readOutcome(answer: AnswerHead): RequestOutcome {
+  const { status, headers, requestId } = answer;
+  const reason = read(headers, "dotterelmoor-reason");
+  const base = {
+    headroom: readHeadroom(headers),
+    isDraining: read(headers, "connection") === "close" || reason === "closing",
+  };
+  const echoed = headers["dotterelmoor-request-id"];
+  if (echoed !== undefined && echoed !== requestId) {
+    return { ...base, outcome: "failed", reason: "wrong-answer" };
+  }
+  const outcome = read(headers, "dotterelmoor-outcome");
+  if (outcome === "not-run" || outcome === "unknown") {
+    return { ...base, outcome, reason };
+  }
+  if (read(headers, "dotterelmoor-not-run") === "true") {
+    return { ...base, outcome: "not-run", reason: "server-refused" };
+  }
+  return {
+    ...base,
+    outcome: "answered",
+    reason: status < 400 ? "" : `status-${status}`,
+  };
+}
+
+/** Sorts a request without a whole answer. */
+export function readFailure(error: unknown): RequestOutcome {
+  return { outcome: "failed", reason: readReason(error), isDraining: false };
+}
+
+/** Tells whether a failed request was certainly not sent. */
+export function isUnsent(error: unknown): boolean {
+  return error instanceof RequestError && error.code === "ECONNREFUSED";
+}
+
+function readReason(error: unknown): string {
+  if (error instanceof TimeoutError) return "timed-out";
+  if (isUnsent(error)) return "connection-refused";
+  return error instanceof RequestError ? "connection-lost" : "no-target";
+}
+
+function readHeadroom(headers: Headers): number | undefined {
+  const stated = Number(headers["dotterelmoor-headroom"] ?? NaN);
+  if (Number.isFinite(stated)) return toShare(stated);
+  const slots = Number(headers["dotterelmoor-slots"] ?? NaN);
+  const inFlight = Number(headers["dotterelmoor-in-flight"] ?? NaN);
+  const isKnown = slots > 0 && Number.isFinite(inFlight);
+  return isKnown ? toShare((slots - inFlight) / slots) : undefined;
+}
+
+function toShare(share: number): number {
+  return Math.min(Math.max(share, 0), 1);
+}
+
+function read(headers: Headers, name: string): string {
+  return String(headers[name] ?? "");
+}
--- a/packages/network/backend/src/client.ts
+++ b/packages/network/backend/src/client.ts
@@ -89,11 +89,11 @@
   } catch {
     // Bytes of this exchange may still come; they must reach no other one.
     connection?.close();
-    return classifyFailure(exchange);
+    return resolveFailure(exchange);
   }
 }
 
-function classifyFailure(exchange: Exchange): BackendResult {
+function resolveFailure(exchange: Exchange): BackendResult {
   const { request, sent, controller } = exchange;
   if (request.signal?.aborted) return { type: "cancelled", sent };
   if (exchange.answerRejected) return { type: "incomplete_answer" };
--- a/packages/network/backend/src/connection.ts
+++ b/packages/network/backend/src/connection.ts
@@ -38,13 +38,13 @@
       noDelay: true,
     });
     const timer = setTimeout(
-      () => fail(new Error("The connection did not open in time")),
+      () => closeWith(new Error("The connection did not open in time")),
       connectTimeoutMs,
     );
-    function abort(): void {
-      fail(signal.reason);
+    function handleAbort(): void {
+      closeWith(signal.reason);
     }
-    function fail(error: unknown): void {
+    function closeWith(error: unknown): void {
       release();
       socket.on("error", () => {});
       socket.destroy();
@@ -52,11 +52,11 @@
     }
     function release(): void {
       clearTimeout(timer);
-      signal.removeEventListener("abort", abort);
-      socket.removeListener("error", fail);
+      signal.removeEventListener("abort", handleAbort);
+      socket.removeListener("error", closeWith);
     }
-    signal.addEventListener("abort", abort, { once: true });
-    socket.once("error", fail);
+    signal.addEventListener("abort", handleAbort, { once: true });
+    socket.once("error", closeWith);
     socket.once("connect", () => {
       release();
       resolve(new Connection(socket, { idleMs: options.idleMs, events }));
@@ -79,7 +79,7 @@
     this.#socket = socket;
     this.#idleMs = options.idleMs;
     this.agent = new SingleSocketAgent(socket, () => {
-      this.#becomeIdle();
+      this.#markIdle();
       // The agent frees the socket only after this callback has returned.
       queueMicrotask(() => options.events.onIdle(this));
     });
@@ -98,21 +98,21 @@
   /** Takes the connection out of its idle state for one request. */
   markBusy(): void {
     clearTimeout(this.#idleTimer);
-    this.#socket.removeListener("data", this.#refuseData);
+    this.#socket.removeListener("data", this.#handleUnaskedData);
   }
 
   close(): void {
     this.#socket.destroy();
   }
 
-  #becomeIdle(): void {
+  #markIdle(): void {
     // Bytes that nobody asked for would be read as the next request's answer.
-    this.#socket.on("data", this.#refuseData);
+    this.#socket.on("data", this.#handleUnaskedData);
     this.#idleTimer = setTimeout(() => this.close(), this.#idleMs);
     this.#idleTimer.unref();
   }
 
-  readonly #refuseData = (): void => {
+  readonly #handleUnaskedData = (): void => {
     this.close();
   };
 }
--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -58,7 +58,7 @@
     },
   );
   pending.on("downloadProgress", ({ transferred }) => {
-    if (transferred > exchange.maxAnswerBytes) rejectAnswer(exchange);
+    if (transferred > exchange.maxAnswerBytes) closeRejected(exchange);
   });
   const response = await pending;
   return buildResult(response, exchange);
@@ -90,7 +90,7 @@
   exchange.sent = true;
   clientRequest.once("response", (response: IncomingMessage) => {
     exchange.answerBegan = true;
-    if (!hasKnownEnd(response, exchange)) rejectAnswer(exchange);
+    if (!hasKnownEnd(response, exchange)) closeRejected(exchange);
   });
   return clientRequest;
 }
@@ -105,7 +105,7 @@
   return headers["transfer-encoding"]?.toLowerCase() === "chunked";
 }
 
-function rejectAnswer(exchange: Exchange): void {
+function closeRejected(exchange: Exchange): void {
   exchange.answerRejected = true;
   exchange.controller.abort(new Error("The answer is not acceptable"));
 }
--- a/packages/network/backend/src/pool.ts
+++ b/packages/network/backend/src/pool.ts
@@ -74,7 +74,7 @@
         this.#connections.delete(connection);
         const index = server.idle.indexOf(connection);
         if (index >= 0) server.idle.splice(index, 1);
-        this.#forgetOne(address, server);
+        this.#removeOne(address, server);
       },
     };
     try {
@@ -87,12 +87,12 @@
       this.#connections.add(connection);
       return connection;
     } catch (error) {
-      this.#forgetOne(address, server);
+      this.#removeOne(address, server);
       throw error;
     }
   }
 
-  #forgetOne(address: string, server: ServerEntry): void {
+  #removeOne(address: string, server: ServerEntry): void {
     server.opened -= 1;
     notifyNext(server);
     if (server.opened === 0 && server.waiting.size === 0) {
@@ -120,15 +120,15 @@
 
 function waitForTurn(server: ServerEntry, signal: AbortSignal): Promise<void> {
   return new Promise((resolve, reject) => {
-    function abort(): void {
-      server.waiting.delete(admit);
+    function handleAbort(): void {
+      server.waiting.delete(takeTurn);
       reject(signal.reason);
     }
-    function admit(): void {
-      signal.removeEventListener("abort", abort);
+    function takeTurn(): void {
+      signal.removeEventListener("abort", handleAbort);
       resolve();
     }
-    server.waiting.add(admit);
-    signal.addEventListener("abort", abort, { once: true });
+    server.waiting.add(takeTurn);
+    signal.addEventListener("abort", handleAbort, { once: true });
   });
 }
--- a/packages/network/peering/src/frame_socket.ts
+++ b/packages/network/peering/src/frame_socket.ts
@@ -54,7 +54,7 @@
   }
 
   /** Allows frames of the full size once the peer has proved its token. */
-  acceptLargeFrames(): void {
+  setFullSize(): void {
     this.#reader.maxBytes = this.#maxFrameBytes;
   }
 
@@ -73,7 +73,7 @@
   }
 
   /** Tells the peer why, then closes the connection. */
-  refuse(code: string, message: string): void {
+  closeWith(code: string, message: string): void {
     this.sendValue(buildError(code, message));
     // Frames that are still coming in belong to no valid conversation.
     this.#socket.removeAllListeners("data");
@@ -88,7 +88,7 @@
   }
 
   #readChunk(chunk: Buffer): void {
-    this.#reader.push(chunk);
+    this.#reader.add(chunk);
     try {
       while (this.#socket.listenerCount("data") > 0) {
         const payload = this.#reader.take();
@@ -97,7 +97,7 @@
       }
     } catch (error) {
       if (!(error instanceof RangeError)) throw error;
-      this.refuse("frame-too-large", error.message);
+      this.closeWith("frame-too-large", error.message);
     }
   }
 }
--- a/packages/network/peering/src/frames.ts
+++ b/packages/network/peering/src/frames.ts
@@ -50,7 +50,7 @@
   }
 
   /** Adds bytes from the stream. */
-  push(chunk: Buffer): void {
+  add(chunk: Buffer): void {
     this.#chunks.push(chunk);
     this.#length += chunk.length;
   }
--- a/packages/network/peering/src/hello.ts
+++ b/packages/network/peering/src/hello.ts
@@ -41,28 +41,30 @@
 /** Checks the version, token and shape of a peer's hello. */
 export function checkHello(value: unknown, token: string): HelloResult {
   if (!isRecord(value) || value.type !== "hello") {
-    return refuse("malformed-hello", "The first frame is not a hello");
+    return makeRefusal("malformed-hello", "The first frame is not a hello");
   }
   if (value.protocol !== PROTOCOL_VERSION) {
-    return refuse(
+    return makeRefusal(
       "unknown-version",
       `This process speaks protocol version ${PROTOCOL_VERSION} only`,
     );
   }
   if (!isString(value.token) || !isSameToken(value.token, token)) {
-    return refuse("bad-token", "The peer token is wrong");
+    return makeRefusal("bad-token", "The peer token is wrong");
   }
   const { incarnation, processId, instance, region, zone } = value;
   const isComplete = isCount(incarnation) && isString(processId) &&
     isString(instance) && isString(region) && isString(zone);
-  if (!isComplete) return refuse("malformed-hello", "The hello lacks a field");
+  if (!isComplete) {
+    return makeRefusal("malformed-hello", "The hello lacks a field");
+  }
   return {
     type: "accepted",
     peer: { incarnation, processId, instance, region, zone },
   };
 }
 
-function refuse(code: string, message: string): HelloResult {
+function makeRefusal(code: string, message: string): HelloResult {
   return { type: "refused", error: buildError(code, message) };
 }
 
--- a/packages/network/peering/src/link.ts
+++ b/packages/network/peering/src/link.ts
@@ -130,12 +130,12 @@
     }
     const envelope = parseFrameValue(value);
     if (envelope?.type === "notification" && isPeerMessage(value)) {
-      if (value.type === "error") this.#fail(value.message);
+      if (value.type === "error") this.#closeFailed(value.message);
       return;
     }
     if (envelope?.type !== "answer") {
-      this.#frames.refuse("malformed-frame", "A frame is not an answer");
-      this.#fail("A frame is not an answer");
+      this.#frames.closeWith("malformed-frame", "A frame is not an answer");
+      this.#closeFailed("A frame is not an answer");
       return;
     }
     // A late answer to a call that has ended finds no entry here.
@@ -151,22 +151,22 @@
 
   #handleHello(value: unknown): void {
     if (isPeerMessage(value) && value.type === "error") {
-      this.#fail(value.message);
+      this.#closeFailed(value.message);
       return;
     }
     const result = checkHello(value, this.#options.pool.token);
     if (result.type === "refused") {
-      this.#frames.refuse(result.error.code, result.error.message);
-      this.#fail(result.error.message);
+      this.#frames.closeWith(result.error.code, result.error.message);
+      this.#closeFailed(result.error.message);
       return;
     }
     clearTimeout(this.#openTimer);
     this.#peer = result.peer;
-    this.#frames.acceptLargeFrames();
+    this.#frames.setFullSize();
     this.#setReady(true);
   }
 
-  #fail(reason: string): void {
+  #closeFailed(reason: string): void {
     const { log, address } = this.#options;
     log.warn(`[peer] The connection to ${address} failed: ${reason}`);
     this.close();
--- a/packages/network/peering/src/peering_test.ts
+++ b/packages/network/peering/src/peering_test.ts
@@ -61,11 +61,11 @@
     const reader = new FrameReader(MAX);
     socket.on("error", () => {});
     socket.on("data", (chunk: Buffer) => {
-      reader.push(chunk);
+      reader.add(chunk);
       for (let part = reader.take(); part; part = reader.take()) {
         const value = decodeFrame(part) as Record<string, unknown>;
         if (value.type !== "hello") onFrame(socket, value);
-        else socket.write(frame(buildHello(makeIdentity("raw"), TOKEN)));
+        else socket.write(makeFrame(buildHello(makeIdentity("raw"), TOKEN)));
       }
     });
   }).listen(0, "127.0.0.1");
@@ -74,7 +74,7 @@
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-function frame(value: unknown): Buffer {
+function makeFrame(value: unknown): Buffer {
   return encodeFrame(value, MAX)!;
 }
 
@@ -82,7 +82,7 @@
 async function sendRaw(address: string, bytes: Buffer): Promise<unknown[]> {
   const socket = connect(Number(address.split(":")[1]), "127.0.0.1");
   const reader = new FrameReader(MAX);
-  socket.on("data", (chunk: Buffer) => reader.push(chunk));
+  socket.on("data", (chunk: Buffer) => reader.add(chunk));
   socket.write(bytes);
   await once(socket, "close");
   const values: unknown[] = [];
@@ -99,12 +99,12 @@
       values,
       fc.array(fc.integer({ min: 1, max: 40 })),
       (v, cuts) => {
-        const stream = Buffer.concat(v.map((body) => frame({ body })));
+        const stream = Buffer.concat(v.map((body) => makeFrame({ body })));
         const reader = new FrameReader(MAX);
         const read: unknown[] = [];
         for (let at = 0, i = 0; at < stream.length; i++) {
           const size = cuts[i] ?? stream.length;
-          reader.push(stream.subarray(at, at + size));
+          reader.add(stream.subarray(at, at + size));
           at += size;
           for (let part = reader.take(); part; part = reader.take()) {
             read.push(decodeFrame(part));
@@ -126,18 +126,22 @@
     },
   });
   const hello = buildHello(makeIdentity("raw"), TOKEN);
-  const call = frame({ ...makeMessage(1), id: 1 });
+  const call = makeFrame({ ...makeMessage(1), id: 1 });
   const oversized = Buffer.from([0, 0x60, 0, 0]);
   const cases: [string, Buffer, number][] = [
-    ["unknown-version", frame({ ...hello, protocol: 2 }), 0],
-    ["bad-token", frame({ ...hello, token: "peer tokem" }), 0],
-    ["malformed-hello", frame(makeMessage(1)), 0],
+    ["unknown-version", makeFrame({ ...hello, protocol: 2 }), 0],
+    ["bad-token", makeFrame({ ...hello, token: "peer tokem" }), 0],
+    ["malformed-hello", makeFrame(makeMessage(1)), 0],
     ["frame-too-large", Buffer.from([0, 0, 0x20, 0]), 0],
-    ["frame-too-large", Buffer.concat([frame(hello), oversized]), 1],
-    ["malformed-frame", Buffer.concat([frame(hello), frame({ type: "x" })]), 1],
+    ["frame-too-large", Buffer.concat([makeFrame(hello), oversized]), 1],
     [
       "malformed-frame",
-      Buffer.concat([frame(hello), Buffer.from([0, 0, 0, 1, 0xff])]),
+      Buffer.concat([makeFrame(hello), makeFrame({ type: "x" })]),
+      1,
+    ],
+    [
+      "malformed-frame",
+      Buffer.concat([makeFrame(hello), Buffer.from([0, 0, 0, 1, 0xff])]),
       1,
     ],
   ];
@@ -162,7 +166,7 @@
 
 test("guards against a half-written answer taken as not sent", async (t) => {
   const address = await openRawPeer(t, (socket, value) => {
-    const answer = frame({ ...makeMessage("half"), replyTo: value.id });
+    const answer = makeFrame({ ...makeMessage("half"), replyTo: value.id });
     socket.end(answer.subarray(0, answer.length - 2));
   });
   const pool = openPool(t);
@@ -202,13 +206,13 @@
   const address = await openRawPeer(t, (socket, value) => {
     if (value.type !== "membership") return;
     if (value.message === "open") {
-      socket.write(frame({ ...makeMessage("open"), replyTo: value.id }));
+      socket.write(makeFrame({ ...makeMessage("open"), replyTo: value.id }));
       return;
     }
     seen.push(value);
     if (seen.length < 2) return;
     for (const { id, message } of seen) {
-      socket.write(frame({ ...makeMessage(message), replyTo: id }));
+      socket.write(makeFrame({ ...makeMessage(message), replyTo: id }));
     }
   });
   const pool = openPool(t);
@@ -340,7 +344,7 @@
     { type: "handover", service: "s", region: "r", fence: 2 },
     { type: "conviction", fingerprint: "f", validMs: 0 },
   ];
-  const { address } = await openServer(t, { membership: echo });
+  const { address } = await openServer(t, { membership: answerEcho });
   const pool = openPool(t);
   for (const message of messages) {
     const options = { timeoutMs: 30_000 };
@@ -351,7 +355,7 @@
 });
 
 /** Answers with the message that a membership message carries. */
-function echo(received: PeerMessage): Promise<PeerMessage> {
+function answerEcho(received: PeerMessage): Promise<PeerMessage> {
   return Promise.resolve(
     (received as { message: unknown }).message as PeerMessage,
   );
--- a/packages/network/peering/src/server_connection.ts
+++ b/packages/network/peering/src/server_connection.ts
@@ -51,7 +51,7 @@
       },
     });
     this.#helloTimer = setTimeout(
-      () => this.#refuse("hello-timeout", "The hello did not come in time"),
+      () => this.#closeWith("hello-timeout", "The hello did not come in time"),
       options.limits.helloTimeoutMs,
     );
   }
@@ -68,7 +68,7 @@
     }
     const envelope = parseFrameValue(value);
     if (envelope === undefined || envelope.type === "answer") {
-      this.#refuse("malformed-frame", "A frame is not a message");
+      this.#closeWith("malformed-frame", "A frame is not a message");
       return;
     }
     HANDLERS[envelope.type](this, envelope as never);
@@ -79,18 +79,18 @@
     const { identity, token } = this.#options.server;
     const result = checkHello(value, token);
     if (result.type === "refused") {
-      this.#refuse(result.error.code, result.error.message);
+      this.#closeWith(result.error.code, result.error.message);
       return;
     }
     this.#peer = result.peer;
-    this.#frames.acceptLargeFrames();
+    this.#frames.setFullSize();
     this.#frames.sendValue(buildHello(identity, token));
   }
 
   /** Runs the handler of a call and sends its answer. */
   async runCall(id: number, message: PeerMessage): Promise<void> {
     if (this.#calls.has(id)) {
-      this.#refuse("repeated-id", "A call has the id of an open call");
+      this.#closeWith("repeated-id", "A call has the id of an open call");
       return;
     }
     if (this.#calls.size >= this.#options.limits.maxCalls) {
@@ -113,7 +113,7 @@
   }
 
   /** Aborts an open call; its answer is dropped. */
-  cancelCall(id: number): void {
+  stopCall(id: number): void {
     this.#calls.get(id)?.abort(new Error("The peer cancelled the call"));
   }
 
@@ -150,19 +150,19 @@
     this.#frames.send({ type: "answer", replyTo: id, message: error });
   }
 
-  #refuse(code: string, message: string): void {
+  #closeWith(code: string, message: string): void {
     this.#options.log.warn(`[peer] Refused a connection: ${message}`);
-    this.#frames.refuse(code, message);
-    this.#abortCalls();
+    this.#frames.closeWith(code, message);
+    this.#stopCalls();
   }
 
   #handleClose(): void {
     clearTimeout(this.#helloTimer);
-    this.#abortCalls();
+    this.#stopCalls();
     this.#options.onClose();
   }
 
-  #abortCalls(): void {
+  #stopCalls(): void {
     const reason = new Error("The connection is closed");
     for (const controller of this.#calls.values()) controller.abort(reason);
     this.#closed.abort(reason);
@@ -180,5 +180,5 @@
   call: (connection, { id, message }) => void connection.runCall(id, message),
   notification: (connection, { message }) =>
     void connection.runNotification(message),
-  cancel: (connection, { id }) => connection.cancelCall(id),
+  cancel: (connection, { id }) => connection.stopCall(id),
 };
--- a/packages/network/platform/src/gate.ts
+++ b/packages/network/platform/src/gate.ts
@@ -38,16 +38,16 @@
         return Promise.resolve(releaseOnce());
       }
       return new Promise((resolve, reject) => {
-        function abort(): void {
-          waiting.delete(admit);
+        function handleAbort(): void {
+          waiting.delete(takeTurn);
           reject(signal.reason);
         }
-        function admit(): void {
-          signal.removeEventListener("abort", abort);
+        function takeTurn(): void {
+          signal.removeEventListener("abort", handleAbort);
           resolve(releaseOnce());
         }
-        waiting.add(admit);
-        signal.addEventListener("abort", abort, { once: true });
+        waiting.add(takeTurn);
+        signal.addEventListener("abort", handleAbort, { once: true });
       });
     },
   };
--- a/packages/testing/demo/src/processes.ts
+++ b/packages/testing/demo/src/processes.ts
@@ -76,7 +76,7 @@
     });
   });
   const stderrLines: string[] = [];
-  collectLines(child.stderr, stderrLines);
+  recordLines(child.stderr, stderrLines);
   const stdoutLines: string[] = [];
   const ready = await waitForReady(child, {
     lines: stdoutLines,
@@ -109,7 +109,7 @@
   const stop = new AbortController();
   const timer = setTimeout(() => stop.abort(), options.timeoutMs);
   const ready = new Promise<Record<string, unknown>>((resolve) => {
-    collectLines(child.stdout!, options.lines, (line) => {
+    recordLines(child.stdout!, options.lines, (line) => {
       const parsed = parseReadyLine(line);
       if (parsed !== undefined) resolve(parsed);
     });
@@ -139,7 +139,7 @@
   }
 }
 
-function collectLines(
+function recordLines(
   stream: Readable,
   lines: string[],
   onLine: (line: string) => void = () => {},
--- a/packages/testing/demo/src/processes_test.ts
+++ b/packages/testing/demo/src/processes_test.ts
@@ -25,7 +25,7 @@
   return script;
 }
 
-async function ask(port: unknown): Promise<string> {
+async function requestAnswer(port: unknown): Promise<string> {
   const socket = connect(Number(port), "127.0.0.1");
   const [answer] = await once(socket, "data");
   return String(answer);
@@ -33,10 +33,10 @@
 
 test("guards against processes that are not ready, frozen or ended as told", async (t) => {
   const child = await startProcess({ script: await writeScript(t, CHILD) });
-  t.is(await ask(child.ready.port), "alive");
+  t.is(await requestAnswer(child.ready.port), "alive");
   t.is(child.stdoutLines[0], "not the ready line");
   child.freeze();
-  const answer = ask(child.ready.port);
+  const answer = requestAnswer(child.ready.port);
   child.resume();
   t.is(await answer, "alive");
   child.terminate();
--- a/packages/testing/server/src/backend_client_test.ts
+++ b/packages/testing/server/src/backend_client_test.ts
@@ -56,7 +56,7 @@
   return { address: `127.0.0.1:${port}`, server };
 }
 
-function frameAnswer(body: string): string {
+function makeAnswer(body: string): string {
   return `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
 }
 
@@ -110,10 +110,10 @@
   const { address } = await openRaw(t, (socket) => {
     requests += 1;
     sockets.push(socket);
-    if (requests === 1) socket.write(frameAnswer("open"));
+    if (requests === 1) socket.write(makeAnswer("open"));
     if (requests === 3) {
-      sockets[0]!.write(frameAnswer("late"));
-      socket.write(frameAnswer("own"));
+      sockets[0]!.write(makeAnswer("late"));
+      socket.write(makeAnswer("own"));
     }
   });
   const client = openClient(t, { maxConnectionsPerServer: 1 });
@@ -133,8 +133,8 @@
   const { address } = await openRaw(t, (socket) => {
     requests += 1;
     const body = `answer ${requests}`;
-    socket.write(frameAnswer(body), () => {
-      if (requests === 1) setImmediate(() => socket.write(frameAnswer("bad")));
+    socket.write(makeAnswer(body), () => {
+      if (requests === 1) setImmediate(() => socket.write(makeAnswer("bad")));
     });
     if (requests === 1) socket.once("close", () => closed());
   });
--- a/packages/testing/server/src/work.ts
+++ b/packages/testing/server/src/work.ts
@@ -31,7 +31,7 @@
     response.destroy();
     return;
   }
-  if (refuse(response, state)) return;
+  if (answerRefusal(response, state)) return;
   const key = readHeader(request, options.keyHeader ?? "idempotency-key");
   state.recordStart(key);
   if (isCrashing(request, options)) {
@@ -61,7 +61,7 @@
   });
 }
 
-function refuse(response: ServerResponse, state: ServerState): boolean {
+function answerRefusal(response: ServerResponse, state: ServerState): boolean {
   const { draining, refuseWhenDraining, shed } = state.faults;
   const leaving = draining && refuseWhenDraining;
   if (!leaving && !(shed && state.inFlight >= state.slots)) return false;
@@ -93,17 +93,21 @@
   const deadlineMs = Number(readHeader(request, "dotterelmoor-deadline-ms"));
   return new Promise((resolve) => {
     const timers: NodeJS.Timeout[] = [];
-    function end(result: WorkEnd): void {
+    function resolveOnce(result: WorkEnd): void {
       timers.forEach((timer) => clearTimeout(timer));
-      response.removeListener("close", close);
+      response.removeListener("close", handleClose);
       resolve(result);
     }
-    function close(): void {
-      end("closed");
+    function handleClose(): void {
+      resolveOnce("closed");
+    }
+    response.once("close", handleClose);
+    if (!state.faults.hang) {
+      timers.push(setTimeout(resolveOnce, serviceMs, "done"));
+    }
+    if (deadlineMs > 0) {
+      timers.push(setTimeout(resolveOnce, deadlineMs, "deadline"));
     }
-    response.once("close", close);
-    if (!state.faults.hang) timers.push(setTimeout(end, serviceMs, "done"));
-    if (deadlineMs > 0) timers.push(setTimeout(end, deadlineMs, "deadline"));
   });
 }
 
