--- /dev/null
+++ b/packages/daemon/entry/src/wiring.ts
@@ -0,0 +1,185 @@
+/**
+ * Wires the parts of the entry daemon.
+ *
+ * @module
+ */
+
+import type { RequestListener } from "node:http";
+import type { EntrySettings } from "@dotterelmoor/config.settings";
+import { createPeerServer } from "@dotterelmoor/network.peering";
+import type {
+  PeerHandlers,
+  PeerMessageType,
+} from "@dotterelmoor/network.peering";
+import { ENTRY_SERVICE, startInstanceWatch } from "./process/instance_watch.ts";
+import { startInterval } from "./process/intervals.ts";
+import { leaveSystem } from "./process/leaving.ts";
+import { openListener } from "./process/listeners.ts";
+import { openOperators } from "./process/operators.ts";
+import { createReports } from "./process/reports.ts";
+import { createBase } from "./wiring/base.ts";
+import type { Base } from "./wiring/base.ts";
+import { createParts } from "./wiring/parts.ts";
+import type { Parts } from "./wiring/parts.ts";
+import { createRequests } from "./wiring/requests.ts";
+
+const MEMBERS_INTERVAL_MS = 500;
+const MAX_CALLER_CONNECTIONS = 4_096;
+
+/** A running entry. */
+export interface RunningEntry {
+  readonly callers: string;
+  readonly peers: string;
+  readonly operators: string;
+  /** Resolves once this entry has a configuration and may serve. */
+  readonly ready: Promise<void>;
+  /** Leaves the system gracefully and releases everything. */
+  leave(): Promise<void>;
+}
+
+/** Starts an entry. */
+export async function startEntry(
+  settings: EntrySettings,
+): Promise<RunningEntry> {
+  const base = createBase(settings);
+  const callerHandler = createDeferred<RequestListener>();
+  const callers = await openListener({
+    host: settings.callers.host,
+    port: settings.callers.port,
+    maxConnections: MAX_CALLER_CONNECTIONS,
+    handler: (request, response) => callerHandler.get()?.(request, response),
+  });
+  const peerHandlers = createDeferred<PeerHandlers>();
+  const peers = await createPeerServer({
+    host: settings.peers.host,
+    port: settings.peers.port,
+    identity: base.identity,
+    token: settings.peerToken,
+    handlers: deferHandlers(peerHandlers),
+    log: base.logOf("peer"),
+  });
+  base.store.add(() => peers.close());
+  const parts = createParts(base, {
+    callers: settings.callers.advertise ?? callers.address,
+    peers: settings.peers.advertise ?? peers.address,
+  });
+  const requests = createRequests(base, parts);
+  peerHandlers.set(requests.peerHandlers);
+  callerHandler.set(requests.callerApp.callback());
+  const operators = await openOperatorListener(base, parts);
+  startParts(base, parts);
+  return {
+    callers: callers.address,
+    peers: peers.address,
+    operators: operators.address,
+    ready: parts.ready.promise,
+    leave: async () => {
+      base.state.leaving = true;
+      await leaveSystem({
+        lookupTtlMs: settings.lookupTtlMs,
+        nowMs: base.clock.nowMs,
+        log: base.logOf("entry"),
+        announce: () => parts.membership.send({ type: "leave" }),
+        handOver: () => {
+          parts.ownership.send({ type: "leave" });
+          return parts.left.promise;
+        },
+        countRequests: requests.count,
+        closeListeners: async () => {
+          await Promise.all([callers.close(), operators.close()]);
+        },
+      });
+      await base.store.dispose();
+    },
+  };
+}
+
+function openOperatorListener(base: Base, parts: Parts) {
+  const { settings, state } = base;
+  return openOperators({
+    host: settings.operators.host,
+    port: settings.operators.port,
+    platform: base.platform,
+    tokens: settings.operatorTokens,
+    log: base.logOf("operator"),
+    reports: createReports({
+      ...parts,
+      instance: settings.instance,
+      region: settings.region,
+      zone: settings.zone,
+      nowMs: base.clock.nowMs,
+      listInstances: () => state.instances,
+      findQuarantinedService: () => undefined,
+    }),
+  });
+}
+
+/** Starts joining once every part exists and can take events. */
+function startParts(base: Base, parts: Parts): void {
+  const { membership, configuration, ownership } = parts;
+  const { region } = base.settings;
+  startInstanceWatch({
+    platform: base.platform,
+    store: base.store,
+    onInstances: (instances) => {
+      base.state.instances = instances;
+      parts.groups.setInstances(instances);
+      const entries = instances.filter(({ service }) =>
+        service === ENTRY_SERVICE
+      );
+      ownership.send({ type: "instances", ids: entries.map(({ id }) => id) });
+    },
+  });
+  startInterval(base.store, MEMBERS_INTERVAL_MS, () => {
+    const live = membership.membership.liveMembers();
+    ownership.send({
+      type: "members",
+      members: live
+        .filter((member) => member.region === region && member.incarnation > 0)
+        .map((member) => ({ ...member, address: member.peerAddress })),
+    });
+    const others = live.filter((member) => member.processId !== base.processId);
+    configuration.send({
+      type: "peers",
+      addresses: others.map((member) => member.peerAddress),
+      entries: live.length,
+    });
+  });
+  membership.start();
+  ownership.start();
+  void parts.spread.readTable();
+}
+
+interface Deferred<T> {
+  get(): T | undefined;
+  set(value: T): void;
+}
+
+function createDeferred<T>(): Deferred<T> {
+  let current: T | undefined;
+  return {
+    get: () => current,
+    set: (value) => {
+      current = value;
+    },
+  };
+}
+
+/** Handlers that stand in until the parts behind them exist. */
+function deferHandlers(deferred: Deferred<PeerHandlers>): PeerHandlers {
+  const types: readonly PeerMessageType[] = [
+    "config_pull",
+    "config_push",
+    "exec",
+    "membership",
+    "permit",
+    "promise",
+    "submit",
+  ];
+  return Object.fromEntries(types.map((type) => [
+    type,
+    (message: never, context: never) =>
+      (deferred.get()?.[type] as PeerHandlers["exec"])?.(message, context) ??
+        Promise.resolve(undefined),
+  ]));
+}
--- a/packages/network/peering/src/peering_test.ts
+++ b/packages/network/peering/src/peering_test.ts
@@ -216,7 +216,11 @@
     }
   });
   const pool = openPool(t);
-  await pool.call(address, makeMessage("open"), { timeoutMs: 5_000 });
+  // The short timeout below must not run out while the connection opens.
+  const open = await pool.call(address, makeMessage("open"), {
+    timeoutMs: 5_000,
+  });
+  t.like(open, { type: "answered" });
   const first = await pool.call(address, makeMessage("one"), { timeoutMs: 30 });
   t.deepEqual(first, { type: "lost" });
   const second = await pool.call(address, makeMessage("two"), {
