Count overload in a test without a race

The test expected three requests to overlap within 50 ms, and failed once in a run of the whole suite on a busy machine (2 in flight instead of 3). The requests now hang until the counters have shown all three; the same counters are asserted, and the health answer and the cancelled count in addition.

--- a/packages/testing/server/src/backend_client_test.ts
+++ b/packages/testing/server/src/backend_client_test.ts
@@ -241,25 +241,34 @@
 });
 
 test("guards against overload that the server does not count", async (t) => {
-  const server = await openServer(t, { slots: 2, serviceMs: 50 });
+  const server = await openServer(t, { slots: 2, faults: { hang: true } });
   const client = openClient(t);
-  const send = () => client.send(makeRequest(server.address, "k"));
-  await Promise.all([send(), send(), send()]);
+  const cancel = new AbortController();
+  const request = makeRequest(server.address, "k");
+  const send = () => client.send({ ...request, signal: cancel.signal });
+  const hanging = [send(), send(), send()];
+  while (server.readCounters().runs < 3) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
   t.like(server.readCounters(), {
-    runs: 3,
     maxInFlight: 3,
     overSlots: 1,
     runsByKey: { k: 3 },
-    inFlight: 0,
+    inFlight: 3,
   });
   server.setFaults({ shed: true });
-  const results = await Promise.all([send(), send(), send()]);
-  t.is(results.filter((result) => result.type === "refused").length, 1);
-  t.is(server.readCounters().overSlots, 1);
-  t.deepEqual(await client.fetchHealth(server.address, 1_000), {
+  t.deepEqual(await send(), { type: "refused", draining: false });
+  t.like(server.readCounters(), { runs: 3, overSlots: 1, refused: 1 });
+  t.deepEqual(await client.fetchHealth(server.address, 5_000), {
     type: "health",
     state: "ok",
-    inFlight: 0,
+    inFlight: 3,
     slots: 2,
   });
+  cancel.abort();
+  await Promise.all(hanging);
+  while (server.readCounters().cancelled < 3) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  t.is(server.readCounters().inFlight, 0);
 });
