--- a/packages/testing/server/src/backend_client_test.ts
+++ b/packages/testing/server/src/backend_client_test.ts
@@ -56,7 +56,7 @@
   return { address: `127.0.0.1:${port}`, server };
 }
 
-function frameAnswer(body: string): string {
+function makeAnswer(body: string): string {
   return `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
 }
 
@@ -110,10 +110,10 @@
   const { address } = await openRaw(t, (socket) => {
     requests += 1;
     sockets.push(socket);
-    if (requests === 1) socket.write(frameAnswer("open"));
+    if (requests === 1) socket.write(makeAnswer("open"));
     if (requests === 3) {
-      sockets[0]!.write(frameAnswer("late"));
-      socket.write(frameAnswer("own"));
+      sockets[0]!.write(makeAnswer("late"));
+      socket.write(makeAnswer("own"));
     }
   });
   const client = openClient(t, { maxConnectionsPerServer: 1 });
@@ -133,8 +133,8 @@
   const { address } = await openRaw(t, (socket) => {
     requests += 1;
     const body = `answer ${requests}`;
-    socket.write(frameAnswer(body), () => {
-      if (requests === 1) setImmediate(() => socket.write(frameAnswer("bad")));
+    socket.write(makeAnswer(body), () => {
+      if (requests === 1) setImmediate(() => socket.write(makeAnswer("bad")));
     });
     if (requests === 1) socket.once("close", () => closed());
   });
@@ -178,6 +178,15 @@
     type: "connection_refused",
   });
 
+  const crashing = await openServer(t, { crashHeader: "x-crash" });
+  const poison = makeRequest(crashing.address, "p");
+  const headers = { "x-crash": "1" };
+  t.deepEqual(await client.send({ ...poison, headers }), {
+    type: "connection_lost",
+  });
+  t.is(crashing.readCounters().runs, 1);
+  t.deepEqual(await client.send(poison), { type: "connection_refused" });
+
   const server = await openServer(t);
   server.setFaults({ draining: true });
   t.deepEqual(await client.send(makeRequest(server.address, "c")), {
@@ -232,25 +241,34 @@
 });
 
 test("guards against overload that the server does not count", async (t) => {
-  const server = await openServer(t, { slots: 2, serviceMs: 50 });
+  const server = await openServer(t, { slots: 2, faults: { hang: true } });
   const client = openClient(t);
-  const send = () => client.send(makeRequest(server.address, "k"));
-  await Promise.all([send(), send(), send()]);
+  const cancel = new AbortController();
+  const request = makeRequest(server.address, "k");
+  const send = () => client.send({ ...request, signal: cancel.signal });
+  const hanging = [send(), send(), send()];
+  while (server.readCounters().runs < 3) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
   t.like(server.readCounters(), {
-    runs: 3,
     maxInFlight: 3,
     overSlots: 1,
     runsByKey: { k: 3 },
-    inFlight: 0,
+    inFlight: 3,
   });
   server.setFaults({ shed: true });
-  const results = await Promise.all([send(), send(), send()]);
-  t.is(results.filter((result) => result.type === "refused").length, 1);
-  t.is(server.readCounters().overSlots, 1);
-  t.deepEqual(await client.fetchHealth(server.address, 1_000), {
+  t.deepEqual(await send(), { type: "refused", draining: false });
+  t.like(server.readCounters(), { runs: 3, overSlots: 1, refused: 1 });
+  t.deepEqual(await client.fetchHealth(server.address, 5_000), {
     type: "health",
     state: "ok",
-    inFlight: 0,
+    inFlight: 3,
     slots: 2,
   });
+  cancel.abort();
+  await Promise.all(hanging);
+  while (server.readCounters().cancelled < 3) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  t.is(server.readCounters().inFlight, 0);
 });
