Give each service its share of a link and wake machines when due

Budgets of links were shared without the share that a document states, and requests forwarded to the issuer of a key crossed links without a permit. Each service now has a ledger of its own share under the link's owner, and both ways of a forwarded request take permits. Timers follow what a machine has due next in place of ticks every 2 or 10 ms. The build passes; not yet run as processes.

--- a/packages/daemon/entry/src/connection/peer_handlers.ts
+++ b/packages/daemon/entry/src/connection/peer_handlers.ts
@@ -18,11 +18,10 @@
 import type { OwnershipPart } from "../process/ownership_part.ts";
 import type { Execution } from "../request/execution.ts";
 import type { CallerRequest } from "../request/front.ts";
+import { computeFrameBytes } from "../request/link_limits.ts";
 
 /** Time kept back for the way of the answer. */
 const HOP_MS = 5;
-/** Bytes of an answer's frame besides its body. */
-const FRAME_OVERHEAD_BYTES = 1_024;
 
 /** Options of `createPeerHandlers`. */
 export interface PeerHandlersOptions {
@@ -46,8 +45,12 @@
   return {
     exec: async (message, { signal }) =>
       makeResult(await runExecution(options, message, signal)),
-    submit: async (message, { signal }) =>
-      makeResult(await options.runSubmitted(message, signal)),
+    submit: async (message, { signal, peer }) => {
+      const deadlineAtMs = options.nowMs() + message.deadlineMs;
+      const outcome = await options.runSubmitted(message, signal);
+      const way = { ...message, deadlineAtMs, frontRegion: peer.region };
+      return makeResult(await sendOverLink(options, way, outcome));
+    },
     promise: async (message) => ({
       type: "promise_result",
       granted: await ownership.answerPromise(message),
@@ -88,22 +91,24 @@
   const deadlineAtMs = options.nowMs() + deadlineMs;
   const execution: Execution = { ...rest, deadlineAtMs };
   const outcome = await group.execute(execution, signal);
-  if (outcome.type !== "answered") return outcome;
   return await sendOverLink(options, execution, outcome);
 }
 
 /** Keeps an answer back until its bytes fit into the link's budget. */
 async function sendOverLink(
   options: PeerHandlersOptions,
-  execution: Execution,
-  outcome: Extract<Outcome, { type: "answered" }>,
+  execution: Pick<Execution, "deadlineAtMs" | "frontRegion" | "service">,
+  outcome: Outcome,
 ): Promise<Outcome> {
+  if (outcome.type !== "answered") return outcome;
   if (execution.frontRegion === options.region) return outcome;
-  const bytes = outcome.body.byteLength + FRAME_OVERHEAD_BYTES;
-  const untilMs = execution.deadlineAtMs - HOP_MS;
-  return await options.links.takeBytes(execution.frontRegion, bytes, untilMs)
-    ? outcome
-    : { type: "unknown", reason: "deadline-passed" };
+  const isSent = await options.links.takeBytes({
+    to: execution.frontRegion,
+    service: execution.service,
+    bytes: computeFrameBytes(outcome),
+    untilMs: execution.deadlineAtMs - HOP_MS,
+  });
+  return isSent ? outcome : { type: "unknown", reason: "deadline-passed" };
 }
 
 function makeNotOwner(options: PeerHandlersOptions, service: string): NotRun {
--- a/packages/daemon/entry/src/process/claims_part.ts
+++ b/packages/daemon/entry/src/process/claims_part.ts
@@ -9,12 +9,8 @@
 import type { DisposableStore } from "@dotterelmoor/core.types";
 import type { PlatformClient } from "@dotterelmoor/network.platform";
 import type { Clock } from "./clock.ts";
-import { startInterval } from "./intervals.ts";
 import { createMachineDriver } from "./machine_driver.ts";
 
-// Shorter than the linger of a batch would not help; claims wait about 3 ms.
-const TICK_MS = 2;
-
 /** Options of `createClaimsPart`. */
 export interface ClaimsPartOptions {
   readonly clock: Clock;
@@ -62,6 +58,11 @@
   const driver = createMachineDriver<ClaimsEvent, ClaimsAction>({
     machine: claims,
     clock,
+    wake: {
+      nextMs: () => claims.nextTickMs(),
+      event: { type: "tick" },
+      store: options.store,
+    },
     handlers: {
       transact: ({ operationId, transaction }) => {
         platform.transact(transaction).then((result) =>
@@ -77,13 +78,6 @@
       refused: ({ requestId, outcome }) => settle(requestId, outcome),
     },
   });
-  startInterval(options.store, TICK_MS, () => {
-    const dueMs = claims.nextTickMs();
-    if (dueMs !== undefined && dueMs <= clock.nowMs()) {
-      driver.send({ type: "tick" });
-    }
-  });
-
   return {
     claim: (request) =>
       new Promise((resolve) => {
--- a/packages/daemon/entry/src/process/group_owner.ts
+++ b/packages/daemon/entry/src/process/group_owner.ts
@@ -18,6 +18,7 @@
 import { createShiftGate } from "@dotterelmoor/core.shifting";
 import type { ShiftGate } from "@dotterelmoor/core.shifting";
 import type {
+  DisposableStore,
   NotRun,
   NotRunReason,
   Outcome,
@@ -54,6 +55,7 @@
   readonly quarantine: QuarantinePart;
   /** End of this process's authority over the group on its own clock. */
   readonly authorityUntilMs: () => number;
+  readonly store: DisposableStore;
   /** No request is in flight any more after `close`. */
   readonly onIdle: () => void;
 }
@@ -99,6 +101,11 @@
   const driver = createMachineDriver<DispatchEvent, DispatchAction>({
     machine: dispatcher,
     clock,
+    wake: {
+      nextMs: () => dispatcher.nextWakeMs(),
+      event: { type: "tick" },
+      store: options.store,
+    },
     handlers: {
       send: (action) => void sendToServer(action),
       refuse: ({ id, reason, retryAfterMs }) =>
@@ -246,6 +253,9 @@
     budget.handle({ type: "request" }, clock.nowMs());
     return new Promise((resolve) => {
       const abort = new AbortController();
+      if (signal.aborted) {
+        return resolve({ type: "unknown", reason: "caller-left" });
+      }
       admit(execution, resolve, abort, []);
       signal.addEventListener("abort", () => cancelRuns(abort), { once: true });
     });
--- a/packages/daemon/entry/src/process/groups.ts
+++ b/packages/daemon/entry/src/process/groups.ts
@@ -19,7 +19,9 @@
 import { startInterval } from "./intervals.ts";
 import type { Metrics } from "./metrics.ts";
 
-const TICK_MS = 10;
+// Requests are dispatched by events; this period bounds how late a lapse of
+// authority is seen by requests that wait.
+const TICK_MS = 100;
 const HEALTH_INTERVAL_MS = 500;
 const HEALTH_TIMEOUT_MS = 450;
 const PUBLISH_INTERVAL_MS = 500;
--- a/packages/daemon/entry/src/process/link_part.ts
+++ b/packages/daemon/entry/src/process/link_part.ts
@@ -9,7 +9,10 @@
   createPermitLedger,
 } from "@dotterelmoor/core.permitting";
 import type { PermitHolder, PermitLedger } from "@dotterelmoor/core.permitting";
-import type { DisposableStore, LinkDocument } from "@dotterelmoor/core.types";
+import type {
+  ConfigurationSnapshot,
+  DisposableStore,
+} from "@dotterelmoor/core.types";
 import type { PeerMessage, PeerPool } from "@dotterelmoor/network.peering";
 import type { Clock } from "./clock.ts";
 import { startInterval } from "./intervals.ts";
@@ -31,25 +34,38 @@
 
 /** Permits of this process and ledgers that it owns. */
 export interface LinkPart {
-  update(links: readonly LinkDocument[]): void;
+  setSnapshot(snapshot: ConfigurationSnapshot): void;
   /** Takes bytes for a link now, or waits for them until a time. */
-  takeBytes(to: string, bytes: number, untilMs: number): Promise<boolean>;
+  takeBytes(use: LinkUse): Promise<boolean>;
   open(resource: string): void;
   close(resource: string): void;
   /** Grants a rate to a holder; undefined if the ledger is not owned here. */
   grantPermit(request: PermitAsk): number | undefined;
 }
 
+/** Bytes that a service wants to send to another region. */
+export interface LinkUse {
+  readonly to: string;
+  readonly service: string;
+  readonly bytes: number;
+  /** Time until which the bytes may wait. */
+  readonly untilMs: number;
+}
+
 /** A holder's request to a ledger. */
 export interface PermitAsk {
   readonly from: string;
   readonly to: string;
+  readonly service: string;
   readonly holder: string;
   readonly requestId: number;
   readonly demand: number;
 }
 
-interface Link {
+/** Share of one service in one link. */
+interface Share {
+  readonly to: string;
+  readonly service: string;
   readonly budget: number;
   readonly holder: PermitHolder;
   readonly ledger: PermitLedger;
@@ -63,53 +79,44 @@
 /** Creates the permits of this process. */
 export function createLinkPart(options: LinkPartOptions): LinkPart {
   const { clock, region } = options;
-  const links = new Map<string, Link>();
+  const shares = new Map<string, Share>();
   const openLedgers = new Set<string>();
 
-  function update(documents: readonly LinkDocument[]): void {
-    const wanted = documents.filter((link) => link.from === region);
-    for (const { to, bitsPerSecond } of wanted) {
-      const budget = bitsPerSecond / BITS_PER_BYTE;
-      if (links.get(to)?.budget === budget) continue;
-      const ledger = createPermitLedger({ budgetBytesPerSecond: budget });
+  function setSnapshot(snapshot: ConfigurationSnapshot): void {
+    const wanted = listShares(snapshot, region);
+    for (const { to, service, budget } of wanted) {
+      const key = makeShareKey(to, service);
+      if (shares.get(key)?.budget === budget) continue;
+      const settings = { budgetBytesPerSecond: budget };
+      const ledger = createPermitLedger(settings);
       if (openLedgers.has(buildLinkKey(region, to))) {
         ledger.handle({ type: "open" }, clock.nowMs());
       }
-      const holder = createPermitHolder({ budgetBytesPerSecond: budget });
-      links.set(to, { budget, holder, ledger });
-    }
-    for (const to of links.keys()) {
-      if (!wanted.some((link) => link.to === to)) links.delete(to);
+      const holder = createPermitHolder(settings);
+      shares.set(key, { to, service, budget, holder, ledger });
     }
+    const keys = new Set(
+      wanted.map(({ to, service }) => makeShareKey(to, service)),
+    );
+    for (const key of shares.keys()) if (!keys.has(key)) shares.delete(key);
   }
 
   function grantPermit(ask: PermitAsk): number | undefined {
-    const link = links.get(ask.to);
-    const resource = buildLinkKey(ask.from, ask.to);
-    const owned = options.findLedger(resource) === "self";
-    if (link === undefined || !owned) return undefined;
-    const grants = link.ledger.handle({
-      type: "request",
-      holder: ask.holder,
-      requestId: ask.requestId,
-      demand: ask.demand,
-    }, clock.nowMs());
-    return grants.find((grant) => grant.holder === ask.holder)?.rate ?? 0;
+    const share = shares.get(makeShareKey(ask.to, ask.service));
+    const owned = options.findLedger(buildLinkKey(ask.from, ask.to)) === "self";
+    if (share === undefined || !owned) return undefined;
+    const { holder, requestId, demand } = ask;
+    const grants = share.ledger.handle(
+      { type: "request", holder, requestId, demand },
+      clock.nowMs(),
+    );
+    return grants.find((grant) => grant.holder === holder)?.rate ?? 0;
   }
 
   async function requestPermit(
-    to: string,
-    requestId: number,
-    demand: number,
+    ask: PermitAsk,
   ): Promise<number | undefined> {
-    const ask = {
-      from: region,
-      to,
-      holder: options.processId,
-      requestId,
-      demand,
-    };
-    const ledger = options.findLedger(buildLinkKey(region, to));
+    const ledger = options.findLedger(buildLinkKey(ask.from, ask.to));
     if (ledger === "self") return grantPermit(ask);
     if (ledger === undefined) return undefined;
     const result = await options.peers.call(
@@ -120,60 +127,98 @@
     return result.type === "answered" ? readRate(result.message) : undefined;
   }
 
-  function tickLink(to: string, link: Link): void {
+  function tickShare({ to, service, holder, ledger }: Share): void {
     const nowMs = clock.nowMs();
-    link.ledger.handle({ type: "tick" }, nowMs);
-    for (const ask of link.holder.handle({ type: "tick" }, nowMs)) {
-      requestPermit(to, ask.requestId, ask.demand).then((rate) => {
+    ledger.handle({ type: "tick" }, nowMs);
+    for (
+      const { requestId, demand } of holder.handle({ type: "tick" }, nowMs)
+    ) {
+      const ask = {
+        from: region,
+        to,
+        service,
+        holder: options.processId,
+        requestId,
+        demand,
+      };
+      requestPermit(ask).then((rate) => {
         if (rate === undefined) return;
-        link.holder.handle(
-          { type: "granted", requestId: ask.requestId, rate },
-          clock.nowMs(),
-        );
+        holder.handle({ type: "granted", requestId, rate }, clock.nowMs());
       });
     }
   }
 
+  function setOpen(resource: string, type: "open" | "close"): void {
+    if (type === "open") openLedgers.add(resource);
+    else openLedgers.delete(resource);
+    for (const { to, ledger } of shares.values()) {
+      if (buildLinkKey(region, to) !== resource) continue;
+      ledger.handle({ type }, clock.nowMs());
+    }
+  }
+
   startInterval(options.store, TICK_MS, () => {
-    for (const [to, link] of links) tickLink(to, link);
+    for (const share of shares.values()) tickShare(share);
   });
-
   return {
-    update,
+    setSnapshot,
     grantPermit,
-    takeBytes: async (to, bytes, untilMs) => {
-      for (;;) {
-        const link = links.get(to);
-        const nowMs = clock.nowMs();
-        if (link === undefined) return false;
-        if (link.holder.take(bytes, nowMs)) return true;
-        const pauseMs = Math.min(
-          Math.max(link.holder.waitMs(bytes, nowMs), 1),
-          TICK_MS,
-        );
-        if (nowMs + pauseMs > untilMs) return false;
-        await new Promise((resolve) => setTimeout(resolve, pauseMs));
-      }
-    },
-    open: (resource) => {
-      openLedgers.add(resource);
-      for (const [to, link] of links) {
-        if (buildLinkKey(region, to) === resource) {
-          link.ledger.handle({ type: "open" }, clock.nowMs());
-        }
-      }
-    },
-    close: (resource) => {
-      openLedgers.delete(resource);
-      for (const [to, link] of links) {
-        if (buildLinkKey(region, to) === resource) {
-          link.ledger.handle({ type: "close" }, clock.nowMs());
-        }
-      }
-    },
+    takeBytes: (use) =>
+      waitForBytes(
+        () => shares.get(makeShareKey(use.to, use.service))?.holder,
+        {
+          ...use,
+          clock,
+        },
+      ),
+    open: (resource) => setOpen(resource, "open"),
+    close: (resource) => setOpen(resource, "close"),
   };
 }
 
+function makeShareKey(to: string, service: string): string {
+  return `${to}/${service}`;
+}
+
+/** Shares of all services in the links that leave a region. */
+function listShares(
+  snapshot: ConfigurationSnapshot,
+  region: string,
+): Pick<Share, "budget" | "service" | "to">[] {
+  const services = Object.values(snapshot.teams)
+    .flatMap((team) => team.services);
+  return snapshot.platform.links
+    .filter((link) => link.from === region)
+    .flatMap(({ to, bitsPerSecond }) =>
+      services.map(({ name, linkShare }) => ({
+        to,
+        service: name,
+        budget: bitsPerSecond / BITS_PER_BYTE * linkShare,
+      }))
+    );
+}
+
+interface WaitOptions extends LinkUse {
+  readonly clock: Clock;
+}
+
+/** Takes bytes as soon as the permit allows; false if that is too late. */
+async function waitForBytes(
+  findHolder: () => PermitHolder | undefined,
+  { bytes, untilMs, clock }: WaitOptions,
+): Promise<boolean> {
+  for (;;) {
+    const holder = findHolder();
+    const nowMs = clock.nowMs();
+    if (holder === undefined) return false;
+    if (holder.take(bytes, nowMs)) return true;
+    const waitMs = Math.max(holder.waitMs(bytes, nowMs), 1);
+    const pauseMs = Math.min(waitMs, TICK_MS);
+    if (nowMs + pauseMs > untilMs) return false;
+    await new Promise((resolve) => setTimeout(resolve, pauseMs));
+  }
+}
+
 function readRate(message: PeerMessage): number | undefined {
   return message.type === "permit_result" && message.granted
     ? message.rate
--- a/packages/daemon/entry/src/process/machine_driver.ts
+++ b/packages/daemon/entry/src/process/machine_driver.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { StateMachine } from "@dotterelmoor/core.types";
+import type { DisposableStore, StateMachine } from "@dotterelmoor/core.types";
 import type { Clock } from "./clock.ts";
 
 /** One handler for each type of action. */
@@ -22,6 +22,15 @@
   readonly machine: StateMachine<Event, Action>;
   readonly handlers: ActionHandlers<Action>;
   readonly clock: Clock;
+  /** Sends an event when the machine has something due. */
+  readonly wake?: WakeOptions<Event>;
+}
+
+/** When and how to wake a machine. */
+export interface WakeOptions<Event> {
+  readonly nextMs: () => number | undefined;
+  readonly event: Event;
+  readonly store: DisposableStore;
 }
 
 /** Applies events in order, each with its actions, within the same turn. */
@@ -37,6 +46,7 @@
   const { machine, handlers, clock } = options;
   const pending: Event[] = [];
   let draining = false;
+  const wake = options.wake && createWake(options.wake, clock, send);
 
   function run(event: Event): void {
     for (const action of machine.handle(event, clock.nowMs())) {
@@ -47,17 +57,45 @@
     }
   }
 
-  return {
-    // Handlers may send further events; those run after the current one.
-    send(event) {
-      pending.push(event);
-      if (draining) return;
-      draining = true;
-      try {
-        while (pending.length > 0) run(pending.shift()!);
-      } finally {
-        draining = false;
-      }
-    },
+  // Handlers may send further events; those run after the current one.
+  function send(event: Event): void {
+    pending.push(event);
+    if (draining) return;
+    draining = true;
+    try {
+      while (pending.length > 0) run(pending.shift()!);
+    } finally {
+      draining = false;
+    }
+    wake?.();
+  }
+
+  return { send };
+}
+
+/** Timers of Node.js take at most this many milliseconds. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
+/** Returns a function that sets the timer for what is due next. */
+function createWake<Event>(
+  options: WakeOptions<Event>,
+  clock: Clock,
+  send: (event: Event) => void,
+): () => void {
+  let timer: ReturnType<typeof setTimeout> | undefined;
+  let dueMs: number | undefined;
+  options.store.add(() => clearTimeout(timer));
+  return () => {
+    const nextMs = options.nextMs();
+    if (nextMs === dueMs && timer !== undefined) return;
+    clearTimeout(timer);
+    timer = undefined;
+    dueMs = nextMs;
+    if (nextMs === undefined) return;
+    const delayMs = Math.max(Math.ceil(nextMs - clock.nowMs()), 1);
+    timer = setTimeout(() => {
+      timer = undefined;
+      send(options.event);
+    }, Math.min(delayMs, MAX_TIMER_MS));
   };
 }
--- a/packages/daemon/entry/src/process/membership_part.ts
+++ b/packages/daemon/entry/src/process/membership_part.ts
@@ -46,8 +46,8 @@
   send(event: MembershipEvent): void;
   /** Address of the live member with an incarnation. */
   findAddress(incarnation: number): string | undefined;
-  /** Address of the live member with a process id. */
-  findProcess(processId: string): string | undefined;
+  /** The live member with a process id. */
+  findProcess(processId: string): MemberRecord | undefined;
 }
 
 /** Creates membership; `start` makes it join. */
@@ -83,8 +83,7 @@
         member.incarnation === incarnation
       )?.peerAddress,
     findProcess: (processId) =>
-      membership.liveMembers().find((member) => member.processId === processId)
-        ?.peerAddress,
+      membership.liveMembers().find((member) => member.processId === processId),
   };
 }
 
--- a/packages/daemon/entry/src/process/quarantine_part.ts
+++ b/packages/daemon/entry/src/process/quarantine_part.ts
@@ -13,11 +13,8 @@
 import type { DisposableStore } from "@dotterelmoor/core.types";
 import type { Logger } from "pino";
 import type { Clock } from "./clock.ts";
-import { startInterval } from "./intervals.ts";
 import { createMachineDriver } from "./machine_driver.ts";
 
-const TICK_MS = 200;
-
 /** What a group does with a request that asked to run. */
 export interface AdmissionHandler {
   run(trial: boolean): void;
@@ -76,6 +73,11 @@
   const driver = createMachineDriver<QuarantineEvent, QuarantineAction>({
     machine: quarantine,
     clock: options.clock,
+    wake: {
+      nextMs: () => quarantine.nextWakeMs(),
+      event: { type: "tick" },
+      store: options.store,
+    },
     handlers: {
       run: ({ id, trial }) => handlers.get(id)?.run(trial),
       recall: ({ id }) => handlers.get(id)?.recall(),
@@ -98,7 +100,6 @@
     return "";
   }
 
-  startInterval(options.store, TICK_MS, () => driver.send({ type: "tick" }));
   return {
     quarantine,
     send: (event) => driver.send(event),
--- a/packages/daemon/entry/src/request/key_claims.ts
+++ b/packages/daemon/entry/src/request/key_claims.ts
@@ -6,10 +6,13 @@
  */
 
 import type { IssuedKeys } from "@dotterelmoor/core.claiming";
+import type { MemberRecord } from "@dotterelmoor/core.membership";
 import type { Outcome } from "@dotterelmoor/core.types";
 import type { PeerPool } from "@dotterelmoor/network.peering";
 import type { ClaimResult, ClaimsPart } from "../process/claims_part.ts";
+import type { LinkPart } from "../process/link_part.ts";
 import type { CallerRequest, KeyClaim } from "./front.ts";
+import { computeFrameBytes, LINK_WAIT_MS } from "./link_limits.ts";
 
 /** Options of `createKeyClaimer`. */
 export interface KeyClaimerOptions {
@@ -18,8 +21,10 @@
   readonly issuedKeys: IssuedKeys;
   readonly claims: ClaimsPart;
   readonly peers: PeerPool;
-  /** Peer address of a process, if it is alive. */
-  readonly findProcess: (processId: string) => string | undefined;
+  readonly region: string;
+  readonly links: LinkPart;
+  /** A live member by its process id. */
+  readonly findProcess: (processId: string) => MemberRecord | undefined;
 }
 
 /** Claims the key of a request before anything is sent for it. */
@@ -53,12 +58,15 @@
     processId: string,
     expiresAtMs: number,
   ): Promise<KeyClaim> {
-    const address = options.findProcess(processId);
+    const issuer = options.findProcess(processId);
     // Without its issuer nobody can tell whether the request ran.
-    if (address === undefined) return makeClaim(KEY_TAKEN);
+    if (issuer === undefined) return makeClaim(KEY_TAKEN);
+    if (!await isLinkFree(request, issuer.region)) {
+      return makeClaim({ type: "not-run", reason: "link-budget" });
+    }
     const deadlineMs = expiresAtMs - options.nowMs();
     const result = await options.peers.call(
-      address,
+      issuer.peerAddress,
       { type: "submit", ...request, deadlineMs },
       { timeoutMs: deadlineMs },
     );
@@ -69,6 +77,16 @@
     return makeClaim({ type: "forwarded", outcome });
   }
 
+  function isLinkFree(request: CallerRequest, to: string): Promise<boolean> {
+    if (to === options.region) return Promise.resolve(true);
+    return options.links.takeBytes({
+      to,
+      service: request.service,
+      bytes: computeFrameBytes(request),
+      untilMs: options.nowMs() + LINK_WAIT_MS,
+    });
+  }
+
   async function claimInTable(
     request: CallerRequest,
     key: string,
--- a/packages/daemon/entry/src/request/target_runner.ts
+++ b/packages/daemon/entry/src/request/target_runner.ts
@@ -11,11 +11,8 @@
 import type { Groups } from "../process/groups.ts";
 import type { LinkPart } from "../process/link_part.ts";
 import type { Execution } from "./execution.ts";
+import { computeFrameBytes, LINK_WAIT_MS } from "./link_limits.ts";
 
-/** Wait for a byte permit before another region is tried. */
-const LINK_WAIT_MS = 100;
-/** Bytes of a request's frame besides its body. */
-const FRAME_OVERHEAD_BYTES = 1_024;
 /** Time by which the deadline shrinks on the way to a peer. */
 const HOP_MS = 5;
 
@@ -64,11 +61,13 @@
       options.findOwnerAddress(buildGroupKey(execution.service, target.region));
     if (address === undefined) return makeNotRun("group-closed");
     if (target.region !== options.region) {
-      const bytes = execution.body.byteLength + FRAME_OVERHEAD_BYTES;
-      const untilMs = options.nowMs() + LINK_WAIT_MS;
-      if (!await options.links.takeBytes(target.region, bytes, untilMs)) {
-        return makeNotRun("link-budget");
-      }
+      const isFree = await options.links.takeBytes({
+        to: target.region,
+        service: execution.service,
+        bytes: computeFrameBytes(execution),
+        untilMs: options.nowMs() + LINK_WAIT_MS,
+      });
+      if (!isFree) return makeNotRun("link-budget");
     }
     const outcome = await callOwner(address, execution, signal);
     if (outcome.type !== "not-run" || outcome.ownerHint === undefined) {
--- a/packages/daemon/entry/src/wiring/parts.ts
+++ b/packages/daemon/entry/src/wiring/parts.ts
@@ -138,7 +138,7 @@
     membership: parts.membership.membership,
   });
   parts.membership.send({ type: "set_digest", sequence: snapshot.sequence });
-  parts.links.update(snapshot.platform.links);
+  parts.links.setSnapshot(snapshot);
   parts.groups.setSnapshot(snapshot);
   const links = snapshot.platform.links
     .filter((link) => link.from === region)
@@ -260,6 +260,7 @@
         clock,
         random,
         backend,
+        store,
         quarantine: parts.quarantine,
         authorityUntilMs: () =>
           readAuthority(
--- a/packages/daemon/entry/src/wiring/requests.ts
+++ b/packages/daemon/entry/src/wiring/requests.ts
@@ -102,8 +102,10 @@
     takeRetry: budgets.takeRetry,
     claimKey: createKeyClaimer({
       processId,
+      region: settings.region,
       nowMs: clock.nowMs,
       issuedKeys,
+      links: parts.links,
       claims: parts.claims,
       peers,
       findProcess: parts.membership.findProcess,
--- a/packages/network/peering/src/envelope_test.ts
+++ b/packages/network/peering/src/envelope_test.ts
@@ -65,6 +65,7 @@
       holder: "p",
       requestId: 4,
       demand: 1.5,
+      service: "availdesk",
     },
     { type: "permit_result", granted: true, rate: 1e9 },
     { type: "config_push", snapshot, forward: true },
--- a/packages/network/peering/src/guards.ts
+++ b/packages/network/peering/src/guards.ts
@@ -138,6 +138,7 @@
   permit: {
     from: isString,
     to: isString,
+    service: isString,
     holder: isString,
     requestId: isCount,
     demand: isAmount,
--- a/packages/network/peering/src/messages.ts
+++ b/packages/network/peering/src/messages.ts
@@ -93,6 +93,8 @@
   readonly type: "permit";
   readonly from: string;
   readonly to: string;
+  /** Service whose share of the link is asked for. */
+  readonly service: string;
   /** Process id of the holder that asks. */
   readonly holder: string;
   readonly requestId: number;
