--- /dev/null
+++ b/packages/command/replay/src/modules.ts
@@ -0,0 +1,38 @@
+/**
+ * State machines that traces may name.
+ *
+ * @module
+ */
+
+import { createDispatcher } from "@dotterelmoor/core.dispatching";
+import { createQuarantine } from "@dotterelmoor/core.quarantine";
+import { createRetryBudget } from "@dotterelmoor/core.retrying";
+import { createShiftGate } from "@dotterelmoor/core.shifting";
+import type { Random, StateMachine } from "@dotterelmoor/core.types";
+
+/** A state machine whose events and actions come from a trace. */
+export type AnyMachine = StateMachine<unknown, unknown>;
+
+/** Options from a trace, with the random numbers of the trace. */
+export interface ReplayedOptions {
+  readonly random: Random;
+  readonly [name: string]: unknown;
+}
+
+/** Creates a state machine from the options in a trace. */
+export type ModuleFactory = (options: ReplayedOptions) => AnyMachine;
+
+/** Factories by the name of the package below `core`. */
+export const MODULES: Readonly<Record<string, ModuleFactory>> = {
+  dispatching: makeFactory(createDispatcher),
+  quarantine: makeFactory(createQuarantine),
+  retrying: makeFactory(createRetryBudget),
+  shifting: makeFactory(createShiftGate),
+};
+
+/** Drops the types: a wrong trace shows as a difference or an error. */
+function makeFactory<Options, Event, Action>(
+  create: (options: Options) => StateMachine<Event, Action>,
+): ModuleFactory {
+  return create as unknown as ModuleFactory;
+}
--- /dev/null
+++ b/packages/command/replay/src/replay.ts
@@ -0,0 +1,114 @@
+/**
+ * Replays a trace and compares the actions.
+ *
+ * @module
+ */
+
+import type { CodedError, Random } from "@dotterelmoor/core.types";
+import { isDeepStrictEqual } from "node:util";
+import { MODULES } from "./modules.ts";
+import type { AnyMachine } from "./modules.ts";
+import { parseTraceLine } from "./trace.ts";
+import type { EventLine, OptionsLine } from "./trace.ts";
+
+/** Result of a replay; stops at the first difference or error. */
+export type ReplayResult =
+  | { readonly type: "same"; readonly events: number }
+  | {
+    readonly type: "different";
+    /** Counted from 1. */
+    readonly line: number;
+    readonly event: EventLine;
+    readonly actions: readonly unknown[];
+  }
+  | {
+    readonly type: "invalid";
+    readonly line: number;
+    readonly error: CodedError;
+  };
+
+interface Replayed {
+  readonly machine: AnyMachine;
+  /** Random numbers of the present event that were not drawn yet. */
+  readonly drawn: number[];
+}
+
+/** Replays the lines of one trace. */
+export async function runReplay(
+  lines: AsyncIterable<string> | Iterable<string>,
+): Promise<ReplayResult> {
+  const machines = new Map<string, Replayed>();
+  let line = 0;
+  let events = 0;
+  for await (const text of lines) {
+    line += 1;
+    if (text.trim() === "") continue;
+    const parsed = parseTraceLine(text);
+    if ("code" in parsed) return { type: "invalid", line, error: parsed };
+    if ("options" in parsed) {
+      const error = addMachine(machines, parsed);
+      if (error !== undefined) return { type: "invalid", line, error };
+      continue;
+    }
+    const replayed = machines.get(makeName(parsed));
+    if (replayed === undefined) {
+      return { type: "invalid", line, error: NO_OPTIONS };
+    }
+    events += 1;
+    const actions = runEvent(replayed, parsed);
+    if (!isDeepStrictEqual(actions, parsed.expect)) {
+      return { type: "different", line, event: parsed, actions };
+    }
+  }
+  return { type: "same", events };
+}
+
+const NO_OPTIONS: CodedError = {
+  code: "trace_without_options",
+  message: "The event names a machine that has no options",
+  hint: "Put a line with its options before its first event",
+};
+
+function makeName({ module, instance = "" }: OptionsLine | EventLine): string {
+  return `${module}/${instance}`;
+}
+
+function addMachine(
+  machines: Map<string, Replayed>,
+  line: OptionsLine,
+): CodedError | undefined {
+  const create = Object.hasOwn(MODULES, line.module)
+    ? MODULES[line.module]
+    : undefined;
+  if (create === undefined) {
+    return {
+      code: "trace_module_unknown",
+      message: `There is no module ${line.module}`,
+      hint: `Use one of ${Object.keys(MODULES).join(", ")}`,
+    };
+  }
+  const drawn: number[] = [];
+  const random: Random = () => {
+    const value = drawn.shift();
+    if (value === undefined) {
+      throw new Error("The trace has no more random numbers");
+    }
+    return value;
+  };
+  const machine = create({ ...line.options, random });
+  machines.set(makeName(line), { machine, drawn });
+  return undefined;
+}
+
+/** Runs an event; an error takes the place of the actions. */
+function runEvent(replayed: Replayed, line: EventLine): unknown[] {
+  const { machine, drawn } = replayed;
+  drawn.splice(0, drawn.length, ...line.random ?? []);
+  try {
+    const actions = machine.handle(line.event, line.atMs);
+    // Traces are JSON, which knows neither undefined nor infinite values.
+    return JSON.parse(JSON.stringify(actions));
+  } catch (error) {
+    return [{ type: "error", message: String(error) }];
+  }
+}
--- a/packages/core/dispatching/src/shedding.ts
+++ b/packages/core/dispatching/src/shedding.ts
@@ -78,9 +78,9 @@
   const { queued, reason } = refusal;
   const { id } = queued.request;
   const usable = Math.max(computeUsable(state), 1);
-  const drainMs = state.queue.length * state.serviceMs / usable;
+  const waiting = Math.max(state.queue.length, usable);
   const retryAfterMs = RETRY_AFTER_QUEUE.has(reason)
-    ? Math.ceil(drainMs)
+    ? Math.ceil(waiting * state.serviceMs / usable)
     : RECOVERY_MS;
   state.queue.remove(id);
   addRefusal(turn, id, { reason, retryAfterMs });
