Make the dispatcher's cost independent of most of its queue

Each event walked all waiting requests to find those without a server. Only requests that must avoid servers can lack one while another server is eligible, so only these are checked, and the queue is copied without flatMap.

--- a/packages/core/dispatching/src/request_queue.ts
+++ b/packages/core/dispatching/src/request_queue.ts
@@ -24,6 +24,8 @@
     background: [],
   };
   readonly #ids = new Map<string, QueuedRequest>();
+  /** Requests that must not go to some servers. */
+  readonly #restricted = new Set<QueuedRequest>();
   /** No request is due before this time; may be too early. */
   #earliestDeadlineMs = Infinity;
 
@@ -64,6 +66,7 @@
     const queued = this.#ids.get(id);
     if (queued === undefined) return undefined;
     this.#ids.delete(id);
+    this.#restricted.delete(queued);
     const list = this.#classes[queued.request.priority];
     list.splice(list.indexOf(queued), 1);
     return queued;
@@ -80,7 +83,13 @@
 
   /** Copy in the order of dispatch, safe against changes while it is read. */
   list(): QueuedRequest[] {
-    return CLASSES.flatMap((name) => this.#classes[name]);
+    const { critical, normal, background } = this.#classes;
+    return critical.concat(normal, background);
+  }
+
+  /** Requests that must not go to some servers, in no order. */
+  listRestricted(): QueuedRequest[] {
+    return [...this.#restricted];
   }
 
   /** Takes out the requests that have no more than the margin left. */
@@ -105,6 +114,7 @@
 
   #register(queued: QueuedRequest): void {
     this.#ids.set(queued.request.id, queued);
+    if (queued.request.avoid.length > 0) this.#restricted.add(queued);
     this.#earliestDeadlineMs = Math.min(
       this.#earliestDeadlineMs,
       queued.request.deadlineAtMs,
--- a/packages/core/dispatching/src/shedding.ts
+++ b/packages/core/dispatching/src/shedding.ts
@@ -30,7 +30,11 @@
     refuse(state, turn, { queued, reason: "deadline-too-short" });
   }
   const eligible = state.servers.listEligible();
-  for (const queued of state.queue.list()) {
+  const { queue } = state;
+  const restricted = eligible.length > 0
+    ? queue.listRestricted()
+    : queue.list();
+  for (const queued of restricted) {
     const { avoid } = queued.request;
     const exhausted = queued.tries >= state.options.maxTries;
     if (exhausted || eligible.every((id) => avoid.includes(id))) {
