--- a/packages/core/dispatching/src/shedding.ts
+++ b/packages/core/dispatching/src/shedding.ts
@@ -30,7 +30,11 @@
     refuse(state, turn, { queued, reason: "deadline-too-short" });
   }
   const eligible = state.servers.listEligible();
-  for (const queued of state.queue.list()) {
+  const { queue } = state;
+  const restricted = eligible.length > 0
+    ? queue.listRestricted()
+    : queue.list();
+  for (const queued of restricted) {
     const { avoid } = queued.request;
     const exhausted = queued.tries >= state.options.maxTries;
     if (exhausted || eligible.every((id) => avoid.includes(id))) {
@@ -78,9 +82,9 @@
   const { queued, reason } = refusal;
   const { id } = queued.request;
   const usable = Math.max(computeUsable(state), 1);
-  const drainMs = state.queue.length * state.serviceMs / usable;
+  const waiting = Math.max(state.queue.length, usable);
   const retryAfterMs = RETRY_AFTER_QUEUE.has(reason)
-    ? Math.ceil(drainMs)
+    ? Math.ceil(waiting * state.serviceMs / usable)
     : RECOVERY_MS;
   state.queue.remove(id);
   addRefusal(turn, id, { reason, retryAfterMs });
