Add look-up answers, target order and the client-block table

Front entries need a region order that follows group states without flipping, and look-up answers that spread callers over live entries.

--- a/packages/core/steering/src/client_blocks.ts
+++ b/packages/core/steering/src/client_blocks.ts
@@ -8,6 +8,7 @@
 
 /** Finds the region nearest to a client; built once per snapshot. */
 export interface ClientBlockTable {
+  /** Disjoint address ranges after nested blocks were resolved. */
   readonly size: number;
   /** Bytes held by the typed arrays. */
   readonly byteLength: number;
@@ -15,9 +16,181 @@
   find(ipv4: string | number): string | undefined;
 }
 
-/** Builds the table; blocks may nest, and the narrowest one wins. */
+/** Region index of addresses that no block covers. */
+const NO_REGION = 0xffff;
+const ADDRESSES = 2 ** 32;
+
+/**
+ * Builds the table; blocks may nest, and the narrowest one wins. Of two equal
+ * blocks the last one wins. Blocks that cannot be parsed are left out, because
+ * documents are validated before they are accepted.
+ */
 export function createClientBlockTable(
-  _blocks: Iterable<ClientBlock>,
+  blocks: Iterable<ClientBlock>,
 ): ClientBlockTable {
-  throw new Error("Cannot create a client-block table yet");
+  const regions: string[] = [];
+  const parsed = parseBlocks(blocks, regions);
+  const ranges = resolveNesting(parsed);
+  const { starts, ends, owners } = ranges;
+  return {
+    size: starts.length,
+    byteLength: starts.byteLength + ends.byteLength + owners.byteLength,
+    find(ipv4) {
+      const address = typeof ipv4 === "number" ? ipv4 : parseIpv4(ipv4);
+      if (address === undefined) return undefined;
+      const index = findLastStart(starts, address);
+      if (index < 0 || address > ends[index]!) return undefined;
+      return regions[owners[index]!];
+    },
+  };
+}
+
+/** Parses a dotted IPv4 address into a number. */
+export function parseIpv4(text: string): number | undefined {
+  let address = 0;
+  let part = -1;
+  let dots = 0;
+  for (let n = 0; n < text.length; n += 1) {
+    const code = text.charCodeAt(n);
+    if (code === 46 && part >= 0 && dots < 3) {
+      address = address * 256 + part;
+      part = -1;
+      dots += 1;
+    } else if (code >= 48 && code <= 57) {
+      part = (part < 0 ? 0 : part * 10) + code - 48;
+      if (part > 255) return undefined;
+    } else {
+      return undefined;
+    }
+  }
+  return dots === 3 && part >= 0 ? address * 256 + part : undefined;
+}
+
+interface Blocks {
+  count: number;
+  starts: Uint32Array;
+  ends: Uint32Array;
+  owners: Uint16Array;
+}
+
+interface Ranges {
+  readonly starts: Uint32Array;
+  readonly ends: Uint32Array;
+  readonly owners: Uint16Array;
+}
+
+function parseBlocks(
+  blocks: Iterable<ClientBlock>,
+  regions: string[],
+): Blocks {
+  const indexes = new Map<string, number>();
+  let parsed = allocate(1_024);
+  for (const { block, region } of blocks) {
+    const range = parseBlock(block);
+    if (!range) continue;
+    let owner = indexes.get(region);
+    if (owner === undefined) {
+      owner = regions.push(region) - 1;
+      indexes.set(region, owner);
+    }
+    if (parsed.count === parsed.starts.length) parsed = grow(parsed);
+    parsed.starts[parsed.count] = range[0];
+    parsed.ends[parsed.count] = range[1];
+    parsed.owners[parsed.count] = owner;
+    parsed.count += 1;
+  }
+  return parsed;
+}
+
+function parseBlock(block: string): [number, number] | undefined {
+  const slash = block.indexOf("/");
+  const address = parseIpv4(slash < 0 ? block : block.slice(0, slash));
+  const bits = slash < 0 ? 32 : Number(block.slice(slash + 1));
+  if (address === undefined || !Number.isInteger(bits)) return undefined;
+  if (bits < 0 || bits > 32) return undefined;
+  const size = 2 ** (32 - bits);
+  const start = address - address % size;
+  return [start, start + size - 1];
+}
+
+function allocate(size: number): Blocks {
+  return {
+    count: 0,
+    starts: new Uint32Array(size),
+    ends: new Uint32Array(size),
+    owners: new Uint16Array(size),
+  };
+}
+
+function grow(blocks: Blocks): Blocks {
+  const larger = allocate(blocks.starts.length * 2);
+  larger.count = blocks.count;
+  larger.starts.set(blocks.starts);
+  larger.ends.set(blocks.ends);
+  larger.owners.set(blocks.owners);
+  return larger;
+}
+
+/** Splits outer blocks around inner ones, so that one search is enough. */
+function resolveNesting(blocks: Blocks): Ranges {
+  const order = sortBlocks(blocks);
+  const ranges = allocate(Math.max(1, blocks.count * 2 + 1));
+  const open: number[] = [];
+  let position = 0;
+  const emit = (end: number, owner: number) => {
+    if (end < position) return;
+    const last = ranges.count - 1;
+    if (
+      last >= 0 && ranges.owners[last] === owner &&
+      ranges.ends[last] === position - 1
+    ) {
+      ranges.ends[last] = end;
+    } else if (owner !== NO_REGION) {
+      ranges.starts[ranges.count] = position;
+      ranges.ends[ranges.count] = end;
+      ranges.owners[ranges.count] = owner;
+      ranges.count += 1;
+    }
+    position = end + 1;
+  };
+  const closeUntil = (start: number) => {
+    while (open.length > 0 && blocks.ends[open.at(-1)!]! < start) {
+      const block = open.pop()!;
+      emit(blocks.ends[block]!, blocks.owners[block]!);
+    }
+  };
+  for (const block of order) {
+    const start = blocks.starts[block]!;
+    closeUntil(start);
+    const outer = open.at(-1);
+    emit(start - 1, outer === undefined ? NO_REGION : blocks.owners[outer]!);
+    open.push(block);
+  }
+  closeUntil(ADDRESSES);
+  return {
+    starts: ranges.starts.slice(0, ranges.count),
+    ends: ranges.ends.slice(0, ranges.count),
+    owners: ranges.owners.slice(0, ranges.count),
+  };
+}
+
+/** Orders by start, outer blocks before inner ones. */
+function sortBlocks({ count, starts, ends }: Blocks): Uint32Array {
+  const order = new Uint32Array(count);
+  for (let n = 0; n < count; n += 1) order[n] = n;
+  return order.sort((a, b) =>
+    starts[a]! - starts[b]! || ends[b]! - ends[a]! || a - b
+  );
+}
+
+/** Index of the last start that is not above the address, or -1. */
+function findLastStart(starts: Uint32Array, address: number): number {
+  let low = 0;
+  let high = starts.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if (starts[middle]! <= address) low = middle + 1;
+    else high = middle;
+  }
+  return low - 1;
 }
--- a/packages/core/steering/src/lookup.ts
+++ b/packages/core/steering/src/lookup.ts
@@ -6,7 +6,16 @@
 
 import type { ConfigurationSnapshot } from "@dotterelmoor/core.types";
 import type { ClientBlockTable } from "./client_blocks.ts";
+import { buildGroupKey } from "./inputs.ts";
 import type { GroupViews, SteeringMember } from "./inputs.ts";
+import {
+  computeHash,
+  findPrepared,
+  mix,
+  pickByHash,
+} from "./prepared_members.ts";
+import type { PreparedEntry } from "./prepared_members.ts";
+import { chooseTargets } from "./targets.ts";
 
 /** An entry in a look-up answer. */
 export interface LookupEntry {
@@ -59,9 +68,95 @@
   return options.blocks.find(options.client) ?? options.ownRegion;
 }
 
+/**
+ * Part of the callers that start at the group owner. They save one hop; the
+ * others keep the owner from holding every caller's connection.
+ */
+const OWNER_SHARE = 0.5;
+const TTL_MS = 5_000;
+
 /** Builds the answer to a look-up. */
 export function buildLookupAnswer(
-  _options: BuildLookupAnswerOptions,
+  options: BuildLookupAnswerOptions,
 ): LookupAnswer {
-  throw new Error("Cannot build a look-up answer yet");
+  const { service, snapshot } = options;
+  const answer = { service, ttlMs: TTL_MS, sequence: snapshot.sequence };
+  const regions = chooseRegions(options);
+  if (regions.length === 0) {
+    return { ...answer, entries: [], reason: "unknown-service" };
+  }
+  const prepared = findPrepared(options.members);
+  const reachable = regions.filter((region) => prepared.has(region));
+  const [first, second] = reachable;
+  if (first === undefined) {
+    return { ...answer, entries: [], reason: "no-entries" };
+  }
+  const key = computeHash(`${options.client} ${service}`);
+  const entries = pickInRegion(options, prepared.get(first)!, first, key);
+  if (second !== undefined) {
+    const spare = pickByHash(prepared.get(second)!, key);
+    if (spare) entries.push(toEntry(spare, "spare"));
+  }
+  const reason = first === options.homeRegion ? "home" : "home-unavailable";
+  return { ...answer, entries, reason };
+}
+
+/**
+ * Regions in order for callers. An overloaded region keeps its place: its
+ * entries shift single requests within the caps, while look-up answers would
+ * move all callers at once and overload the next region.
+ */
+function chooseRegions(options: BuildLookupAnswerOptions): string[] {
+  const targets = chooseTargets(options);
+  const home = targets.find((target) =>
+    target.region === options.homeRegion && target.reason === "overloaded"
+  );
+  const regions = targets.map((target) => target.region);
+  if (!home) return regions;
+  return [home.region, ...regions.filter((region) => region !== home.region)];
+}
+
+/** A preferred entry, the owner beside it, and a spare in another zone. */
+function pickInRegion(
+  options: BuildLookupAnswerOptions,
+  entries: readonly PreparedEntry[],
+  region: string,
+  key: number,
+): LookupEntry[] {
+  const owner = findOwner(options, entries, region);
+  const startsAtOwner = owner !== undefined &&
+    mix(key + 1) < OWNER_SHARE * 2 ** 32;
+  const first = startsAtOwner
+    ? owner
+    : pickByHash(entries, key, (member) => member !== owner) ?? owner;
+  if (!first) return [];
+  const second = owner && owner !== first
+    ? owner
+    : pickByHash(entries, key, (member) => member !== first);
+  const chosen = second ? [first, second] : [first];
+  const found = chosen.map((member) => toEntry(member, "preferred"));
+  const spare = pickByHash(
+    entries,
+    key,
+    (member) => member.zone !== first.zone && !chosen.includes(member),
+  );
+  if (spare) found.push(toEntry(spare, "spare"));
+  return found;
+}
+
+function findOwner(
+  options: BuildLookupAnswerOptions,
+  entries: readonly PreparedEntry[],
+  region: string,
+): SteeringMember | undefined {
+  const view = options.groups.get(buildGroupKey(options.service, region));
+  if (!view?.fresh) return undefined;
+  const { ownerProcess } = view.state;
+  return entries.find(({ member }) => member.processId === ownerProcess)
+    ?.member;
+}
+
+function toEntry(member: SteeringMember, role: LookupEntry["role"]) {
+  const { callerAddress, zone, region } = member;
+  return { address: callerAddress, zone, region, role };
 }
--- a/packages/core/steering/src/mod.ts
+++ b/packages/core/steering/src/mod.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-export { createClientBlockTable } from "./client_blocks.ts";
+export { createClientBlockTable, parseIpv4 } from "./client_blocks.ts";
 export type { ClientBlockTable } from "./client_blocks.ts";
 export { buildGroupKey } from "./inputs.ts";
 export type {
@@ -22,5 +22,5 @@
   ResolveHomeRegionOptions,
 } from "./lookup.ts";
 export { findRequestKind } from "./request_kinds.ts";
-export { chooseTargets } from "./targets.ts";
+export { chooseTargets, findService } from "./targets.ts";
 export type { ChooseTargetsOptions, Target, TargetReason } from "./targets.ts";
--- /dev/null
+++ b/packages/core/steering/src/prepared_members.ts
@@ -0,0 +1,81 @@
+/**
+ * Live entries by region, prepared once for each list of members.
+ *
+ * @module
+ */
+
+import type { SteeringMember } from "./inputs.ts";
+
+/** An entry with the hash of its process. */
+export interface PreparedEntry {
+  readonly member: SteeringMember;
+  readonly hash: number;
+}
+
+/** Live entries of each region. */
+export type PreparedMembers = ReadonlyMap<string, readonly PreparedEntry[]>;
+
+const prepared = new WeakMap<readonly SteeringMember[], PreparedMembers>();
+
+/**
+ * Groups live entries by region. Suspects are left out of a region that has
+ * entries beyond suspicion.
+ */
+export function findPrepared(
+  members: readonly SteeringMember[],
+): PreparedMembers {
+  const known = prepared.get(members);
+  if (known) return known;
+  const regions = new Map<string, PreparedEntry[]>();
+  for (const state of ["alive", "suspect"] as const) {
+    const found = new Map<string, PreparedEntry[]>();
+    for (const member of members) {
+      if (member.state !== state || regions.has(member.region)) continue;
+      const entry = { member, hash: computeHash(member.processId) };
+      const list = found.get(member.region);
+      if (list) list.push(entry);
+      else found.set(member.region, [entry]);
+    }
+    for (const [region, list] of found) regions.set(region, list);
+  }
+  prepared.set(members, regions);
+  return regions;
+}
+
+/** FNV-1a hash of a text. */
+export function computeHash(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let n = 0; n < text.length; n += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(n), 0x01000193);
+  }
+  return hash >>> 0;
+}
+
+/**
+ * Picks the entry with the highest score for a key, so that a change of
+ * members moves only the callers of the entries that came or went.
+ */
+export function pickByHash(
+  entries: readonly PreparedEntry[],
+  key: number,
+  accept: (member: SteeringMember) => boolean = () => true,
+): SteeringMember | undefined {
+  let best: SteeringMember | undefined;
+  let bestScore = -1;
+  for (const { member, hash } of entries) {
+    const score = mix(hash ^ key);
+    if (score > bestScore && accept(member)) {
+      best = member;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+/** Finaliser of MurmurHash3. */
+export function mix(value: number): number {
+  let mixed = value;
+  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
+}
--- a/packages/core/steering/src/targets.ts
+++ b/packages/core/steering/src/targets.ts
@@ -4,8 +4,12 @@
  * @module
  */
 
-import type { ConfigurationSnapshot } from "@dotterelmoor/core.types";
-import type { GroupViews } from "./inputs.ts";
+import type {
+  ConfigurationSnapshot,
+  ServiceDocument,
+} from "@dotterelmoor/core.types";
+import { buildGroupKey } from "./inputs.ts";
+import type { GroupView, GroupViews } from "./inputs.ts";
 
 /** Why a region stands where it does in the order. */
 export type TargetReason =
@@ -36,7 +40,121 @@
   readonly previous?: readonly Target[];
 }
 
+/** Queue time, as a share of the shortest deadline, that counts as overload. */
+const OVERLOAD_SHARE = 0.5;
+/** Share below which an overloaded region counts as recovered. */
+const RECOVERED_SHARE = 0.25;
+/** Share by which a queue must be shorter to pass another overloaded region. */
+const PASS_SHARE = 0.7;
+
+const RANKS: Readonly<Record<TargetReason, number>> = {
+  preferred: 0,
+  spare: 0,
+  overloaded: 1,
+  unknown: 2,
+  closed: 3,
+};
+
 /** Orders the regions that the service's document lists, the best first. */
-export function chooseTargets(_options: ChooseTargetsOptions): Target[] {
-  throw new Error("Cannot choose targets yet");
+export function chooseTargets(options: ChooseTargetsOptions): Target[] {
+  const document = findService(options.snapshot, options.service);
+  if (!document) return [];
+  const targets = buildRegionOrder(document, options.homeRegion)
+    .map((region, index) => describeTarget(options, document, region, index));
+  const overloaded = sortOverloaded(targets, options.previous ?? []);
+  return targets
+    .filter((target) => target.reason !== "overloaded")
+    .concat(overloaded)
+    .sort((a, b) => RANKS[a.reason] - RANKS[b.reason]);
+}
+
+/** Finds a service in the teams' documents. */
+export function findService(
+  snapshot: ConfigurationSnapshot,
+  name: string,
+): ServiceDocument | undefined {
+  for (const team of Object.values(snapshot.teams)) {
+    for (const service of team.services) {
+      if (service.name === name) return service;
+    }
+  }
+  return undefined;
+}
+
+/** The home region, if it is listed, and then the document's order. */
+function buildRegionOrder(document: ServiceDocument, home: string): string[] {
+  const regions = [...new Set(document.regions)];
+  if (!regions.includes(home)) return regions;
+  return [home, ...regions.filter((region) => region !== home)];
+}
+
+function describeTarget(
+  options: ChooseTargetsOptions,
+  document: ServiceDocument,
+  region: string,
+  index: number,
+): Target {
+  const view = options.groups.get(buildGroupKey(options.service, region));
+  const fresh = view?.fresh ?? false;
+  return {
+    region,
+    reason: assess(options, document, region, view) ??
+      (index === 0 ? "preferred" : "spare"),
+    address: fresh ? view!.state.address : undefined,
+    queueMs: fresh ? view!.state.queueMs : undefined,
+  };
+}
+
+/** Why a region goes back in the order, or nothing if it does not. */
+function assess(
+  options: ChooseTargetsOptions,
+  document: ServiceDocument,
+  region: string,
+  view: GroupView | undefined,
+): TargetReason | undefined {
+  if (document.concurrency[region] === 0) return "closed";
+  if (!view?.fresh) return "unknown";
+  if (!view.state.open) return "closed";
+  const before = options.previous?.find((target) => target.region === region);
+  const share = before?.reason === "overloaded"
+    ? RECOVERED_SHARE
+    : OVERLOAD_SHARE;
+  const limitMs = share * findShortestDeadline(document);
+  return view.state.queueMs >= limitMs ? "overloaded" : undefined;
+}
+
+function findShortestDeadline(document: ServiceDocument): number {
+  let shortest = Infinity;
+  for (const kind of document.kinds) {
+    shortest = Math.min(shortest, kind.deadlineMs);
+  }
+  return shortest;
+}
+
+/**
+ * Orders overloaded regions by queue time. The last order stands unless a
+ * queue is clearly shorter, so that two busy regions do not take turns.
+ */
+function sortOverloaded(
+  targets: readonly Target[],
+  previous: readonly Target[],
+): Target[] {
+  const position = (target: Target) => {
+    const index = previous.findIndex((one) => one.region === target.region);
+    return index < 0 ? previous.length : index;
+  };
+  const sorted: Target[] = [];
+  const overloaded = targets.filter((one) => one.reason === "overloaded");
+  for (const target of overloaded.sort((a, b) => position(a) - position(b))) {
+    let index = sorted.length;
+    while (index > 0 && isClearlyShorter(target, sorted[index - 1]!)) {
+      index -= 1;
+    }
+    sorted.splice(index, 0, target);
+  }
+  return sorted;
+}
+
+function isClearlyShorter(a: Target, b: Target): boolean {
+  return (a.queueMs ?? Infinity) < PASS_SHARE * (b.queueMs ?? Infinity);
 }
