--- a/packages/daemon/operating/src/mod.ts
+++ b/packages/daemon/operating/src/mod.ts
@@ -4,4 +4,30 @@
  * @module
  */
 
-export {};
+export { createConfigurationActions } from "./configuration_actions.ts";
+export type {
+  ConfigurationActionsOptions,
+  ConfigurationTable,
+} from "./configuration_actions.ts";
+export type {
+  AcceptedChange,
+  ConfigurationActions,
+  DaemonReports,
+  DocumentDetails,
+  DocumentSubmission,
+  DocumentSummary,
+  History,
+  HistoryOptions,
+  LeaseReport,
+  OperatorActions,
+  OperatorRole,
+  OperatorToken,
+  QuarantineReport,
+} from "./operator_actions.ts";
+export type { OperatorError, OperatorErrorCode } from "./operator_error.ts";
+export { createOperatorApp } from "./operator_app.ts";
+export type {
+  OperatorAppOptions,
+  OperatorLimits,
+  OperatorLog,
+} from "./operator_app.ts";
