--- a/packages/network/platform/src/gate.ts
+++ b/packages/network/platform/src/gate.ts
@@ -5,50 +5,47 @@
  */
 
 /** Hands out a fixed number of places in order of arrival. */
-export interface Gate {
-  /** Waits for a place and returns its release; throws when aborted. */
-  take(signal: AbortSignal): Promise<() => void>;
-}
+export class Gate {
+  readonly #waiting = new Set<() => void>();
+  #free: number;
+
+  constructor(places: number) {
+    this.#free = places;
+  }
 
-/** Creates a gate with the given number of places. */
-export function createGate(places: number): Gate {
-  let free = places;
-  const waiting = new Set<() => void>();
+  /** Waits for a place and returns its release; throws when aborted. */
+  take(signal: AbortSignal): Promise<() => void> {
+    signal.throwIfAborted();
+    if (this.#free > 0) {
+      this.#free -= 1;
+      return Promise.resolve(this.#makeRelease());
+    }
+    return new Promise((resolve, reject) => {
+      const handleAbort = () => {
+        this.#waiting.delete(takeTurn);
+        reject(signal.reason);
+      };
+      const takeTurn = () => {
+        signal.removeEventListener("abort", handleAbort);
+        resolve(this.#makeRelease());
+      };
+      this.#waiting.add(takeTurn);
+      signal.addEventListener("abort", handleAbort, { once: true });
+    });
+  }
 
-  function releaseOnce(): () => void {
-    let released = false;
+  #makeRelease(): () => void {
+    let isReleased = false;
     return () => {
-      if (released) return;
-      released = true;
-      const [next] = waiting;
+      if (isReleased) return;
+      isReleased = true;
+      const [next] = this.#waiting;
       if (next === undefined) {
-        free += 1;
+        this.#free += 1;
         return;
       }
-      waiting.delete(next);
+      this.#waiting.delete(next);
       next();
     };
   }
-
-  return {
-    take: (signal) => {
-      signal.throwIfAborted();
-      if (free > 0) {
-        free -= 1;
-        return Promise.resolve(releaseOnce());
-      }
-      return new Promise((resolve, reject) => {
-        function handleAbort(): void {
-          waiting.delete(takeTurn);
-          reject(signal.reason);
-        }
-        function takeTurn(): void {
-          signal.removeEventListener("abort", handleAbort);
-          resolve(releaseOnce());
-        }
-        waiting.add(takeTurn);
-        signal.addEventListener("abort", handleAbort, { once: true });
-      });
-    },
-  };
 }
--- a/packages/network/platform/src/requester.ts
+++ b/packages/network/platform/src/requester.ts
@@ -7,7 +7,7 @@
 import { Agent } from "node:http";
 import got from "got";
 import type { Method } from "got";
-import { createGate } from "./gate.ts";
+import { Gate } from "./gate.ts";
 import { isRecord } from "./parse.ts";
 import type { JsonRecord } from "./parse.ts";
 import type { PlatformClientOptions } from "./types.ts";
@@ -49,7 +49,7 @@
 export function createRequester(options: PlatformClientOptions): Requester {
   const maxConcurrent = options.maxConcurrent ?? DEFAULT_MAX_CONCURRENT;
   const agent = new Agent({ keepAlive: true, maxSockets: maxConcurrent });
-  const gate = createGate(maxConcurrent);
+  const gate = new Gate(maxConcurrent);
   // AbortSignal.any on one long-lived signal would grow with each request.
   const active = new Set<AbortController>();
   const notify = options.onFailure ?? (() => {});
--- a/packages/testing/demo/src/processes.ts
+++ b/packages/testing/demo/src/processes.ts
@@ -65,16 +65,7 @@
     },
   );
   started.add(child);
-  const exited = new Promise<number | null>((resolve) => {
-    child.once("exit", (code) => {
-      started.delete(child);
-      resolve(code);
-    });
-    child.once("error", () => {
-      started.delete(child);
-      resolve(null);
-    });
-  });
+  const exited = waitForExit(child);
   const stderrLines: string[] = [];
   recordLines(child.stderr, stderrLines);
   const stdoutLines: string[] = [];
@@ -96,6 +87,18 @@
   };
 }
 
+function waitForExit(child: ChildProcess): Promise<number | null> {
+  return new Promise((resolve) => {
+    const settle = (code: number | null) => {
+      started.delete(child);
+      resolve(code);
+    };
+    child.once("exit", settle);
+    // Without a process id the process never started, and does not exit.
+    child.once("error", () => child.pid === undefined && settle(null));
+  });
+}
+
 interface ReadyOptions {
   readonly lines: string[];
   readonly timeoutMs: number;
--- a/packages/testing/server/src/main.ts
+++ b/packages/testing/server/src/main.ts
@@ -12,47 +12,46 @@
 import { startServer } from "./server.ts";
 import type { RunningServer } from "./types.ts";
 
+const FLAGS = {
+  name: { type: "string", default: "server" },
+  host: { type: "string", default: "127.0.0.1" },
+  port: { type: "number", default: 0 },
+  "control-port": { type: "number", default: 0 },
+  slots: { type: "number", default: 3 },
+  "max-connections": { type: "number", default: 650 },
+  "service-ms": { type: "number", default: 10 },
+  distribution: {
+    choices: ["constant", "uniform", "exponential"] as const,
+    default: "constant" as const,
+  },
+  seed: { type: "number", default: 1 },
+  "cold-ms": { type: "number", default: 0 },
+  "cold-factor": { type: "number", default: 5 },
+  "answer-bytes": { type: "number", default: 0 },
+  "key-header": { type: "string", default: "idempotency-key" },
+  "crash-header": {
+    type: "string",
+    describe: "A request with this header ends the process",
+  },
+  "crash-path": {
+    type: "string",
+    describe: "A request under this path ends the process",
+  },
+  "run-log": {
+    type: "string",
+    describe: "File that gets one line per run, before the work begins",
+  },
+  shed: { type: "boolean", default: false },
+  "drain-ms": {
+    type: "number",
+    default: 0,
+    describe: "Time from SIGTERM, which marks the server as draining, to " +
+      "the exit",
+  },
+} as const;
+
 function parseArguments() {
-  return yargs(hideBin(process.argv))
-    .options({
-      name: { type: "string", default: "server" },
-      host: { type: "string", default: "127.0.0.1" },
-      port: { type: "number", default: 0 },
-      "control-port": { type: "number", default: 0 },
-      slots: { type: "number", default: 3 },
-      "max-connections": { type: "number", default: 650 },
-      "service-ms": { type: "number", default: 10 },
-      distribution: {
-        choices: ["constant", "uniform", "exponential"] as const,
-        default: "constant" as const,
-      },
-      seed: { type: "number", default: 1 },
-      "cold-ms": { type: "number", default: 0 },
-      "cold-factor": { type: "number", default: 5 },
-      "answer-bytes": { type: "number", default: 0 },
-      "key-header": { type: "string", default: "idempotency-key" },
-      "crash-header": {
-        type: "string",
-        describe: "A request with this header ends the process",
-      },
-      "crash-path": {
-        type: "string",
-        describe: "A request under this path ends the process",
-      },
-      "run-log": {
-        type: "string",
-        describe: "File that gets one line per run, before the work begins",
-      },
-      shed: { type: "boolean", default: false },
-      "drain-ms": {
-        type: "number",
-        default: 0,
-        describe: "Time from SIGTERM, which marks the server as draining, to " +
-          "the exit",
-      },
-    })
-    .strict()
-    .parse();
+  return yargs(hideBin(process.argv)).options(FLAGS).strict().parse();
 }
 
 function closeOnSignals(server: RunningServer, drainMs: number): void {
