Refuse peer frames that are not plain data

The cbor decoder acts on tags: a frame could carry cyclic references, which a later walk over the value would follow for ever, and a hello is decoded before its token is checked.

--- a/packages/network/peering/src/frames.ts
+++ b/packages/network/peering/src/frames.ts
@@ -5,6 +5,7 @@
  */
 
 import { Encoder } from "cbor-x";
+import { isPlainCbor } from "./plain_cbor.ts";
 
 const PREFIX_BYTES = 4;
 
@@ -28,7 +29,8 @@
 }
 
 /** Decodes the payload of a frame; undefined if it is malformed. */
-export function decodeFrame(payload: Uint8Array): unknown {
+export function decodeFrame(payload: Buffer): unknown {
+  if (!isPlainCbor(payload)) return undefined;
   try {
     return codec.decode(payload);
   } catch {
--- a/packages/network/peering/src/frames_test.ts
+++ b/packages/network/peering/src/frames_test.ts
@@ -31,3 +31,32 @@
     { seed: SEED },
   );
 });
+
+test("guards against payloads that do more than carry plain data", (t) => {
+  const head = Buffer.from([0xa1, 0x61, 0x61]);
+  const payloads: Record<string, Buffer> = {
+    "cyclic reference": Buffer.from([0xd8, 28, 0x81, 0xd8, 29, 0]),
+    "constructor call": encodeFrame(/a/, MAX)!.subarray(4),
+    "endless array": Buffer.from([0x9f, 0xff]),
+    "missing item": Buffer.from([0x82, 1]),
+    "cut string": Buffer.from([0x65, 0x61]),
+    "second item": Buffer.from([1, 1]),
+    "huge array": Buffer.from([0x9b, 0, 0, 0, 1, 0, 0, 0, 0, 1]),
+    "deep array": Buffer.alloc(1_000_000, 0x81),
+  };
+  for (const [name, payload] of Object.entries(payloads)) {
+    t.is(decodeFrame(Buffer.concat([head, payload])), undefined, name);
+  }
+  const value = fc.object({ withNullPrototype: false, maxDepth: 4 });
+  fc.assert(
+    fc.property(value, fc.uint8Array({ maxLength: 64 }), (plain, noise) => {
+      const sent = { plain: JSON.parse(JSON.stringify(plain)), noise };
+      const payload = encodeFrame(sent, MAX)!.subarray(4);
+      const received = decodeFrame(payload) as typeof sent;
+      t.is(JSON.stringify(received.plain), JSON.stringify(sent.plain));
+      t.deepEqual(received.noise, Buffer.from(noise));
+      t.notThrows(() => decodeFrame(Buffer.from(noise)));
+    }),
+    { seed: SEED },
+  );
+});
--- a/packages/network/peering/src/messages.ts
+++ b/packages/network/peering/src/messages.ts
@@ -109,7 +109,11 @@
   readonly rate: number;
 }
 
-/** Carries a membership message (probe, ack, gossip) unread. */
+/**
+ * Carries a membership message (probe, ack, gossip) unread. It holds plain
+ * values and bytes only: frames with cbor tags, such as those of a Map, a Set
+ * or a Date, are refused.
+ */
 export interface MembershipMessage {
   readonly type: "membership";
   readonly message: unknown;
