Record decisions of the daemon and restructure the group owner

A live run could not be replayed, and the group owner was one function of 220 lines. The recorder moved to core/recording and wraps every state machine when the settings name a record file; the replay command knows all modules. The group owner is a class of short methods with its types apart.

--- a/packages/command/replay/src/modules.ts
+++ b/packages/command/replay/src/modules.ts
@@ -4,7 +4,15 @@
  * @module
  */
 
+import { createClaims } from "@dotterelmoor/core.claiming";
+import { createConfigurationKeeper } from "@dotterelmoor/core.configuring";
 import { createDispatcher } from "@dotterelmoor/core.dispatching";
+import { createMembership } from "@dotterelmoor/core.membership";
+import { createOwnership } from "@dotterelmoor/core.ownership";
+import {
+  createPermitHolder,
+  createPermitLedger,
+} from "@dotterelmoor/core.permitting";
 import { createQuarantine } from "@dotterelmoor/core.quarantine";
 import { createRetryBudget } from "@dotterelmoor/core.retrying";
 import { createShiftGate } from "@dotterelmoor/core.shifting";
@@ -24,7 +32,13 @@
 
 /** Factories by the name of the package below `core`. */
 export const MODULES: Readonly<Record<string, ModuleFactory>> = {
+  claiming: makeFactory(createClaims),
+  configuring: makeFactory(createConfigurationKeeper),
   dispatching: makeFactory(createDispatcher),
+  membership: makeFactory(createMembership),
+  ownership: makeFactory(createOwnership),
+  "permitting/holder": makeFactory(createPermitHolder),
+  "permitting/ledger": makeFactory(createPermitLedger),
   quarantine: makeFactory(createQuarantine),
   retrying: makeFactory(createRetryBudget),
   shifting: makeFactory(createShiftGate),
--- a/packages/command/replay/src/replay.ts
+++ b/packages/command/replay/src/replay.ts
@@ -8,8 +8,8 @@
 import { isDeepStrictEqual } from "node:util";
 import { MODULES } from "./modules.ts";
 import type { AnyMachine } from "./modules.ts";
-import { parseTraceLine } from "./trace.ts";
-import type { EventLine, OptionsLine } from "./trace.ts";
+import { parseTraceLine } from "@dotterelmoor/core.recording";
+import type { EventLine, OptionsLine } from "@dotterelmoor/core.recording";
 
 /** Result of a replay; stops at the first difference or error. */
 export type ReplayResult =
--- a/packages/command/replay/src/replay_test.ts
+++ b/packages/command/replay/src/replay_test.ts
@@ -1,7 +1,8 @@
 import test from "ava";
 import { createDispatcher } from "@dotterelmoor/core.dispatching";
 import { readdir, readFile } from "node:fs/promises";
-import { createRecorder, handler, runReplay } from "./mod.ts";
+import { createRecorder } from "@dotterelmoor/core.recording";
+import { handler, runReplay } from "./mod.ts";
 
 const TRACES = new URL("../traces/", import.meta.url);
 
--- a/packages/daemon/entry/src/main.ts
+++ b/packages/daemon/entry/src/main.ts
@@ -8,6 +8,7 @@
 import { readFileSync } from "node:fs";
 import process from "node:process";
 import {
+  describeEntryFlags,
   formatSettingsErrors,
   loadEntrySettings,
   renderEntrySettings,
@@ -31,8 +32,13 @@
   console.log(JSON.stringify({ ready: true, callers, peers, operators }));
 }
 
+const argv = process.argv.slice(2);
+if (argv.includes("--help")) {
+  console.log(`Usage: dotterelmoor-entry [flags]\n\n${describeEntryFlags()}`);
+  process.exit(0);
+}
 const loaded = loadEntrySettings({
-  argv: process.argv.slice(2),
+  argv,
   env: process.env,
   readFile: (path) => readFileSync(path, "utf8"),
 });
--- a/packages/daemon/entry/src/process/claims_part.ts
+++ b/packages/daemon/entry/src/process/claims_part.ts
@@ -10,12 +10,14 @@
 import type { PlatformClient } from "@dotterelmoor/network.platform";
 import type { Clock } from "./clock.ts";
 import { createMachineDriver } from "./machine_driver.ts";
+import type { CreateMachine } from "./recording.ts";
 
 /** Options of `createClaimsPart`. */
 export interface ClaimsPartOptions {
   readonly clock: Clock;
   readonly platform: PlatformClient;
   readonly store: DisposableStore;
+  readonly createMachine: CreateMachine;
 }
 
 /** A claim that is wanted for a request. */
@@ -47,7 +49,11 @@
 /** Creates the claims of the process. */
 export function createClaimsPart(options: ClaimsPartOptions): ClaimsPart {
   const { clock, platform } = options;
-  const claims = createClaims();
+  const claims = options.createMachine({
+    module: "claiming",
+    create: createClaims,
+    options: {},
+  });
   const waiting = new Map<string, (result: ClaimResult) => void>();
 
   function settle(requestId: string, result: ClaimResult): void {
--- a/packages/daemon/entry/src/process/configuration_part.ts
+++ b/packages/daemon/entry/src/process/configuration_part.ts
@@ -22,6 +22,7 @@
 import type { Clock } from "./clock.ts";
 import { startInterval } from "./intervals.ts";
 import { createMachineDriver } from "./machine_driver.ts";
+import type { CreateMachine } from "./recording.ts";
 
 const TICK_MS = 100;
 const PULL_TIMEOUT_MS = 1_000;
@@ -34,6 +35,7 @@
   readonly platform: PlatformClient;
   readonly peers: PeerPool;
   readonly store: DisposableStore;
+  readonly createMachine: CreateMachine;
   readonly log: Logger;
   readonly onApply: (snapshot: ConfigurationSnapshot) => void;
 }
@@ -52,9 +54,13 @@
 export function createConfigurationPart(
   options: ConfigurationPartOptions,
 ): ConfigurationPart {
-  const keeper = createConfigurationKeeper({
-    seeds: options.seeds,
-    random: options.random,
+  const keeper = options.createMachine({
+    module: "configuring",
+    create: createConfigurationKeeper,
+    options: {
+      seeds: options.seeds,
+      random: options.random,
+    },
   });
   const driver = createMachineDriver<ConfigurationEvent, ConfigurationAction>({
     machine: keeper,
--- a/packages/daemon/entry/src/process/group_owner.ts
+++ b/packages/daemon/entry/src/process/group_owner.ts
@@ -9,220 +9,194 @@
   DispatchAction,
   Dispatcher,
   DispatchEvent,
-  FinishResult,
   KnownServer,
   ServerSource,
   ServerState,
 } from "@dotterelmoor/core.dispatching";
 import { createRetryBudget } from "@dotterelmoor/core.retrying";
+import type { RetryBudget } from "@dotterelmoor/core.retrying";
 import { createShiftGate } from "@dotterelmoor/core.shifting";
 import type { ShiftGate } from "@dotterelmoor/core.shifting";
 import type {
-  DisposableStore,
   NotRun,
-  NotRunReason,
   Outcome,
-  Random,
   ServiceDocument,
 } from "@dotterelmoor/core.types";
-import type {
-  BackendClient,
-  BackendResult,
-} from "@dotterelmoor/network.backend";
 import type { Execution } from "../request/execution.ts";
 import { createGroupRun } from "../request/group_run.ts";
 import type { GroupRun } from "../request/group_run.ts";
-import type { Clock } from "./clock.ts";
+import type { GroupOwner, GroupOwnerOptions } from "./group_owner_types.ts";
 import { createMachineDriver } from "./machine_driver.ts";
-import type { QuarantinePart } from "./quarantine_part.ts";
+import type { MachineDriver } from "./machine_driver.ts";
+import { makeNotRun, toFinishResult, toOutcome } from "./send_results.ts";
+import type { SendResult } from "./send_results.ts";
 import { createShiftMonitor } from "./shift_monitor.ts";
 
-/** Requests that may wait for each slot of a group. */
-const QUEUE_PER_GROUP = 256;
+/** Requests that may wait for a group. */
+const MAX_QUEUE = 256;
 /** Transit allowance between the deadline at the server and authority. */
 const AUTHORITY_MARGIN_MS = 200;
 const CLOSED_RETRY_MS = 100;
 
-/** Options of `createGroupOwner`. */
-export interface GroupOwnerOptions {
-  readonly service: string;
-  readonly region: string;
-  readonly fence: number;
-  readonly document: ServiceDocument;
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly backend: BackendClient;
-  readonly quarantine: QuarantinePart;
-  /** End of this process's authority over the group on its own clock. */
-  readonly authorityUntilMs: () => number;
-  readonly store: DisposableStore;
-  /** No request is in flight any more after `close`. */
-  readonly onIdle: () => void;
+/** Creates the owner of one group, with authority from now on. */
+export function createGroupOwner(options: GroupOwnerOptions): GroupOwner {
+  return new GroupOwnerTask(options);
 }
 
-/** Owner of one target group. */
-export interface GroupOwner {
+type SendAction = Extract<DispatchAction, { type: "send" }>;
+
+interface FinishedSend {
+  readonly run: GroupRun;
+  readonly action: SendAction;
+  readonly result: SendResult;
+  readonly startedMs: number;
+}
+
+class GroupOwnerTask implements GroupOwner {
   readonly service: string;
   readonly region: string;
   readonly fence: number;
   readonly dispatcher: Dispatcher;
   readonly gate: ShiftGate;
-  /** Runs a request; the signal tells that nobody waits any more. */
-  execute(execution: Execution, signal: AbortSignal): Promise<Outcome>;
-  setDocument(document: ServiceDocument): void;
-  setServers(servers: readonly KnownServer[]): void;
-  setOperatorDrains(instances: readonly string[]): void;
-  reportServer(server: string, source: ServerSource, state: ServerState): void;
-  tick(): void;
-  /** Stops dispatching; what is in flight ends. */
-  close(): void;
-}
+  readonly #options: GroupOwnerOptions;
+  readonly #budget: RetryBudget;
+  readonly #driver: MachineDriver<DispatchEvent>;
+  readonly #monitor = createShiftMonitor();
+  readonly #runs = new Map<string, GroupRun>();
+  #windowMs: number;
+  #windowEndsMs: number;
+  #nextRun = 0;
 
-/** Creates the owner of one group, with authority from now on. */
-export function createGroupOwner(options: GroupOwnerOptions): GroupOwner {
-  const { clock, quarantine, region, service } = options;
-  let document = options.document;
-  const runs = new Map<string, GroupRun>();
-  const monitor = createShiftMonitor();
-  let nextSequence = 0;
-  let windowEndsMs = clock.nowMs() + document.shift.windowMs;
+  constructor(options: GroupOwnerOptions) {
+    this.#options = options;
+    this.service = options.service;
+    this.region = options.region;
+    this.fence = options.fence;
+    const { createMachine, document } = options;
+    const instance = `${options.service}/${options.region}/${options.fence}`;
+    this.gate = createMachine({
+      module: "shifting",
+      instance,
+      create: createShiftGate,
+      options: { limits: document.shift, startedAtMs: this.#nowMs() },
+    });
+    this.#budget = createMachine({
+      module: "retrying",
+      instance,
+      create: createRetryBudget,
+      options: { limits: document.retry },
+    });
+    this.dispatcher = createMachine({
+      module: "dispatching",
+      instance,
+      create: createDispatcher,
+      options: {
+        random: options.random,
+        concurrency: this.#readConcurrency(document),
+        queueLength: MAX_QUEUE,
+        transitMs: AUTHORITY_MARGIN_MS,
+      },
+    });
+    this.#driver = this.#createDriver();
+    this.#windowMs = document.shift.windowMs;
+    this.#windowEndsMs = this.#nowMs() + this.#windowMs;
+  }
+
+  execute(execution: Execution, signal: AbortSignal): Promise<Outcome> {
+    const refused = this.#refuse(execution);
+    if (refused !== undefined) return Promise.resolve(refused);
+    if (signal.aborted) {
+      return Promise.resolve({ type: "unknown", reason: "caller-left" });
+    }
+    this.#budget.handle({ type: "request" }, this.#nowMs());
+    return new Promise((resolve) => {
+      const abort = new AbortController();
+      signal.addEventListener("abort", () => this.#cancel(abort), {
+        once: true,
+      });
+      this.#admit(createGroupRun({ execution, resolve, abort, avoid: [] }));
+    });
+  }
 
-  const gate = createShiftGate({
-    limits: document.shift,
-    startedAtMs: clock.nowMs(),
-  });
-  const budget = createRetryBudget({ limits: document.retry });
-  const dispatcher = createDispatcher({
-    random: options.random,
-    concurrency: document.concurrency[region] ?? 0,
-    queueLength: QUEUE_PER_GROUP,
-    transitMs: AUTHORITY_MARGIN_MS,
-  });
-  const driver = createMachineDriver<DispatchEvent, DispatchAction>({
-    machine: dispatcher,
-    clock,
-    wake: {
-      nextMs: () => dispatcher.nextWakeMs(),
-      event: { type: "tick" },
-      store: options.store,
-    },
-    handlers: {
-      send: (action) => void sendToServer(action),
-      refuse: ({ id, reason, retryAfterMs }) =>
-        endRun(id, makeNotRun(reason, retryAfterMs)),
-      abort: ({ id }) => runs.get(id)?.abort.abort(),
-      expire_in_flight: ({ id }) =>
-        endRun(id, { type: "unknown", reason: "deadline-passed" }),
-      idle: () => options.onIdle(),
-    },
-  });
+  setDocument(document: ServiceDocument): void {
+    const nowMs = this.#nowMs();
+    this.#windowMs = document.shift.windowMs;
+    this.gate.handle({ type: "settings", limits: document.shift }, nowMs);
+    this.#budget.handle({ type: "settings", limits: document.retry }, nowMs);
+    const concurrency = this.#readConcurrency(document);
+    this.#send({ type: "limits", concurrency, queueLength: MAX_QUEUE });
+  }
 
-  function submitEvent(event: DispatchEvent): void {
-    driver.send({ type: "authority", untilMs: options.authorityUntilMs() });
-    driver.send(event);
+  setServers(servers: readonly KnownServer[]): void {
+    this.#send({ type: "servers", servers });
   }
 
-  function endRun(id: string, outcome: Outcome): void {
-    const run = runs.get(id);
-    if (run === undefined) return;
-    runs.delete(id);
-    quarantine.release(id);
-    run.resolve(outcome);
+  setOperatorDrains(instances: readonly string[]): void {
+    this.#send({ type: "operator_drains", instances });
   }
 
-  async function sendToServer(
-    action: Extract<DispatchAction, { type: "send" }>,
-  ): Promise<void> {
-    const { id, server, address, deadlineMs } = action;
-    const run = runs.get(id);
-    if (run === undefined) return;
-    const startedMs = clock.nowMs();
-    quarantine.send({ type: "start", id, server });
-    const result = await options.backend.send({
-      ...run.request,
-      address,
-      deadlineMs,
-      signal: run.abort.signal,
-      workLimitMs: () =>
-        options.authorityUntilMs() - clock.nowMs() - AUTHORITY_MARGIN_MS,
-    });
-    finishSend(run, { id, server, result, startedMs });
+  reportServer(server: string, source: ServerSource, state: ServerState): void {
+    this.#send({ type: "server_state", server, source, state });
   }
 
-  function finishSend(run: GroupRun, sent: FinishedSend): void {
-    const { id, result, server, startedMs } = sent;
-    // The run ended when it was cancelled; its slot stays in use for a while.
-    if (result.type === "cancelled") return;
-    const finish = FINISH_RESULTS[result.type];
-    recordSend(result, clock.nowMs() - startedMs);
-    quarantine.send({ type: "finish", id, result: finish });
-    const draining = result.type === "refused" && result.draining;
-    const outcome = toOutcome(result, server);
-    const retry = outcome?.type === "unknown" && canRetry(run, result);
-    // The run leaves the table first, so that an action on the same id that
-    // the dispatcher emits now cannot end it a second time.
-    if (outcome !== undefined) runs.delete(id);
-    submitEvent({ type: "finish", id, result: finish, draining });
-    if (outcome === undefined) return;
-    quarantine.release(id);
-    if (retry) admit(run.execution, run.resolve, run.abort, [server]);
-    else run.resolve(outcome);
+  tick(): void {
+    const nowMs = this.#nowMs();
+    if (nowMs >= this.#windowEndsMs) {
+      this.#windowEndsMs = nowMs + this.#windowMs;
+      const condition = this.#monitor.closeWindow();
+      this.gate.handle({ type: "measurement", condition }, nowMs);
+    }
+    this.#send({ type: "tick" });
   }
 
-  function recordSend(result: BackendResult, latencyMs: number): void {
-    if (result.type === "answered") monitor.recordAnswer(latencyMs);
-    else monitor.recordFailure();
+  close(): void {
+    this.#send({ type: "close" });
   }
 
-  function canRetry(run: GroupRun, result: BackendResult): boolean {
-    if (!run.execution.repeatable || run.retried) return false;
-    if (result.type !== "connection_lost") return false;
-    const actions = budget.handle(
-      { type: "retry", id: run.execution.requestId },
-      clock.nowMs(),
-    );
-    return actions.some((action) => action.type === "granted");
+  #nowMs(): number {
+    return this.#options.clock.nowMs();
   }
 
-  function admit(
-    execution: Execution,
-    resolve: (outcome: Outcome) => void,
-    abort: AbortController,
-    avoid: readonly string[],
-  ): string {
-    const id = `${options.fence}-${nextSequence++}`;
-    const run = createGroupRun({ execution, resolve, abort, avoid });
-    runs.set(id, run);
-    quarantine.admit({ id, service, fingerprint: execution.fingerprint }, {
-      run: (trial) => submitRun(id, run, trial),
-      recall: () => submitEvent({ type: "cancel", id }),
-      refuse: (retryAfterMs) =>
-        endRun(id, makeNotRun("quarantined", retryAfterMs)),
-    });
-    return id;
+  #readConcurrency(document: ServiceDocument): number {
+    return document.concurrency[this.region] ?? 0;
   }
 
-  function submitRun(id: string, run: GroupRun, trial: boolean): void {
-    submitEvent({
-      type: "submit",
-      request: {
-        id,
-        priority: run.execution.priority,
-        deadlineAtMs: run.execution.deadlineAtMs,
-        exclusive: trial,
-        avoid: run.avoid,
+  #createDriver(): MachineDriver<DispatchEvent> {
+    return createMachineDriver<DispatchEvent, DispatchAction>({
+      machine: this.dispatcher,
+      clock: this.#options.clock,
+      wake: {
+        nextMs: () => this.dispatcher.nextWakeMs(),
+        event: { type: "tick" },
+        store: this.#options.store,
+      },
+      handlers: {
+        send: (action) => void this.#sendToServer(action),
+        refuse: ({ id, reason, retryAfterMs }) =>
+          this.#endRun(id, makeNotRun(reason, retryAfterMs)),
+        abort: ({ id }) => this.#runs.get(id)?.abort.abort(),
+        expire_in_flight: ({ id }) =>
+          this.#endRun(id, { type: "unknown", reason: "deadline-passed" }),
+        idle: () => this.#options.onIdle(),
       },
     });
   }
 
-  function admitShift(execution: Execution): NotRun | undefined {
-    if (execution.homeRegion === region) return undefined;
-    for (
-      const action of gate.handle(
-        { type: "admit", id: execution.requestId },
-        clock.nowMs(),
-      )
-    ) {
+  /** Sends an event, after the current end of authority. */
+  #send(event: DispatchEvent): void {
+    const untilMs = this.#options.authorityUntilMs();
+    this.#driver.send({ type: "authority", untilMs });
+    this.#driver.send(event);
+  }
+
+  #refuse(execution: Execution): NotRun | undefined {
+    if (this.dispatcher.closed) return makeNotRun("closing", CLOSED_RETRY_MS);
+    if (this.#options.authorityUntilMs() <= this.#nowMs()) {
+      return makeNotRun("authority-lapsed", CLOSED_RETRY_MS);
+    }
+    if (execution.homeRegion === this.region) return undefined;
+    const event = { type: "admit", id: execution.requestId } as const;
+    for (const action of this.gate.handle(event, this.#nowMs())) {
       if (action.type === "refused") {
         return makeNotRun("shift-cap", action.retryAfterMs);
       }
@@ -230,114 +204,101 @@
     return undefined;
   }
 
-  function closeWindow(): void {
-    const nowMs = clock.nowMs();
-    if (nowMs < windowEndsMs) return;
-    windowEndsMs = nowMs + document.shift.windowMs;
-    const condition = monitor.closeWindow();
-    gate.handle({ type: "measurement", condition }, nowMs);
+  #admit(run: GroupRun): void {
+    const { execution } = run;
+    const id = `${this.fence}-${this.#nextRun++}`;
+    this.#runs.set(id, run);
+    const admission = {
+      id,
+      service: this.service,
+      fingerprint: execution.fingerprint,
+    };
+    this.#options.quarantine.admit(admission, {
+      run: (trial) => this.#submit(id, run, trial),
+      recall: () => this.#send({ type: "cancel", id }),
+      refuse: (retryAfterMs) =>
+        this.#endRun(id, makeNotRun("quarantined", retryAfterMs)),
+    });
   }
 
-  function execute(
-    execution: Execution,
-    signal: AbortSignal,
-  ): Promise<Outcome> {
-    if (dispatcher.closed) {
-      return Promise.resolve(makeNotRun("closing", CLOSED_RETRY_MS));
-    }
-    if (options.authorityUntilMs() <= clock.nowMs()) {
-      return Promise.resolve(makeNotRun("authority-lapsed", CLOSED_RETRY_MS));
-    }
-    const refused = admitShift(execution);
-    if (refused !== undefined) return Promise.resolve(refused);
-    budget.handle({ type: "request" }, clock.nowMs());
-    return new Promise((resolve) => {
-      const abort = new AbortController();
-      if (signal.aborted) {
-        return resolve({ type: "unknown", reason: "caller-left" });
-      }
-      admit(execution, resolve, abort, []);
-      signal.addEventListener("abort", () => cancelRuns(abort), { once: true });
+  #submit(id: string, run: GroupRun, trial: boolean): void {
+    const { deadlineAtMs, priority } = run.execution;
+    this.#send({
+      type: "submit",
+      request: {
+        id,
+        priority,
+        deadlineAtMs,
+        exclusive: trial,
+        avoid: run.avoid,
+      },
     });
   }
 
-  function cancelRuns(abort: AbortController): void {
-    for (const [id, run] of runs) {
-      if (run.abort !== abort) continue;
-      submitEvent({ type: "cancel", id });
-      abort.abort();
-      endRun(id, { type: "unknown", reason: "caller-left" });
-    }
+  async #sendToServer(action: SendAction): Promise<void> {
+    const { id, server, address, deadlineMs } = action;
+    const run = this.#runs.get(id);
+    if (run === undefined) return;
+    const startedMs = this.#nowMs();
+    this.#options.quarantine.send({ type: "start", id, server });
+    const result = await this.#options.backend.send({
+      ...run.request,
+      address,
+      deadlineMs,
+      signal: run.abort.signal,
+      workLimitMs: () =>
+        this.#options.authorityUntilMs() - this.#nowMs() - AUTHORITY_MARGIN_MS,
+    });
+    // The run ended when it was cancelled; its slot stays in use for a while.
+    if (result.type === "cancelled") return;
+    this.#finishSend({ run, action, result, startedMs });
   }
 
-  return {
-    service,
-    region,
-    fence: options.fence,
-    dispatcher,
-    gate,
-    execute,
-    setDocument: (next) => {
-      document = next;
-      gate.handle({ type: "settings", limits: next.shift }, clock.nowMs());
-      budget.handle({ type: "settings", limits: next.retry }, clock.nowMs());
-      submitEvent({
-        type: "limits",
-        concurrency: next.concurrency[region] ?? 0,
-        queueLength: QUEUE_PER_GROUP,
-      });
-    },
-    setServers: (servers) => submitEvent({ type: "servers", servers }),
-    setOperatorDrains: (instances) =>
-      submitEvent({ type: "operator_drains", instances }),
-    reportServer: (server, source, state) =>
-      submitEvent({ type: "server_state", server, source, state }),
-    tick: () => {
-      closeWindow();
-      submitEvent({ type: "tick" });
-    },
-    close: () => submitEvent({ type: "close" }),
-  };
-}
-
-interface FinishedSend {
-  readonly id: string;
-  readonly server: string;
-  readonly result: BackendResult;
-  readonly startedMs: number;
-}
+  #finishSend({ run, action, result, startedMs }: FinishedSend): void {
+    const { id, server } = action;
+    const finish = toFinishResult(result);
+    if (result.type === "answered") {
+      this.#monitor.recordAnswer(this.#nowMs() - startedMs);
+    } else {
+      this.#monitor.recordFailure();
+    }
+    this.#options.quarantine.send({ type: "finish", id, result: finish });
+    const outcome = toOutcome(result, server);
+    // The run leaves the table first, so that an action on the same id that
+    // the dispatcher emits now cannot end it a second time.
+    const isOver = outcome !== undefined && this.#runs.delete(id);
+    const draining = result.type === "refused" && result.draining;
+    this.#send({ type: "finish", id, result: finish, draining });
+    if (!isOver) return;
+    this.#options.quarantine.release(id);
+    if (result.type === "connection_lost" && this.#canRetry(run)) {
+      this.#admit(createGroupRun({ ...run, avoid: [server] }));
+    } else {
+      run.resolve(outcome);
+    }
+  }
 
-/** How the dispatcher and the quarantine see a result of the client. */
-const FINISH_RESULTS: Readonly<
-  Record<Exclude<BackendResult["type"], "cancelled">, FinishResult>
-> = {
-  answered: "answered",
-  refused: "refused",
-  connection_refused: "connection_refused",
-  not_authorized: "refused",
-  connection_lost: "connection_lost",
-  timed_out: "timed_out",
-  incomplete_answer: "connection_lost",
-};
+  #canRetry({ execution, retried }: GroupRun): boolean {
+    if (!execution.repeatable || retried) return false;
+    const event = { type: "retry", id: execution.requestId } as const;
+    return this.#budget.handle(event, this.#nowMs())
+      .some((action) => action.type === "granted");
+  }
 
-/** Outcome of a send, or undefined if the dispatcher decides what follows. */
-function toOutcome(result: BackendResult, server: string): Outcome | undefined {
-  switch (result.type) {
-    case "answered":
-      return { ...result, server };
-    case "connection_lost":
-      return { type: "unknown", reason: "connection-lost" };
-    case "incomplete_answer":
-      return { type: "unknown", reason: "incomplete-answer" };
-    case "timed_out":
-      return { type: "unknown", reason: "deadline-passed" };
-    case "cancelled":
-      return { type: "unknown", reason: "caller-left" };
-    default:
-      return undefined;
+  #endRun(id: string, outcome: Outcome): void {
+    const run = this.#runs.get(id);
+    if (run === undefined) return;
+    this.#runs.delete(id);
+    this.#options.quarantine.release(id);
+    run.resolve(outcome);
   }
-}
 
-function makeNotRun(reason: NotRunReason, retryAfterMs: number): NotRun {
-  return { type: "not-run", reason, retryAfterMs };
+  #cancel(abort: AbortController): void {
+    for (const [id, run] of this.#runs) {
+      if (run.abort !== abort) continue;
+      this.#send({ type: "cancel", id });
+      abort.abort();
+      this.#endRun(id, { type: "unknown", reason: "caller-left" });
+    }
+  }
 }
--- /dev/null
+++ b/packages/daemon/entry/src/process/group_owner_types.ts
@@ -0,0 +1,60 @@
+/**
+ * Options and interface of a group's owner.
+ *
+ * @module
+ */
+
+import type {
+  Dispatcher,
+  KnownServer,
+  ServerSource,
+  ServerState,
+} from "@dotterelmoor/core.dispatching";
+import type { ShiftGate } from "@dotterelmoor/core.shifting";
+import type {
+  DisposableStore,
+  Outcome,
+  Random,
+  ServiceDocument,
+} from "@dotterelmoor/core.types";
+import type { BackendClient } from "@dotterelmoor/network.backend";
+import type { Execution } from "../request/execution.ts";
+import type { Clock } from "./clock.ts";
+import type { QuarantinePart } from "./quarantine_part.ts";
+import type { CreateMachine } from "./recording.ts";
+
+/** Options of `createGroupOwner`. */
+export interface GroupOwnerOptions {
+  readonly service: string;
+  readonly region: string;
+  readonly fence: number;
+  readonly document: ServiceDocument;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly backend: BackendClient;
+  readonly quarantine: QuarantinePart;
+  readonly store: DisposableStore;
+  readonly createMachine: CreateMachine;
+  /** End of this process's authority over the group on its own clock. */
+  readonly authorityUntilMs: () => number;
+  /** No request is in flight any more after `close`. */
+  readonly onIdle: () => void;
+}
+
+/** Owner of one target group. */
+export interface GroupOwner {
+  readonly service: string;
+  readonly region: string;
+  readonly fence: number;
+  readonly dispatcher: Dispatcher;
+  readonly gate: ShiftGate;
+  /** Runs a request; the signal tells that nobody waits any more. */
+  execute(execution: Execution, signal: AbortSignal): Promise<Outcome>;
+  setDocument(document: ServiceDocument): void;
+  setServers(servers: readonly KnownServer[]): void;
+  setOperatorDrains(instances: readonly string[]): void;
+  reportServer(server: string, source: ServerSource, state: ServerState): void;
+  tick(): void;
+  /** Stops dispatching; what is in flight ends. */
+  close(): void;
+}
--- a/packages/daemon/entry/src/process/groups.ts
+++ b/packages/daemon/entry/src/process/groups.ts
@@ -15,7 +15,7 @@
 import type { BackendClient } from "@dotterelmoor/network.backend";
 import type { Logger } from "pino";
 import type { Clock } from "./clock.ts";
-import type { GroupOwner } from "./group_owner.ts";
+import type { GroupOwner } from "./group_owner_types.ts";
 import { startInterval } from "./intervals.ts";
 import type { Metrics } from "./metrics.ts";
 
--- a/packages/daemon/entry/src/process/membership_part.ts
+++ b/packages/daemon/entry/src/process/membership_part.ts
@@ -22,6 +22,7 @@
 import type { Clock } from "./clock.ts";
 import { startInterval } from "./intervals.ts";
 import { createMachineDriver } from "./machine_driver.ts";
+import type { CreateMachine } from "./recording.ts";
 
 const TICK_MS = 100;
 
@@ -33,6 +34,7 @@
   readonly clock: Clock;
   readonly peers: PeerPool;
   readonly store: DisposableStore;
+  readonly createMachine: CreateMachine;
   readonly log: Logger;
   readonly onMemberChanged: (member: MemberRecord, state: MemberState) => void;
   readonly onStateChanged: (key: string, value: JsonValue) => void;
@@ -54,10 +56,14 @@
 export function createMembershipPart(
   options: MembershipPartOptions,
 ): MembershipPart {
-  const membership = createMembership({
-    self: options.self,
-    seeds: options.seeds,
-    random: options.random,
+  const membership = options.createMachine({
+    module: "membership",
+    create: createMembership,
+    options: {
+      self: options.self,
+      seeds: options.seeds,
+      random: options.random,
+    },
   });
   const driver = createMachineDriver({
     machine: membership,
--- a/packages/daemon/entry/src/process/ownership_part.ts
+++ b/packages/daemon/entry/src/process/ownership_part.ts
@@ -19,6 +19,7 @@
 import type { Clock } from "./clock.ts";
 import { startInterval } from "./intervals.ts";
 import { createMachineDriver } from "./machine_driver.ts";
+import type { CreateMachine } from "./recording.ts";
 
 const TICK_MS = 100;
 const PROMISE_TIMEOUT_MS = 1_500;
@@ -31,6 +32,7 @@
   readonly platform: PlatformClient;
   readonly peers: PeerPool;
   readonly store: DisposableStore;
+  readonly createMachine: CreateMachine;
   readonly log: Logger;
   readonly findAddress: (incarnation: number) => string | undefined;
   readonly onOpened: (resource: string, fence: number) => void;
@@ -56,9 +58,13 @@
   options: OwnershipPartOptions,
 ): OwnershipPart {
   const { platform, log } = options;
-  const ownership = createOwnership({
-    identity: options.identity,
-    random: options.random,
+  const ownership = options.createMachine({
+    module: "ownership",
+    create: createOwnership,
+    options: {
+      identity: options.identity,
+      random: options.random,
+    },
   });
   const waiting = new Map<string, (granted: boolean) => void>();
 
--- a/packages/daemon/entry/src/process/quarantine_part.ts
+++ b/packages/daemon/entry/src/process/quarantine_part.ts
@@ -14,6 +14,7 @@
 import type { Logger } from "pino";
 import type { Clock } from "./clock.ts";
 import { createMachineDriver } from "./machine_driver.ts";
+import type { CreateMachine } from "./recording.ts";
 
 /** What a group does with a request that asked to run. */
 export interface AdmissionHandler {
@@ -44,6 +45,7 @@
 export interface QuarantinePartOptions {
   readonly clock: Clock;
   readonly store: DisposableStore;
+  readonly createMachine: CreateMachine;
   readonly log: Logger;
   readonly onSuspect: (fingerprint: string) => void;
   readonly onConvicted: (conviction: Conviction) => void;
@@ -68,7 +70,11 @@
 export function createQuarantinePart(
   options: QuarantinePartOptions,
 ): QuarantinePart {
-  const quarantine = createQuarantine({});
+  const quarantine = options.createMachine({
+    module: "quarantine",
+    create: createQuarantine,
+    options: {},
+  });
   const handlers = new Map<string, ActiveAdmission>();
   const driver = createMachineDriver<QuarantineEvent, QuarantineAction>({
     machine: quarantine,
--- a/packages/daemon/entry/src/process/reports.ts
+++ b/packages/daemon/entry/src/process/reports.ts
@@ -15,7 +15,7 @@
   QuarantineReport,
 } from "@dotterelmoor/daemon.operating";
 import type { ConfigurationPart } from "./configuration_part.ts";
-import type { GroupOwner } from "./group_owner.ts";
+import type { GroupOwner } from "./group_owner_types.ts";
 import type { Groups } from "./groups.ts";
 import type { MembershipPart } from "./membership_part.ts";
 import type { OwnershipPart } from "./ownership_part.ts";
--- a/packages/daemon/entry/src/request/key_claims.ts
+++ b/packages/daemon/entry/src/request/key_claims.ts
@@ -68,7 +68,7 @@
     const result = await options.peers.call(
       issuer.peerAddress,
       { type: "submit", ...request, deadlineMs },
-      { timeoutMs: deadlineMs },
+      { timeoutMs: deadlineMs, processId },
     );
     const outcome: Outcome = result.type === "answered" &&
         result.message.type === "exec_result"
--- a/packages/daemon/entry/src/wiring/base.ts
+++ b/packages/daemon/entry/src/wiring/base.ts
@@ -20,6 +20,8 @@
 import type { LoggerOf } from "../process/logging.ts";
 import { createMetrics } from "../process/metrics.ts";
 import type { Metrics } from "../process/metrics.ts";
+import { createMachineFactory } from "../process/recording.ts";
+import type { CreateMachine } from "../process/recording.ts";
 import type { RoutingView } from "../version/routing_view.ts";
 
 const PLATFORM_TIMEOUT_MS = 2_000;
@@ -47,6 +49,8 @@
   readonly metrics: Metrics;
   readonly clock: Clock;
   readonly random: Random;
+  /** Creates the state machines, recorded if settings say so. */
+  readonly createMachine: CreateMachine;
 }
 
 /** Creates the clients; nothing is sent yet. */
@@ -67,9 +71,11 @@
     zone,
   });
   const logOf = createLogging({ level: settings.logLevel, instance });
+  const store = new DisposableStore();
+  const clock = createClock();
   const base: Base = {
     settings,
-    store: new DisposableStore(),
+    store,
     processId,
     state,
     identity,
@@ -85,8 +91,13 @@
       log: logOf("peer"),
     }),
     metrics: createMetrics({ receiver: settings.metrics, instance, region }),
-    clock: createClock(),
+    clock,
     random: Math.random,
+    createMachine: createMachineFactory({
+      file: settings.recordFile,
+      clock,
+      store,
+    }),
   };
   for (
     const client of [base.metrics, base.platform, base.backend, base.peers]
--- a/packages/daemon/entry/src/wiring/parts.ts
+++ b/packages/daemon/entry/src/wiring/parts.ts
@@ -70,7 +70,12 @@
   const building = parts as Building;
   building.membership = buildMembership(base, building);
   building.configuration = buildConfiguration(base, building);
-  building.claims = createClaimsPart({ clock, platform, store });
+  building.claims = createClaimsPart({
+    clock,
+    platform,
+    store,
+    createMachine: base.createMachine,
+  });
   building.ownership = buildOwnership(base, building);
   building.links = buildLinks(base, building);
   building.quarantine = buildQuarantine(base, building);
@@ -92,6 +97,7 @@
 function buildMembership(base: Base, parts: Parts): MembershipPart {
   const { clock, peers, random, settings, store } = base;
   return createMembershipPart({
+    createMachine: base.createMachine,
     self: {
       ...base.identity(),
       peerAddress: parts.addresses.peers,
@@ -115,6 +121,7 @@
 function buildConfiguration(base: Base, parts: Parts): ConfigurationPart {
   const { clock, peers, platform, random, settings, store } = base;
   return createConfigurationPart({
+    createMachine: base.createMachine,
     seeds: settings.seeds,
     random,
     clock,
@@ -153,6 +160,7 @@
 function buildOwnership(base: Base, parts: Parts): OwnershipPart {
   const { clock, peers, platform, random, store } = base;
   return createOwnershipPart({
+    createMachine: base.createMachine,
     identity: { ...base.identity(), address: parts.addresses.peers },
     random,
     clock,
@@ -208,6 +216,7 @@
 
 function buildQuarantine(base: Base, parts: Parts): QuarantinePart {
   return createQuarantinePart({
+    createMachine: base.createMachine,
     clock: base.clock,
     store: base.store,
     log: base.logOf("owner"),
@@ -261,6 +270,7 @@
         random,
         backend,
         store,
+        createMachine: base.createMachine,
         quarantine: parts.quarantine,
         authorityUntilMs: () =>
           readAuthority(
