Report a retried request as unknown when its retry does not run

A retry that was refused ended as not run although the first attempt might have run. Both the group owner and the front entry now say unknown in that case. A retry of shifted traffic passes the cap again, and shifted requests carry the time by which they must be sent, so that the cap holds at the servers.

--- a/packages/daemon/entry/src/process/group_owner.ts
+++ b/packages/daemon/entry/src/process/group_owner.ts
@@ -37,6 +37,12 @@
 /** Transit allowance between the deadline at the server and authority. */
 const AUTHORITY_MARGIN_MS = 200;
 const CLOSED_RETRY_MS = 100;
+/**
+ * Share of a shift window that an admitted request may wait for its server.
+ * The window is longer by as much, so that the cap holds at the servers too;
+ * a larger share would leave more of the cap unused.
+ */
+const SHIFT_WAIT_SHARE = 0.05;
 
 /** Creates the owner of one group, with authority from now on. */
 export function createGroupOwner(options: GroupOwnerOptions): GroupOwner {
@@ -78,7 +84,11 @@
       module: "shifting",
       instance,
       create: createShiftGate,
-      options: { limits: document.shift, startedAtMs: this.#nowMs() },
+      options: {
+        limits: document.shift,
+        startedAtMs: this.#nowMs(),
+        jitterMs: document.shift.windowMs * SHIFT_WAIT_SHARE,
+      },
     });
     this.#budget = createMachine({
       module: "retrying",
@@ -103,18 +113,21 @@
   }
 
   execute(execution: Execution, signal: AbortSignal): Promise<Outcome> {
-    const refused = this.#refuse(execution);
-    if (refused !== undefined) return Promise.resolve(refused);
     if (signal.aborted) {
       return Promise.resolve({ type: "unknown", reason: "caller-left" });
     }
+    const refused = this.#refuse(execution);
+    if (refused !== undefined) return Promise.resolve(refused);
     this.#budget.handle({ type: "request" }, this.#nowMs());
     return new Promise((resolve) => {
       const abort = new AbortController();
       signal.addEventListener("abort", () => this.#cancel(abort), {
         once: true,
       });
-      this.#admit(createGroupRun({ execution, resolve, abort, avoid: [] }));
+      const sendByMs = this.#computeSendBy(execution);
+      this.#admit(
+        createGroupRun({ execution, resolve, abort, sendByMs, avoid: [] }),
+      );
     });
   }
 
@@ -231,6 +244,7 @@
         deadlineAtMs,
         exclusive: trial,
         avoid: run.avoid,
+        sendByMs: run.sendByMs,
       },
     });
   }
@@ -272,7 +286,8 @@
     if (!isOver) return;
     this.#options.quarantine.release(id);
     if (result.type === "connection_lost" && this.#canRetry(run)) {
-      this.#admit(createGroupRun({ ...run, avoid: [server] }));
+      const sendByMs = this.#computeSendBy(run.execution);
+      this.#admit(createGroupRun({ ...run, sendByMs, avoid: [server] }));
     } else {
       run.resolve(outcome);
     }
@@ -280,6 +295,7 @@
 
   #canRetry({ execution, retried }: GroupRun): boolean {
     if (!execution.repeatable || retried) return false;
+    if (this.#refuse(execution) !== undefined) return false;
     const event = { type: "retry", id: execution.requestId } as const;
     return this.#budget.handle(event, this.#nowMs())
       .some((action) => action.type === "granted");
@@ -290,7 +306,17 @@
     if (run === undefined) return;
     this.#runs.delete(id);
     this.#options.quarantine.release(id);
-    run.resolve(outcome);
+    // The first run of a retried request may have taken effect.
+    const isLost = run.retried && outcome.type === "not-run";
+    run.resolve(
+      isLost ? { type: "unknown", reason: "connection-lost" } : outcome,
+    );
+  }
+
+  /** Time by which a shifted request must be sent, counted from admission. */
+  #computeSendBy(execution: Execution): number | undefined {
+    if (execution.homeRegion === this.region) return undefined;
+    return this.#nowMs() + this.#windowMs * SHIFT_WAIT_SHARE;
   }
 
   #cancel(abort: AbortController): void {
--- a/packages/daemon/entry/src/request/front.ts
+++ b/packages/daemon/entry/src/request/front.ts
@@ -11,6 +11,7 @@
   NotRun,
   NotRunReason,
   Outcome,
+  OutcomeUnknown,
   Random,
   RequestKind,
 } from "@dotterelmoor/core.types";
@@ -212,27 +213,33 @@
   );
   let first: NotRun | undefined;
   let passing: NotRun | undefined;
+  let lost: OutcomeUnknown | undefined;
   for (const target of targets) {
     if (execution.deadlineAtMs - parts.nowMs() < MIN_ATTEMPT_MS) break;
     if (signal.aborted) break;
     const outcome = await parts.runAtTarget(target, execution, signal);
-    if (canTryNext(parts, execution, outcome)) continue;
+    if (outcome.type === "unknown" && canTryNext(parts, execution, outcome)) {
+      lost = outcome;
+      continue;
+    }
     if (outcome.type !== "not-run") return outcome;
+    // An earlier attempt may have taken effect.
+    if (lost !== undefined) return lost;
     if (FINAL_REASONS.has(outcome.reason)) return outcome;
     first ??= outcome;
     if (PASSING_REASONS.has(outcome.reason)) passing ??= outcome;
   }
-  return passing ?? first ?? makeNotRun("deadline-too-short");
+  return lost ?? passing ?? first ?? makeNotRun("deadline-too-short");
 }
 
 /** A repeatable request may go on when the owner was lost on the way. */
 function canTryNext(
   parts: FrontParts,
   execution: Execution,
-  outcome: Outcome,
+  outcome: OutcomeUnknown,
 ): boolean {
-  return outcome.type === "unknown" && outcome.reason === "peer-lost" &&
-    execution.repeatable && parts.takeRetry(execution.service);
+  return outcome.reason === "peer-lost" && execution.repeatable &&
+    parts.takeRetry(execution.service);
 }
 
 function makeNotRun(reason: NotRunReason): NotRun {
--- a/packages/daemon/entry/src/request/group_run.ts
+++ b/packages/daemon/entry/src/request/group_run.ts
@@ -14,6 +14,8 @@
   readonly resolve: (outcome: Outcome) => void;
   /** Servers that must not get this run. */
   readonly avoid: readonly string[];
+  /** Time by which a shifted request must be sent. */
+  readonly sendByMs: number | undefined;
   /** True for the second run of a request. */
   readonly retried: boolean;
   /** Parts of the HTTP request that do not depend on the server. */
@@ -35,6 +37,7 @@
   readonly resolve: (outcome: Outcome) => void;
   readonly abort: AbortController;
   readonly avoid: readonly string[];
+  readonly sendByMs: number | undefined;
 }
 
 /** Creates a run; a run that avoids a server is a retry. */
@@ -45,6 +48,7 @@
     abort: options.abort,
     resolve: options.resolve,
     avoid: options.avoid,
+    sendByMs: options.sendByMs,
     retried: options.avoid.length > 0,
     request: {
       method: execution.method,
