Go on to the next target after a lost attempt

The first refusal after a lost attempt ended the request although further regions were left. The remaining targets are tried now, and the result stays unknown if none answers. Build passes.

--- a/packages/daemon/entry/src/request/front.ts
+++ b/packages/daemon/entry/src/request/front.ts
@@ -223,12 +223,11 @@
       continue;
     }
     if (outcome.type !== "not-run") return outcome;
-    // An earlier attempt may have taken effect.
-    if (lost !== undefined) return lost;
-    if (FINAL_REASONS.has(outcome.reason)) return outcome;
+    if (FINAL_REASONS.has(outcome.reason)) return lost ?? outcome;
     first ??= outcome;
     if (PASSING_REASONS.has(outcome.reason)) passing ??= outcome;
   }
+  // A lost attempt may have taken effect, whatever the later ones said.
   return lost ?? passing ?? first ?? makeNotRun("deadline-too-short");
 }
 
