Count a new holder's permit in the link ledger

Removing expired permits also dropped the holder that was about to get its first one, so the ledger forgot every grant and a window carried 17 times the budget in a trial with 18 holders.

--- a/packages/core/permitting/src/ledger.ts
+++ b/packages/core/permitting/src/ledger.ts
@@ -74,9 +74,9 @@
     });
     if (nowMs < this.#openFromMs) return grant(0);
     const holder = this.#holders.get(name) ?? { permits: [], demand: 0 };
+    const others = this.outstanding(nowMs) - computeUse(holder);
     this.#holders.set(name, holder);
     holder.demand = Math.max(demand, 0);
-    const others = this.outstanding(nowMs) - computeUse(holder);
     const free = Math.max(this.#total - others, 0);
     const rate = Math.min(this.#computeFairRate(holder), free);
     holder.permits.push({ rate, endsMs: nowMs + PERMIT_LIFETIME_MS });
