--- a/packages/testing/bench/src/policies/owner_policy.ts
+++ b/packages/testing/bench/src/policies/owner_policy.ts
@@ -11,6 +11,7 @@
   CallerResult,
   ModelEntry,
   ModelGroup,
+  ModelRequest,
   Policy,
   World,
 } from "./world.ts";
@@ -25,46 +26,67 @@
   world: World,
   options: OwnerPolicyOptions = {},
 ): Policy {
-  const owners = new Map<ModelGroup, GroupOwner>();
-  const start = (group: ModelGroup, entry: ModelEntry) => {
-    const control = options.makeControl?.();
-    owners.set(group, new GroupOwner({ world, group, entry, control }));
-  };
-  for (const group of world.groups) {
-    start(group, world.listEntries(group.region)[group.service]!);
+  return new OwnerPolicy(world, options);
+}
+
+type OnEnd = (result: CallerResult) => void;
+
+class OwnerPolicy implements Policy {
+  readonly #world: World;
+  readonly #options: OwnerPolicyOptions;
+  readonly #owners = new Map<ModelGroup, GroupOwner>();
+  /** Requests that wait for an answer of the entry. */
+  readonly #pending: ReadonlyMap<ModelEntry, Set<OnEnd>>;
+
+  constructor(world: World, options: OwnerPolicyOptions) {
+    this.#world = world;
+    this.#options = options;
+    this.#pending = new Map(world.entries.map((entry) => [entry, new Set()]));
+    for (const group of world.groups) {
+      this.#start(group, world.listEntries(group.region)[group.service]!);
+    }
   }
-  const lost = new Map<ModelEntry, Set<(result: CallerResult) => void>>();
-  return {
-    submit(request, onEnd) {
-      const owner = findOwner(world, owners, request.group);
-      const { entry } = owner;
-      const isHome = entry.region === request.group.region;
-      const delayMs = computeDelayMs(request.entry, entry);
-      const pending = lost.get(entry) ?? new Set();
-      lost.set(entry, pending.add(onEnd));
-      const end = (result: CallerResult) =>
-        world.clock.runAfter(delayMs, () => {
-          if (pending.delete(onEnd)) onEnd(result);
-        });
-      world.clock.runAfter(delayMs, () => {
-        if (!entry.alive) return end("refused");
-        if (isHome) owner.submit(request, end);
-        else owner.submitShifted(request, end);
+
+  submit(request: ModelRequest, onEnd: OnEnd): void {
+    const { clock } = this.#world;
+    const owner = findOwner(this.#world, this.#owners, request.group);
+    const { entry } = owner;
+    const delayMs = computeDelayMs(request.entry, entry);
+    const pending = this.#pending.get(entry)!.add(onEnd);
+    const end = (result: CallerResult) =>
+      clock.runAfter(delayMs, () => {
+        if (pending.delete(onEnd)) onEnd(result);
       });
-    },
-    kill(entry) {
-      // Their outcome is unknown: the owner may have sent them.
-      for (const onEnd of lost.get(entry) ?? []) onEnd("failed");
-      lost.get(entry)?.clear();
-      for (const [group, owner] of owners) {
-        if (owner.entry !== entry) continue;
-        const deputy = world.listEntries(group.region).find((other) =>
-          other.alive && other.zone !== entry.zone
-        );
-        world.clock.runAt(owner.takeoverMs, () => start(group, deputy!));
-      }
-    },
-  };
+    clock.runAfter(delayMs, () => {
+      if (!entry.alive) end("refused");
+      else if (entry.region === request.group.region) {
+        owner.submit(request, end);
+      } else owner.submitShifted(request, end);
+    });
+  }
+
+  kill(entry: ModelEntry): void {
+    const pending = this.#pending.get(entry)!;
+    // Their outcome is unknown: the owner may have sent them.
+    for (const onEnd of pending) onEnd("failed");
+    pending.clear();
+    for (const [group, owner] of this.#owners) {
+      if (owner.entry !== entry) continue;
+      const deputy = this.#world.listEntries(group.region).find((other) =>
+        other.alive && other.zone !== entry.zone
+      );
+      this.#world.clock.runAt(
+        owner.takeoverMs,
+        () => this.#start(group, deputy!),
+      );
+    }
+  }
+
+  #start(group: ModelGroup, entry: ModelEntry): void {
+    const control = this.#options.makeControl?.();
+    const world = this.#world;
+    this.#owners.set(group, new GroupOwner({ world, group, entry, control }));
+  }
 }
 
 function findOwner(
