Test ownership with isolated owners and extreme clocks

Cause: three faults in a trial copy passed the random faults: a deputy that counts a promise 10 s as the owner does, an unanswered change of deputy that is ignored, and a row removed at once after a revocation. Change: clocks run at 0.99 or 1.01, and a fault cuts an owner from the store and later from some processes. A check that the proof in its comment makes needless is removed.

--- a/packages/core/ownership/src/candidate.ts
+++ b/packages/core/ownership/src/candidate.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { TableCheck, TransactResult } from "@dotterelmoor/core.types";
+import type { TransactResult } from "@dotterelmoor/core.types";
 import type { Departures } from "./departures.ts";
 import type { Keeper, Parts } from "./keeper.ts";
 import { GivenPromises } from "./promises.ts";
@@ -18,9 +18,8 @@
 /** Longest interval between readings, in units of the shortest. */
 const MAX_SLOWDOWN = 10;
 
-/** A takeover that may still take effect. */
+/** The last takeover that was sent. */
 interface Attempt {
-  readonly checks: readonly TableCheck[];
   inFlight: boolean;
   readonly retryAtMs: number;
 }
@@ -90,7 +89,11 @@
     }
   }
 
-  /** Decides on a promise, and keeps it if it is given. */
+  /**
+   * Decides on a promise, and keeps it if it is given. An unanswered takeover
+   * does not matter: its owner had neither lease nor promise when it was sent,
+   * and a renewal since then voids it.
+   */
   answerRequest(
     request: { from: number; to: number; resource: string; fence: number },
     nowMs: number,
@@ -100,9 +103,7 @@
     if (session.phase !== "live" || request.to !== session.incarnation) {
       return false;
     }
-    if (this.#keeper.has(resource) || this.#mayTakeEffect(resource)) {
-      return false;
-    }
+    if (this.#keeper.has(resource)) return false;
     const row = decodeResource(views.get(resource)?.value ?? null);
     const isOther = row.owner !== request.from;
     if (row.fence > fence || (row.fence === fence && isOther)) return false;
@@ -152,18 +153,6 @@
       (attempt.inFlight || nowMs < attempt.retryAtMs);
   }
 
-  /** Tells whether an unanswered takeover can still commit. */
-  #mayTakeEffect(resource: string): boolean {
-    const attempt = this.#attempts.get(resource);
-    if (attempt === undefined) return false;
-    if (attempt.inFlight) return true;
-    const isVoid = attempt.checks.some(({ key, version }) => {
-      const view = this.#parts.views.get(key);
-      return view !== undefined && view.version !== version;
-    });
-    return !isVoid;
-  }
-
   /** Returns a plan once this process's turn has come. */
   #makePlan(resource: string, nowMs: number): TakeoverPlan | undefined {
     const { session, timings, views } = this.#parts;
@@ -203,7 +192,7 @@
     const checks = [{ key: resource, version: view.version }, ...plan.checks];
     const writes = [{ key: resource, value: encodeRow(row) }, ...plan.writes];
     const retryAtMs = nowMs + timings.observeMs;
-    const attempt = { checks, inFlight: true, retryAtMs };
+    const attempt = { inFlight: true, retryAtMs };
     this.#attempts.set(resource, attempt);
     operations.submit({ checks, writes }, nowMs, (result, sentAtMs, at) => {
       attempt.inFlight = false;
--- a/packages/core/ownership/src/ownership_test.ts
+++ b/packages/core/ownership/src/ownership_test.ts
@@ -100,7 +100,7 @@
         identity: { ...place, region: "zapad", processId: `process-${index}` },
         random: this.random,
       }),
-      rate: 0.99 + this.random() * 0.02,
+      rate: this.random() < 0.5 ? 0.99 : 1.01,
       workUntilMs: new Map(),
       inbox: [],
       state: "running",
@@ -223,6 +223,9 @@
   readonly atMs: number;
   readonly target: number;
   readonly durationMs: number;
+  /** Processes that a cut concerns, one bit each. */
+  readonly mask: number;
+  readonly delayShare: number;
 }
 
 const FAULTS = {
@@ -256,11 +259,16 @@
     world.messageLoss = 0.5;
     world.time.after(fault.durationMs, () => void (world.messageLoss = 0));
   },
-  oneWayCut: (world: World, process: Process, fault: Fault) => {
-    const links = world.processes.map(({ index }) =>
-      `${process.index}>${index}`
+  /** Loses the store, and later the messages to some other processes. */
+  isolate: (world: World, process: Process, fault: Fault) => {
+    FAULTS.storeCut(world, process, fault);
+    const links = world.processes
+      .filter(({ index }) => (fault.mask >> (index % 5)) & 1)
+      .map(({ index }) => `${process.index}>${index}`);
+    world.time.after(
+      fault.durationMs * fault.delayShare,
+      () => links.forEach((link) => world.cuts.add(link)),
     );
-    links.forEach((link) => world.cuts.add(link));
     world.time.after(
       fault.durationMs,
       () => links.forEach((link) => world.cuts.delete(link)),
@@ -270,16 +278,19 @@
 
 const RUN_MS = 150_000;
 
-const RUN = { seed: 20261204, includeErrorInReport: true };
+// Shrinking a run of 255 s takes longer than the time limit of a test.
+const RUN = { seed: 20261204, includeErrorInReport: true, endOnFailure: true };
 
 const faultArbitrary: fc.Arbitrary<Fault> = fc.record({
-  kind: fc.constantFrom(...Object.keys(FAULTS) as (keyof typeof FAULTS)[]),
+  kind: fc.constantFrom(...Object.keys(FAULTS) as Fault["kind"][], "isolate"),
   atMs: fc.integer({ min: 2_000, max: RUN_MS }),
   target: fc.nat(50),
   durationMs: fc.oneof(
     fc.integer({ min: 500, max: 15_000 }),
     fc.integer({ min: 9_000, max: 45_000 }),
   ),
+  mask: fc.integer({ min: 1, max: 31 }),
+  delayShare: fc.constantFrom(0, 0.3, 0.6),
 });
 
 function submitFaults(world: World, faults: readonly Fault[]): void {
