--- /dev/null
+++ b/packages/testing/bench/src/path/path_bench.ts
@@ -0,0 +1,146 @@
+/**
+ * Latency through an entry against the same requests sent straight to the
+ * backend servers, in one run of real processes.
+ *
+ * @module
+ */
+
+import { createSender, parseMix, runLoad } from "@dotterelmoor/command.load";
+import type { Mix, RunReport } from "@dotterelmoor/command.load";
+import { startSystem, waitForGroups } from "@dotterelmoor/testing.demo";
+import type { RunningSystem } from "@dotterelmoor/testing.demo";
+
+/** Constant time that a backend server works on each request. */
+const SERVICE_MS = 20;
+const SERVERS = 3;
+const SLOTS_PER_SERVER = 3;
+/** Half of what the servers can do. */
+const RATE_PER_SECOND = SERVERS * SLOTS_PER_SERVER * 1_000 / SERVICE_MS / 2;
+
+const MIX = `
+requests:
+  - name: query
+    service: availdesk
+    method: GET
+    path: /availability
+    share: 1
+    key: none
+    client: 127.1.0.9
+    region: southeast
+`;
+
+/** Options of `runPathBench`. */
+export interface PathBenchOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly warmupMs: number;
+}
+
+/** Latencies of both ways and their ratios. */
+export interface PathBenchResult {
+  readonly direct: PathLatency;
+  readonly entry: PathLatency;
+  readonly medianRatio: number;
+  readonly p99Ratio: number;
+  /** Requests through the entry that were not answered. */
+  readonly unanswered: number;
+}
+
+/** Latencies in milliseconds. */
+export interface PathLatency {
+  readonly count: number;
+  readonly p50: number;
+  readonly p99: number;
+}
+
+/** Runs the same seeded arrivals both ways at half load. */
+export async function runPathBench(
+  options: PathBenchOptions,
+): Promise<PathBenchResult> {
+  const system = await startSystem({
+    example: "consortium",
+    regions: ["southeast"],
+    teams: ["availdesk"],
+    entriesPerRegion: 2,
+    serversPerGroup: SERVERS,
+    serverFlags: ["--service-ms", String(SERVICE_MS)],
+    entryEnv: { DOTTERELMOOR_LOG_LEVEL: "warn" },
+  });
+  try {
+    await waitForGroups(system, 1);
+    const mix = parseMix(MIX);
+    const direct = await runDirect(system, mix, options);
+    const entry = await runThroughEntry(system, mix, options);
+    return compareReports(direct, entry);
+  } finally {
+    await system.stop();
+  }
+}
+
+function runThroughEntry(
+  system: RunningSystem,
+  mix: Mix,
+  options: PathBenchOptions,
+): Promise<RunReport> {
+  const sender = createSender({
+    entries: system.entries.map(({ callers }) => callers),
+    timeoutMs: 10_000,
+    assertAllowed: () => {},
+  });
+  return runArrivals(mix, options, sender.send).finally(sender.close);
+}
+
+/** Spreads the requests evenly, as callers that know the servers could. */
+function runDirect(
+  system: RunningSystem,
+  mix: Mix,
+  options: PathBenchOptions,
+): Promise<RunReport> {
+  const senders = system.servers.map(({ instance }) =>
+    createSender({
+      entries: [],
+      direct: `http://${instance.address}`,
+      timeoutMs: 10_000,
+      assertAllowed: () => {},
+    })
+  );
+  let next = 0;
+  return runArrivals(
+    mix,
+    options,
+    (arrival) => senders[next++ % senders.length]!.send(arrival),
+  ).finally(() => senders.forEach((sender) => sender.close()));
+}
+
+function runArrivals(
+  mix: Mix,
+  options: PathBenchOptions,
+  send: Parameters<typeof runLoad>[0]["send"],
+): Promise<RunReport> {
+  return runLoad({
+    mix,
+    seed: options.seed,
+    ratePerSecond: RATE_PER_SECOND,
+    durationMs: options.durationMs,
+    warmupMs: options.warmupMs,
+    maxRequests: 100_000,
+    maxInFlight: 2_000,
+    intervalMs: 1_000,
+    send,
+  });
+}
+
+function compareReports(direct: RunReport, entry: RunReport): PathBenchResult {
+  const ways = { direct: toLatency(direct), entry: toLatency(entry) };
+  return {
+    ...ways,
+    medianRatio: ways.entry.p50 / ways.direct.p50,
+    p99Ratio: ways.entry.p99 / ways.direct.p99,
+    unanswered: entry.total.all.count - entry.total.answered.count,
+  };
+}
+
+function toLatency(report: RunReport): PathLatency {
+  const { count, p50, p99 } = report.total.answered;
+  return { count, p50, p99 };
+}
--- a/packages/testing/demo/src/calling.ts
+++ b/packages/testing/demo/src/calling.ts
@@ -8,6 +8,7 @@
 import got from "got";
 import type { Method } from "got";
 import { OPERATOR_TOKEN } from "./system.ts";
+import type { RunningSystem } from "./system.ts";
 
 const TIMEOUT_MS = 15_000;
 
@@ -154,3 +155,20 @@
   }
   return performance.now() - startedMs;
 }
+
+/** Time by which groups have owners after a start, session and reads included. */
+const GROUPS_TIMEOUT_MS = 15_000;
+
+/** Waits until the first entry knows this many groups that serve. */
+export async function waitForGroups(
+  system: RunningSystem,
+  count: number,
+): Promise<void> {
+  const { operators } = system.entries[0]!;
+  await waitUntil(async () => {
+    const { body } = await callOperators<
+      { readonly groups: readonly { readonly value: { open: boolean } }[] }
+    >(operators, "/v1/status");
+    return body.groups.filter(({ value }) => value.open).length >= count;
+  }, { timeoutMs: GROUPS_TIMEOUT_MS, what: "an owner for each group" });
+}
--- a/packages/testing/demo/src/main.ts
+++ b/packages/testing/demo/src/main.ts
@@ -9,7 +9,13 @@
 import process from "node:process";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import { callOperators, lookUp, sendRequest, waitUntil } from "./calling.ts";
+import {
+  callOperators,
+  lookUp,
+  sendRequest,
+  waitForGroups,
+  waitUntil,
+} from "./calling.ts";
 import type { LookupView, RequestView } from "./calling.ts";
 import type { ExampleName } from "./example_rows.ts";
 import { startSystem } from "./system.ts";
@@ -177,7 +183,7 @@
     for (const entry of system.entries) {
       console.log(`${entry.instance} (${entry.zone}): ${entry.callers}`);
     }
-    await waitForGroups(system, scenario);
+    await waitForGroups(system, scenario.regions.length * 2);
     const found = await showRequests(system, scenario);
     await showDrain(system, scenario, found.entries[0]!.address);
     await showChange(system, scenario);
@@ -187,20 +193,6 @@
   printStep("All processes have ended");
 }
 
-/** Waits until every group of the example has an owner that serves. */
-async function waitForGroups(
-  system: RunningSystem,
-  scenario: Scenario,
-): Promise<void> {
-  await waitUntil(async () => {
-    const { body } = await callOperators<
-      { readonly groups: readonly { readonly value: { open: boolean } }[] }
-    >(system.entries[0]!.operators, "/v1/status");
-    const open = body.groups.filter(({ value }) => value.open);
-    return open.length === scenario.regions.length * 2;
-  }, { timeoutMs: 15_000, what: "an owner for each group" });
-}
-
 const flags = await yargs(hideBin(process.argv))
   .usage("Runs a small system on loopback and shows what it decides.")
   .option("example", {
--- a/packages/testing/demo/src/mod.ts
+++ b/packages/testing/demo/src/mod.ts
@@ -10,6 +10,7 @@
   readCounters,
   sendRequest,
   setFaults,
+  waitForGroups,
   waitUntil,
 } from "./calling.ts";
 export type {
