Measure the drain time of leaving servers

The group owner now reports the time from the first sign that a server leaves until nothing is in flight there, as a metric and a log line.

--- /dev/null
+++ b/packages/daemon/entry/src/process/drain_watch.ts
@@ -0,0 +1,56 @@
+/**
+ * Measures how long leaving servers need until nothing is in flight there.
+ *
+ * @module
+ */
+
+import type { ServerView } from "@dotterelmoor/core.dispatching";
+
+const LEAVING_STATES: ReadonlySet<ServerView["state"]> = new Set([
+  "draining",
+  "leaving",
+  "unlisted",
+]);
+
+/** Follows the leaving servers of one group. */
+export interface DrainWatch {
+  /** Takes the current servers; returns those that have become idle. */
+  update(servers: readonly ServerView[], nowMs: number): DrainedServer[];
+}
+
+/** A server that has become idle while leaving. */
+export interface DrainedServer {
+  readonly id: string;
+  /** Time since it was first seen leaving. */
+  readonly drainMs: number;
+}
+
+/** Creates the watch of one group. */
+export function createDrainWatch(): DrainWatch {
+  const since = new Map<string, number>();
+  const idle = new Set<string>();
+
+  function forgetOthers(leaving: readonly ServerView[]): void {
+    const ids = new Set(leaving.map(({ id }) => id));
+    for (const id of since.keys()) {
+      if (ids.has(id)) continue;
+      since.delete(id);
+      idle.delete(id);
+    }
+  }
+
+  return {
+    update: (servers, nowMs) => {
+      const leaving = servers.filter(({ state }) => LEAVING_STATES.has(state));
+      forgetOthers(leaving);
+      const drained: DrainedServer[] = [];
+      for (const { id, inFlight } of leaving) {
+        if (!since.has(id)) since.set(id, nowMs);
+        if (inFlight > 0 || idle.has(id)) continue;
+        idle.add(id);
+        drained.push({ id, drainMs: nowMs - since.get(id)! });
+      }
+      return drained;
+    },
+  };
+}
--- a/packages/daemon/entry/src/process/groups.ts
+++ b/packages/daemon/entry/src/process/groups.ts
@@ -15,6 +15,8 @@
 import type { BackendClient } from "@dotterelmoor/network.backend";
 import type { Logger } from "pino";
 import type { Clock } from "./clock.ts";
+import { createDrainWatch } from "./drain_watch.ts";
+import type { DrainWatch } from "./drain_watch.ts";
 import type { GroupOwner } from "./group_owner_types.ts";
 import { startInterval } from "./intervals.ts";
 import type { Metrics } from "./metrics.ts";
@@ -94,6 +96,7 @@
   const { clock, region } = options;
   const owners = new Map<string, GroupOwner>();
   const drained = new Map<string, () => void>();
+  const drains = new Map<string, DrainWatch>();
   let snapshot: ConfigurationSnapshot | undefined;
   let instances: readonly ListedInstance[] = [];
   let sequence = 0;
@@ -144,6 +147,16 @@
     options.metrics.recordHeadroom(owner.service, region, Math.max(share, 0));
   }
 
+  function recordDrains(key: string, owner: GroupOwner): void {
+    const nowMs = clock.nowMs();
+    const watch = drains.get(key);
+    const servers = owner.dispatcher.listServers(nowMs);
+    for (const { id, drainMs } of watch?.update(servers, nowMs) ?? []) {
+      options.metrics.recordDrain(owner.service, drainMs);
+      options.log.info({ server: id, drainMs }, "Server drained.");
+    }
+  }
+
   startInterval(options.store, TICK_MS, () => {
     for (const owner of owners.values()) owner.tick();
   });
@@ -158,6 +171,7 @@
     for (const [key, owner] of owners) {
       publish(key, owner, false);
       recordHeadroom(owner);
+      recordDrains(key, owner);
     }
   });
 
@@ -177,6 +191,7 @@
         },
       });
       owners.set(resource, owner);
+      drains.set(resource, createDrainWatch());
       updateServers(owner);
       options.log.info({ service, fence }, "Group opened.");
       publish(resource, owner, true);
@@ -185,6 +200,7 @@
       const owner = owners.get(resource);
       if (owner === undefined) return;
       owners.delete(resource);
+      drains.delete(resource);
       if (!owner.dispatcher.closed) owner.close();
       publish(resource, owner, true);
     },
