--- a/packages/daemon/entry/src/process/claims_part.ts
+++ b/packages/daemon/entry/src/process/claims_part.ts
@@ -11,6 +11,7 @@
 import type { Clock } from "./clock.ts";
 import { createMachineDriver } from "./machine_driver.ts";
 import type { CreateMachine } from "./recording.ts";
+import { createTableHandlers } from "./table_handlers.ts";
 
 /** Options of `createClaimsPart`. */
 export interface ClaimsPartOptions {
@@ -70,16 +71,7 @@
       store: options.store,
     },
     handlers: {
-      transact: ({ operationId, transaction }) => {
-        platform.transact(transaction).then((result) =>
-          driver.send({ type: "transacted", operationId, result })
-        );
-      },
-      read: ({ operationId, key }) => {
-        platform.read(key).then((result) =>
-          driver.send({ type: "rows_read", operationId, result })
-        );
-      },
+      ...createTableHandlers(platform, (event) => driver.send(event)),
       claimed: ({ requestId }) => settle(requestId, { type: "claimed" }),
       refused: ({ requestId, outcome }) => settle(requestId, outcome),
     },
--- a/packages/daemon/entry/src/process/ownership_part.ts
+++ b/packages/daemon/entry/src/process/ownership_part.ts
@@ -20,6 +20,7 @@
 import { startInterval } from "./intervals.ts";
 import { createMachineDriver } from "./machine_driver.ts";
 import type { CreateMachine } from "./recording.ts";
+import { createTableHandlers } from "./table_handlers.ts";
 
 const TICK_MS = 100;
 const PROMISE_TIMEOUT_MS = 1_500;
@@ -72,16 +73,7 @@
     machine: ownership,
     clock: options.clock,
     handlers: {
-      transact: ({ operationId, transaction }) => {
-        platform.transact(transaction).then((result) =>
-          driver.send({ type: "transacted", operationId, result })
-        );
-      },
-      read: ({ operationId, key }) => {
-        platform.read(key).then((result) =>
-          driver.send({ type: "rows_read", operationId, result })
-        );
-      },
+      ...createTableHandlers(platform, (event) => driver.send(event)),
       request_promise: (action) => {
         requestPromise(options, action).then((granted) =>
           driver.send({
