Tell runs of different groups apart in the quarantine

The ids of runs named only the fence and a number, but the quarantine is shared by all groups that a process owns. With two groups at the same fence, the admission of one replaced that of the other, and a release then removed the wrong one: the request waited without end. The system test of whole answers (600 requests to two services) left 79 queries at the owner without any answer for 12 s, against none with the service in the id. Cancelled callers, late and cut answers were ruled out: the same requests hung without any of them.

--- a/packages/daemon/entry/src/process/group_owner.ts
+++ b/packages/daemon/entry/src/process/group_owner.ts
@@ -219,7 +219,8 @@
 
   #admit(run: GroupRun): void {
     const { execution } = run;
-    const id = `${this.fence}-${this.#nextRun++}`;
+    // The quarantine is shared by the groups of a process.
+    const id = `${this.service}/${this.fence}-${this.#nextRun++}`;
     this.#runs.set(id, run);
     const admission = {
       id,
