Convict no request for an answer that was cut

An answer cut on the way counted as a crash, as a connection lost without an answer does, so one server that cuts its answers made suspects of all requests in flight there and convicted each one in its trial. The system test of whole answers found a query quarantined after it had met the cutting server twice: it was refused for 5 s until the test gave up.

--- a/packages/core/quarantine/src/quarantine.ts
+++ b/packages/core/quarantine/src/quarantine.ts
@@ -117,6 +117,11 @@
       if (crashed) this.#applyCrash(server!, turn);
       this.#end(admission, turn);
     },
+    incomplete_answer: (admission, turn) => {
+      const { run, server } = admission;
+      this.#servers.cut(run!, server!, turn.nowMs);
+      this.#end(admission, turn);
+    },
   };
 
   constructor(options: QuarantineOptions) {
--- a/packages/core/quarantine/src/quarantine_test.ts
+++ b/packages/core/quarantine/src/quarantine_test.ts
@@ -227,3 +227,18 @@
   const sameKey = { ...base, key: "x", body: bytes("y") };
   t.is(computeFingerprint(sameKey), prints[3]!);
 });
+
+test("guards against convictions by a server that cuts its answers", (t) => {
+  const quarantine = createQuarantine({});
+  const run = (id: string, result: RunResult) => {
+    quarantine.handle({ type: "admit", id, fingerprint: "f" }, 0);
+    quarantine.handle({ type: "start", id, server: "s" }, 0);
+    quarantine.handle({ type: "finish", id, result }, 0);
+    return quarantine.classify("f", 0);
+  };
+  t.is(run("r1", "incomplete_answer"), "clear");
+  // A refused connection after the cut proves that the server has crashed.
+  t.is(run("r2", "connection_refused"), "suspect");
+  quarantine.handle({ type: "release", id: "r2" }, 0);
+  t.is(run("r3", "incomplete_answer"), "suspect");
+});
--- a/packages/core/quarantine/src/server_runs.ts
+++ b/packages/core/quarantine/src/server_runs.ts
@@ -22,6 +22,8 @@
   readonly running: Set<Run>;
   /** Runs whose connection was lost, with the time of the loss. */
   readonly lost: Map<Run, number>;
+  /** Runs whose answer began and was cut, with the time of that. */
+  readonly cut: Map<Run, number>;
   /** Runs given up by us that may still run, with the time of that. */
   readonly lingering: Map<Run, number>;
   /** The server has answered since the first loss. */
@@ -47,6 +49,7 @@
       record = {
         running: new Set(),
         lost: new Map(),
+        cut: new Map(),
         lingering: new Map(),
         answered: false,
       };
@@ -87,8 +90,16 @@
     return record.running.size === 0 && !record.answered;
   }
 
+  /** Records a cut answer, which proves a crash only with a refusal after it. */
+  cut(run: Run, server: string, nowMs: number): void {
+    const record = this.#servers.get(server);
+    if (record?.running.delete(run)) record.cut.set(run, nowMs);
+  }
+
+  /** Whether a refused connection now proves a crash. */
   hasLost(server: string): boolean {
-    return (this.#servers.get(server)?.lost.size ?? 0) > 0;
+    const record = this.#servers.get(server);
+    return record !== undefined && record.lost.size + record.cut.size > 0;
   }
 
   /** Takes the runs that a crash involves. */
@@ -97,17 +108,19 @@
     this.#servers.delete(server);
     if (record === undefined) return { running: [], lingering: [] };
     return {
-      running: [...record.running, ...record.lost.keys()],
+      running: [...record.running, ...record.lost.keys(), ...record.cut.keys()],
       lingering: [...record.lingering.keys()],
     };
   }
 
   /** Forgets losses that no refused connection has followed. */
   expire(nowMs: number): void {
-    for (const [server, { running, lost, lingering }] of this.#servers) {
+    for (const [server, record] of this.#servers) {
+      const { running, lost, cut, lingering } = record;
       removeBefore(lost, nowMs - LOSS_MS);
+      removeBefore(cut, nowMs - LOSS_MS);
       removeBefore(lingering, nowMs - LINGER_MS);
-      if (running.size + lost.size + lingering.size === 0) {
+      if (running.size + lost.size + cut.size + lingering.size === 0) {
         this.#servers.delete(server);
       }
     }
--- a/packages/core/quarantine/src/types.ts
+++ b/packages/core/quarantine/src/types.ts
@@ -15,7 +15,8 @@
   | "refused"
   | "timed_out"
   | "connection_refused"
-  | "connection_lost";
+  | "connection_lost"
+  | "incomplete_answer";
 
 /** Input of the quarantine. */
 export type QuarantineEvent =
--- a/packages/daemon/entry/src/process/group_owner.ts
+++ b/packages/daemon/entry/src/process/group_owner.ts
@@ -277,7 +277,12 @@
     } else {
       this.#monitor.recordFailure();
     }
-    this.#options.quarantine.send({ type: "finish", id, result: finish });
+    this.#options.quarantine.send({
+      type: "finish",
+      id,
+      // A cut answer alone is no crash, but its slot is held like a lost one.
+      result: result.type === "incomplete_answer" ? result.type : finish,
+    });
     const outcome = toOutcome(result, server);
     // The run leaves the table first, so that an action on the same id that
     // the dispatcher emits now cannot end it a second time.
--- a/packages/daemon/entry/src/process/send_results.ts
+++ b/packages/daemon/entry/src/process/send_results.ts
@@ -11,7 +11,7 @@
 /** A result of a send that was not cancelled. */
 export type SendResult = Exclude<BackendResult, { type: "cancelled" }>;
 
-/** How the dispatcher and the quarantine see a result of the client. */
+/** How the dispatcher sees a result of the client. */
 const FINISH_RESULTS: Readonly<Record<SendResult["type"], FinishResult>> = {
   answered: "answered",
   refused: "refused",
@@ -22,7 +22,7 @@
   incomplete_answer: "connection_lost",
 };
 
-/** Returns how a send finished for the dispatcher and the quarantine. */
+/** Returns how a send finished for the dispatcher. */
 export function toFinishResult(result: SendResult): FinishResult {
   return FINISH_RESULTS[result.type];
 }
