--- /dev/null
+++ b/packages/testing/system/src/calls.ts
@@ -0,0 +1,151 @@
+/**
+ * Sends requests as a caller and keeps what came back, failures too.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import type { Agent } from "node:http";
+import got from "got";
+import type { Method } from "got";
+
+/** Longer than every deadline in the documents. */
+const TIMEOUT_MS = 12_000;
+
+/** One request of a caller. */
+export interface Call {
+  /** `host:port` of the entry. */
+  readonly entry: string;
+  readonly service: string;
+  readonly path: string;
+  readonly method?: Method;
+  /** Loopback address that the call comes from; it decides the home region. */
+  readonly from?: string;
+  readonly key?: string;
+  readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  /** Time after which the caller leaves. */
+  readonly timeoutMs?: number;
+  readonly signal?: AbortSignal;
+  readonly agent?: Agent;
+}
+
+/** What a caller knows after its request; `lost` is no whole answer at all. */
+export interface CallResult {
+  readonly call: Call;
+  readonly outcome: "answered" | "not-run" | "unknown" | "lost";
+  readonly reason: string;
+  readonly status: number;
+  readonly server: string;
+  readonly requestId: string;
+  readonly body: string;
+  /** Times on the clock of `performance`. */
+  readonly startedMs: number;
+  readonly endedMs: number;
+}
+
+const OUTCOMES = ["answered", "not-run", "unknown"] as const;
+
+/** Address in the block of the first region of both examples. */
+export const FIRST_REGION_CLIENT = "127.1.0.5";
+
+/** Sends one request once; never throws and never retries. */
+export async function sendCall(call: Call): Promise<CallResult> {
+  const requestId = randomUUID();
+  const result = {
+    call,
+    outcome: "lost" as const,
+    reason: "",
+    status: 0,
+    server: "",
+    requestId,
+    body: "",
+    startedMs: performance.now(),
+  };
+  try {
+    const response = await got(
+      `http://${call.entry}/services/${call.service}${call.path}`,
+      {
+        method: call.method ?? "GET",
+        body: call.body,
+        headers: {
+          "dotterelmoor-request-id": requestId,
+          ...(call.key === undefined ? {} : { "idempotency-key": call.key }),
+          ...call.headers,
+        },
+        agent: call.agent === undefined ? undefined : { http: call.agent },
+        localAddress: call.from ?? FIRST_REGION_CLIENT,
+        throwHttpErrors: false,
+        timeout: { request: call.timeoutMs ?? TIMEOUT_MS },
+        signal: call.signal,
+        retry: { limit: 0 },
+      },
+    );
+    const read = (name: string) => String(response.headers[name] ?? "");
+    const outcome = OUTCOMES.find((one) =>
+      one === read("dotterelmoor-outcome")
+    );
+    return {
+      ...result,
+      outcome: outcome ?? "lost",
+      reason: read("dotterelmoor-reason"),
+      status: response.statusCode,
+      server: read("dotterelmoor-server"),
+      body: response.body,
+      endedMs: performance.now(),
+    };
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return { ...result, reason, endedMs: performance.now() };
+  }
+}
+
+/** Counts results by outcome and reason, for messages of failed tests. */
+export function describeResults(results: readonly CallResult[]): string {
+  const counts = new Map<string, number>();
+  for (const { outcome, reason } of results) {
+    const name = reason === "" ? outcome : `${outcome} (${reason})`;
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  return [...counts].map(([name, count]) => `${count} ${name}`).join(", ");
+}
+
+/** Calls that are sent in bursts until stopped. */
+export interface Load {
+  /** Results so far, in the order of their ends. */
+  readonly results: readonly CallResult[];
+  /** Stops sending and waits for all answers. */
+  stop(): Promise<readonly CallResult[]>;
+}
+
+/** Options of `startLoad`. */
+export interface LoadOptions {
+  readonly intervalMs: number;
+  /** Makes the calls of one burst. */
+  readonly makeBurst: (number: number) => readonly Call[];
+}
+
+/** Sends a burst of calls at once after every interval. */
+export function startLoad(options: LoadOptions): Load {
+  const results: CallResult[] = [];
+  const pending = new Set<Promise<void>>();
+  let number = 0;
+  const timer = setInterval(() => {
+    for (const call of options.makeBurst(number)) {
+      const sent = sendCall(call).then((result) => {
+        results.push(result);
+        pending.delete(sent);
+      });
+      pending.add(sent);
+    }
+    number += 1;
+  }, options.intervalMs);
+  return {
+    results,
+    stop: async () => {
+      clearInterval(timer);
+      await Promise.all(pending);
+      return results;
+    },
+  };
+}
--- /dev/null
+++ b/packages/testing/system/src/test_system.ts
@@ -0,0 +1,159 @@
+/**
+ * Systems of processes for tests: start, readiness and teardown.
+ *
+ * @module
+ */
+
+import { createServer } from "node:net";
+import type { Server } from "node:net";
+import {
+  callOperators,
+  startSystem,
+  waitUntil,
+} from "@dotterelmoor/testing.demo";
+import type {
+  EntryProcess,
+  RunningSystem,
+  SystemOptions,
+} from "@dotterelmoor/testing.demo";
+import type { ExecutionContext } from "ava";
+
+/** Abstract socket that one test at a time listens on. */
+const TURN_SOCKET = "\0dotterelmoor-system-tests";
+const TURN_TIMEOUT_MS = 600_000;
+const GROUPS_TIMEOUT_MS = 20_000;
+
+/** The part of an entry's status that tests read. */
+export interface EntryStatus {
+  readonly instance: string;
+  readonly configuration: {
+    readonly sequence: number;
+    readonly storeSilentMs: number | null;
+  };
+  readonly session: { readonly phase: string; readonly incarnation: number };
+  readonly owned: readonly {
+    readonly service: string;
+    readonly inFlight: number;
+    readonly queued: number;
+  }[];
+  readonly groups: readonly {
+    readonly key: string;
+    readonly fresh: boolean;
+    readonly value: { readonly open: boolean; readonly owner: number };
+  }[];
+  readonly members: readonly {
+    readonly instance: string;
+    readonly state: string;
+  }[];
+}
+
+/** A lease as `GET /v1/leases` lists it. */
+export interface LeaseView {
+  readonly service: string;
+  readonly region: string;
+  readonly owner: number;
+  readonly deputy: number;
+  readonly fence: number;
+}
+
+/** Options of `startTestSystem`. */
+export interface TestSystemOptions extends SystemOptions {
+  /** Teams of the example to load; each has one service of the same name. */
+  readonly teams: readonly string[];
+}
+
+/**
+ * Starts a system, waits until every entry sees an owner for each group, and
+ * stops it at the end of the test. Only one such system runs at a time,
+ * because ava runs test files side by side.
+ */
+export async function startTestSystem(
+  t: ExecutionContext,
+  options: TestSystemOptions,
+): Promise<RunningSystem> {
+  t.timeout(TURN_TIMEOUT_MS);
+  const turn = await takeTurn();
+  t.teardown(() => turn.close());
+  const startedMs = performance.now();
+  const system = await startSystem(options);
+  t.teardown(async () => {
+    if (!t.passed) printLogs(t, system);
+    await system.stop();
+    const seconds = (performance.now() - startedMs) / 1_000;
+    t.log(`The processes ran for ${seconds.toFixed(1)} s`);
+  });
+  await waitForGroups(system, options);
+  return system;
+}
+
+/** Waits for the turn; the kernel gives it back when the process ends. */
+async function takeTurn(): Promise<Server> {
+  let turn: Server | undefined;
+  await waitUntil(async () => (turn = await openTurn()) !== undefined, {
+    timeoutMs: TURN_TIMEOUT_MS,
+    what: "the end of another system test",
+  });
+  return turn!;
+}
+
+function openTurn(): Promise<Server | undefined> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once("error", () => resolve(undefined));
+    server.listen(TURN_SOCKET, () => resolve(server));
+  });
+}
+
+function printLogs(t: ExecutionContext, system: RunningSystem): void {
+  for (const { instance, process } of system.entries) {
+    const lines = [...process.stdoutLines, ...process.stderrLines];
+    t.log(`Last lines of ${instance}:\n${lines.slice(-25).join("\n")}`);
+  }
+}
+
+async function waitForGroups(
+  system: RunningSystem,
+  options: TestSystemOptions,
+): Promise<void> {
+  const expected = options.teams.length * options.regions.length;
+  await waitUntil(async () => {
+    const statuses = await Promise.all(system.entries.map(readStatus));
+    return statuses.every((status) =>
+      status.groups.filter((group) => group.fresh && group.value.open)
+          .length === expected &&
+      status.members.filter((member) => member.state === "alive")
+          .length === system.entries.length
+    );
+  }, { timeoutMs: GROUPS_TIMEOUT_MS, what: "an owner for each group" });
+}
+
+/** Reads the status of an entry. */
+export async function readStatus(entry: EntryProcess): Promise<EntryStatus> {
+  const answer = await callOperators<EntryStatus>(
+    entry.operators,
+    "/v1/status",
+  );
+  return answer.body;
+}
+
+/** Lists the leases that an entry knows. */
+export async function listLeases(entry: EntryProcess): Promise<LeaseView[]> {
+  const answer = await callOperators<{ readonly leases: LeaseView[] }>(
+    entry.operators,
+    "/v1/leases",
+  );
+  return answer.body.leases;
+}
+
+/** Finds the entry that owns a group; none of them may be frozen or dead. */
+export async function findOwner(
+  entries: readonly EntryProcess[],
+  group: { readonly service: string; readonly region: string },
+): Promise<EntryProcess | undefined> {
+  for (const entry of entries) {
+    if (entry.region !== group.region) continue;
+    const { owned } = await readStatus(entry);
+    if (owned.some(({ service }) => service === group.service)) return entry;
+  }
+  return undefined;
+}
