Test whole answers among late, cut and cancelled ones

Two rounds of 300 concurrent requests go through three entries, with one late server and one that cuts its answers for each service, and with callers that leave. Every answered caller must get its own echo. With peer answers matched to the oldest open call, hold 1 got the answer of hold 223.

--- /dev/null
+++ b/packages/testing/system/src/whole_answer_test.ts
@@ -0,0 +1,152 @@
+import { randomUUID } from "node:crypto";
+import { Agent } from "node:http";
+import test from "ava";
+import { setFaults, waitUntil } from "@dotterelmoor/testing.demo";
+import type { RunningSystem } from "@dotterelmoor/testing.demo";
+import type { ExecutionContext } from "ava";
+import { describeResults, FIRST_REGION_CLIENT, sendCall } from "./calls.ts";
+import type { Call, CallResult } from "./calls.ts";
+import { countRunsByKey, listRepeated } from "./counting.ts";
+import { startTestSystem } from "./test_system.ts";
+
+const HOLDS = "holdkeeper";
+const QUERIES = "availdesk";
+const REQUESTS = 300;
+/** Longer than the deadline of some requests and shorter than of others. */
+const LATE_MS = 700;
+
+interface Echo {
+  readonly path: string;
+  readonly requestId: string;
+  readonly key: string | null;
+  readonly body: string;
+  readonly pad: string;
+}
+
+/** Answers beyond the size of one socket read. */
+const PAD_BYTES = 100_000;
+
+/** Makes one server of each service late and one cut its answers. */
+async function setServerFaults(system: RunningSystem): Promise<void> {
+  for (const service of [HOLDS, QUERIES]) {
+    const [late, cutting] = system.servers.filter(({ instance }) =>
+      instance.service === service
+    );
+    await setFaults(late!.controlUrl, { lateMs: LATE_MS });
+    await setFaults(cutting!.controlUrl, { cutBody: true });
+  }
+}
+
+/** Every third request is a query, and bodies differ in length too. */
+function makeCall(system: RunningSystem, number: number, agent: Agent): Call {
+  const entry = system.entries[number % system.entries.length]!.callers;
+  const deadlineMs = number % 4 === 0 ? 500 : 3_000;
+  const headers = { "dotterelmoor-deadline-ms": String(deadlineMs) };
+  const key = randomUUID();
+  const common = { entry, headers, key, agent };
+  if (number % 3 === 0) {
+    return {
+      ...common,
+      service: QUERIES,
+      path: `/availability?number=${number}`,
+    };
+  }
+  return {
+    ...common,
+    service: HOLDS,
+    path: `/holds/${number}`,
+    method: "POST",
+    body: `${number} `.repeat(1 + (number * 37) % 4_000),
+  };
+}
+
+/** Every seventh caller leaves, at times from at once to after the end. */
+function sendAndMaybeLeave(call: Call, number: number): Promise<CallResult> {
+  if (number % 7 !== 0) return sendCall(call);
+  return sendCall({ ...call, signal: AbortSignal.timeout(number % 50 * 6) });
+}
+
+function assertOwnAnswer(t: ExecutionContext, result: CallResult): void {
+  const echo = JSON.parse(result.body) as Echo;
+  const { call, requestId } = result;
+  t.deepEqual(
+    {
+      requestId: echo.requestId,
+      key: echo.key,
+      path: echo.path,
+      isOwnBody: echo.body === (call.body ?? ""),
+      padding: echo.pad.length,
+    },
+    {
+      requestId,
+      key: call.key!,
+      path: call.path,
+      isOwnBody: true,
+      padding: PAD_BYTES,
+    },
+  );
+}
+
+function assertResult(
+  t: ExecutionContext,
+  result: CallResult,
+  number: number,
+): void {
+  if (result.outcome === "answered") return assertOwnAnswer(t, result);
+  // Only a caller that left itself may be without a clear outcome.
+  const hasLeft = number % 7 === 0;
+  t.true(result.outcome !== "lost" || hasLeft, `${number}: ${result.reason}`);
+  if (result.outcome !== "lost") t.true(result.reason !== "");
+}
+
+test.serial("guards against answers that are cut, mixed up or another caller's", async (t) => {
+  const system = await startTestSystem(t, {
+    example: "consortium",
+    regions: ["southeast"],
+    entriesPerRegion: 3,
+    serversPerGroup: 3,
+    teams: [HOLDS, QUERIES],
+    serverFlags: [
+      ...["--service-ms", "10", "--distribution", "exponential"],
+      ...["--answer-bytes", String(PAD_BYTES)],
+    ],
+  });
+  await setServerFaults(system);
+  const agent = new Agent({
+    keepAlive: true,
+    maxSockets: 100,
+    localAddress: FIRST_REGION_CLIENT,
+  });
+  t.teardown(() => agent.destroy());
+  const results: CallResult[] = [];
+  // Two rounds, so that connections with late answers are used again.
+  for (let round = 0; round < 2; round += 1) {
+    const sent = Array.from(
+      { length: REQUESTS },
+      (_, number) => sendAndMaybeLeave(makeCall(system, number, agent), number),
+    );
+    results.push(...await Promise.all(sent));
+  }
+  t.log(describeResults(results));
+  results.forEach((result, index) => assertResult(t, result, index % REQUESTS));
+  const count = (outcome: string) =>
+    results.filter((result) => result.outcome === outcome).length;
+  t.true(count("answered") >= REQUESTS, describeResults(results));
+  t.true(count("unknown") > 0, "no answer was late or cut");
+  t.true(count("lost") > 0, "no caller left");
+  const runs = await countRunsByKey(system);
+  const holds = new Set(
+    results.filter(({ call }) => call.service === HOLDS)
+      .map(({ call }) => call.key!),
+  );
+  t.deepEqual(listRepeated(runs).filter((key) => holds.has(key)), []);
+  const falselyRefused = results.filter(({ outcome, call }) =>
+    outcome === "not-run" && runs.has(call.key!)
+  );
+  t.is(falselyRefused.length, 0, describeResults(falselyRefused));
+  await waitUntil(async () => {
+    // Its answer may have been cut before; that must not convict it.
+    const last = await sendCall(makeCall(system, 3, agent));
+    return last.outcome === "answered";
+  }, { timeoutMs: 5_000, what: "an answer after all" });
+});
