--- /dev/null
+++ b/packages/core/claiming/src/claim_queue.ts
@@ -0,0 +1,137 @@
+/**
+ * Claims that wait to be sent, and operations in flight.
+ *
+ * @module
+ */
+
+import type { Claim } from "./claim.ts";
+
+/** Reads in flight at a time; more would compete with the claims. */
+const MAX_READS = 64;
+
+/** Options of {@linkcode ClaimQueue}. */
+export interface ClaimQueueOptions {
+  readonly batchSize: number;
+  readonly slots: number;
+  readonly lingerMs: number;
+  readonly submit: (operationId: number, claims: readonly Claim[]) => void;
+  readonly read: (operationId: number, key: string) => void;
+}
+
+/** Forms batches and limits what is in flight. */
+export class ClaimQueue {
+  readonly #options: ClaimQueueOptions;
+  readonly #waiting = new Set<Claim>();
+  readonly #unread = new Set<Claim>();
+  readonly #batches = new Map<number, readonly Claim[]>();
+  readonly #reads = new Map<number, Claim>();
+  #lastId = 0;
+  /** Operations without an answer since the last answer. */
+  #failures = 0;
+
+  constructor(options: ClaimQueueOptions) {
+    this.#options = options;
+  }
+
+  /** Adds a claim to send, or to read if it was abandoned. */
+  add(claim: Claim, dueMs = claim.dueMs): void {
+    claim.dueMs = dueMs;
+    this.#waiting.add(claim);
+  }
+
+  /** Removes a claim that is not in flight; false if it is. */
+  remove(claim: Claim): boolean {
+    return this.#unread.delete(claim) || this.#waiting.delete(claim);
+  }
+
+  /** Reads the row of a claim as soon as possible. */
+  read(claim: Claim): void {
+    this.#unread.add(claim);
+  }
+
+  /** True while the store fails and some claim will find out about its return. */
+  isDown(): boolean {
+    return this.#isFailing() && (this.#waiting.size > 0 || this.#isBusy());
+  }
+
+  /** Time at which the next claim is due. */
+  nextMs(): number {
+    let nextMs = Infinity;
+    for (const claim of this.#waiting) nextMs = Math.min(nextMs, claim.dueMs);
+    return nextMs;
+  }
+
+  /** Sends what is due. */
+  flush(nowMs: number): void {
+    for (const claim of this.#waiting) {
+      if (claim.state !== "abandoned" || claim.dueMs > nowMs) continue;
+      this.#waiting.delete(claim);
+      this.#unread.add(claim);
+    }
+    this.#sendReads();
+    this.#sendBatches(nowMs);
+  }
+
+  /** Ends a batch and returns its claims. */
+  resolveBatch(operationId: number, answered: boolean): readonly Claim[] {
+    const claims = this.#batches.get(operationId) ?? [];
+    if (this.#batches.delete(operationId)) this.#record(answered);
+    return claims;
+  }
+
+  /** Ends a read and returns its claim. */
+  resolveRead(operationId: number, answered: boolean): Claim | undefined {
+    const claim = this.#reads.get(operationId);
+    if (this.#reads.delete(operationId)) this.#record(answered);
+    return claim;
+  }
+
+  #record(answered: boolean): void {
+    this.#failures = answered ? 0 : this.#failures + 1;
+  }
+
+  /** A single lost answer is no outage. */
+  #isFailing(): boolean {
+    return this.#failures > 1;
+  }
+
+  #isBusy(): boolean {
+    return this.#batches.size + this.#reads.size + this.#unread.size > 0;
+  }
+
+  #sendReads(): void {
+    for (const claim of this.#unread) {
+      if (this.#reads.size >= (this.#isFailing() ? 1 : MAX_READS)) return;
+      this.#unread.delete(claim);
+      const operationId = ++this.#lastId;
+      this.#reads.set(operationId, claim);
+      this.#options.read(operationId, claim.rowKey);
+    }
+  }
+
+  #sendBatches(nowMs: number): void {
+    const { batchSize, slots, submit } = this.#options;
+    // A failing store gets one claim at a time, so that few stay uncertain.
+    const isFailing = this.#isFailing();
+    const size = isFailing ? 1 : batchSize;
+    while (this.#batches.size < (isFailing ? 1 : slots)) {
+      const claims = this.#pickBatch(size, nowMs);
+      if (claims.length === 0) return;
+      claims.forEach((claim) => this.#waiting.delete(claim));
+      const operationId = ++this.#lastId;
+      this.#batches.set(operationId, claims);
+      submit(operationId, claims);
+    }
+  }
+
+  /** Claims of the next batch, or none before it is full or one is due. */
+  #pickBatch(size: number, nowMs: number): Claim[] {
+    const ready = [...this.#waiting].filter((claim) =>
+      claim.state !== "abandoned" &&
+      claim.dueMs <= nowMs + this.#options.lingerMs
+    );
+    const isDue = ready.length >= size ||
+      ready.some((claim) => claim.dueMs <= nowMs);
+    return isDue ? ready.slice(0, size) : [];
+  }
+}
