Add byte permits on links between regions

Change: a ledger grants max-min fair rates; holders keep token buckets of 40 ms, count validity from before the request and send long messages in slices.

--- a/packages/core/permitting/src/holder.ts
+++ b/packages/core/permitting/src/holder.ts
@@ -4,11 +4,157 @@
  * @module
  */
 
-import type { PermitHolder, PermitHolderOptions } from "./types.ts";
+import {
+  ASK_MS,
+  ASK_WITHOUT_PERMIT_MS,
+  BUCKET_S,
+  LIFETIME_MS,
+} from "./limits.ts";
+import type {
+  PermitHolder,
+  PermitHolderEvent,
+  PermitHolderOptions,
+  PermitRequest,
+} from "./types.ts";
+
+/** A holder that did not send for this time lets its permit lapse. */
+const IDLE_MS = 1_000;
+
+/** Headroom that a holder asks for beyond what it sent. */
+const DEMAND_MARGIN = 1.5;
+
+interface Permit {
+  readonly requestId: number;
+  readonly rate: number;
+  readonly untilMs: number;
+}
 
 /** Creates the holder of one process on one link. */
-export function createPermitHolder(
-  _options: PermitHolderOptions,
-): PermitHolder {
-  throw new Error("The permit holder is not implemented yet");
+export function createPermitHolder(options: PermitHolderOptions): PermitHolder {
+  return new Holder(options);
+}
+
+class Holder implements PermitHolder {
+  readonly #budget: number;
+  /** Times at which unanswered requests were sent. */
+  readonly #asks = new Map<number, number>();
+  #permit: Permit | undefined;
+  #tokens = 0;
+  #accruedMs = 0;
+  #lastAsk = 0;
+  #lastAskMs = -Infinity;
+  #lastUseMs = -Infinity;
+  #sentBytes = 0;
+  #wasRefused = false;
+
+  constructor(options: PermitHolderOptions) {
+    this.#budget = options.budgetBytesPerSecond;
+  }
+
+  handle(event: PermitHolderEvent, nowMs: number): PermitRequest[] {
+    if (event.type === "tick") return this.#ask(nowMs);
+    this.#receive(event, nowMs);
+    return [];
+  }
+
+  take(bytes: number, nowMs: number): boolean {
+    this.#lastUseMs = nowMs;
+    if (this.waitMs(bytes, nowMs) > 0) {
+      this.#wasRefused = true;
+      return false;
+    }
+    this.#spend(bytes);
+    return true;
+  }
+
+  takeUpTo(bytes: number, nowMs: number): number {
+    const depth = this.#depth(nowMs);
+    // Half a bucket at a time keeps slices from becoming tiny.
+    const least = Math.min(bytes, Math.floor(depth / 2));
+    const ready = Math.min(bytes, Math.floor(this.#tokens));
+    this.#lastUseMs = nowMs;
+    this.#wasRefused ||= ready < bytes;
+    if (depth === 0 || ready < least || ready <= 0) return 0;
+    this.#spend(ready);
+    return ready;
+  }
+
+  maxTake(nowMs: number): number {
+    return Math.floor(this.#depth(nowMs));
+  }
+
+  waitMs(bytes: number, nowMs: number): number {
+    const depth = this.#depth(nowMs);
+    if (depth === 0) return Infinity;
+    const missing = Math.min(bytes, depth) - this.#tokens;
+    // Less than a byte is missing only by rounding.
+    return missing < 1e-6 ? 0 : missing / this.#permit!.rate * 1_000;
+  }
+
+  #spend(bytes: number): void {
+    this.#tokens -= bytes;
+    this.#sentBytes += bytes;
+  }
+
+  /** Bucket depth in bytes after accrual, 0 without a valid permit. */
+  #depth(nowMs: number): number {
+    const permit = this.#permit;
+    if (permit === undefined) return 0;
+    const depth = permit.rate * BUCKET_S;
+    const untilMs = Math.min(nowMs, permit.untilMs);
+    const elapsedMs = Math.max(0, untilMs - this.#accruedMs);
+    this.#accruedMs = Math.max(untilMs, this.#accruedMs);
+    this.#tokens = Math.min(
+      depth,
+      this.#tokens + elapsedMs * permit.rate / 1e3,
+    );
+    if (nowMs < permit.untilMs) return depth;
+    // Tokens end with their permit; a debt stays.
+    this.#permit = undefined;
+    this.#tokens = Math.min(0, this.#tokens);
+    return 0;
+  }
+
+  #ask(nowMs: number): PermitRequest[] {
+    const isIdle = nowMs - this.#lastUseMs >= IDLE_MS;
+    const hasPermit = this.#depth(nowMs) > 0;
+    const intervalMs = hasPermit ? ASK_MS : ASK_WITHOUT_PERMIT_MS;
+    const elapsedMs = nowMs - this.#lastAskMs;
+    if (isIdle || elapsedMs < intervalMs) return [];
+    const requestId = ++this.#lastAsk;
+    for (const [id, sentAtMs] of this.#asks) {
+      if (nowMs - sentAtMs >= LIFETIME_MS) this.#asks.delete(id);
+    }
+    this.#asks.set(requestId, nowMs);
+    const demand = this.#computeDemand(elapsedMs);
+    this.#lastAskMs = nowMs;
+    this.#sentBytes = 0;
+    this.#wasRefused = false;
+    return [{ type: "request", requestId, demand }];
+  }
+
+  /** A holder that had to wait could use the whole link for all it knows. */
+  #computeDemand(elapsedMs: number): number {
+    if (this.#wasRefused) return this.#budget;
+    const sent = this.#sentBytes * 1_000 / elapsedMs * DEMAND_MARGIN;
+    return Math.min(this.#budget, sent);
+  }
+
+  #receive(
+    event: Extract<PermitHolderEvent, { type: "granted" }>,
+    nowMs: number,
+  ): void {
+    const sentAtMs = this.#asks.get(event.requestId);
+    if (sentAtMs === undefined || event.rate <= 0) return;
+    this.#asks.delete(event.requestId);
+    const untilMs = sentAtMs + LIFETIME_MS;
+    const isLate = untilMs <= nowMs ||
+      event.requestId < (this.#permit?.requestId ?? 0);
+    if (isLate) return;
+    // Settles the former permit; the new one accrues from now on.
+    this.#depth(nowMs);
+    this.#accruedMs = nowMs;
+    this.#tokens = Math.min(this.#tokens, event.rate * BUCKET_S);
+    this.#permit = { requestId: event.requestId, rate: event.rate, untilMs };
+  }
 }
--- /dev/null
+++ b/packages/core/permitting/src/shares.ts
@@ -0,0 +1,30 @@
+/**
+ * Max-min fair shares of a rate.
+ *
+ * @module
+ */
+
+/**
+ * Part of the unused rate that is granted beyond the demands. The rest is left
+ * for a holder that starts to send, which would otherwise wait for permits to
+ * lapse.
+ */
+const SPARE_SHARE = 0.5;
+
+/** Divides a rate by demand; spare rate is shared on top in equal parts. */
+export function computeShares(
+  limit: number,
+  demands: ReadonlyMap<string, number>,
+): Map<string, number> {
+  const shares = new Map<string, number>();
+  const ascending = [...demands].sort(([, a], [, b]) => a - b);
+  let left = limit;
+  ascending.forEach(([name, demand], index) => {
+    const share = Math.min(demand, left / (ascending.length - index));
+    shares.set(name, share);
+    left -= share;
+  });
+  const spare = left * SPARE_SHARE / Math.max(1, shares.size);
+  for (const [name, share] of shares) shares.set(name, share + spare);
+  return shares;
+}
--- a/packages/core/permitting/src/types.ts
+++ b/packages/core/permitting/src/types.ts
@@ -8,7 +8,7 @@
 
 /** Options of {@linkcode createPermitLedger}. */
 export interface PermitLedgerOptions {
-  /** Bytes that the link carries in any window of one lifetime. */
+  /** Bytes that the link may carry in any window of 1 s. */
   readonly budgetBytesPerSecond: number;
 }
 
@@ -67,8 +67,18 @@
 /** Holds the permits of one process on one link. */
 export interface PermitHolder
   extends StateMachine<PermitHolderEvent, PermitRequest> {
-  /** Takes bytes to send now; false if they must wait. */
+  /**
+   * Takes a whole message to send now; false if it must wait. A message larger
+   * than the bucket waits for a full bucket and leaves a debt.
+   */
   take(bytes: number, nowMs: number): boolean;
+  /**
+   * Takes as many bytes of a longer message as may be sent now, 0 if none. A
+   * message sent in such slices keeps the budget in every window.
+   */
+  takeUpTo(bytes: number, nowMs: number): number;
+  /** Largest message in bytes that leaves no debt, 0 without a valid permit. */
+  maxTake(nowMs: number): number;
   /** Time until `take` may succeed, Infinity without a valid permit. */
   waitMs(bytes: number, nowMs: number): number;
 }
