Test permits at their rates and at full buckets

Cause: three faults in a trial copy passed: validity counted from the answer, permits counted for 1 s by the ledger, no reserve for clocks. Change: the property also bounds the sum of usable rates at each grant; another test fills buckets before a window with clocks at 1.01.

--- a/packages/core/permitting/src/permitting_test.ts
+++ b/packages/core/permitting/src/permitting_test.ts
@@ -4,6 +4,7 @@
   createRandom,
   VirtualTime,
 } from "../../ownership/src/table_fixture.ts";
+import { BUCKET_S, GRANTED_SHARE } from "./limits.ts";
 import { createPermitHolder, createPermitLedger } from "./mod.ts";
 import type { PermitHolder, PermitLedger } from "./mod.ts";
 
@@ -11,6 +12,8 @@
 
 const BUDGET = 37_500_000;
 
+const GRANTED = BUDGET * GRANTED_SHARE;
+
 interface Sender {
   readonly machine: PermitHolder;
   readonly name: string;
@@ -35,11 +38,19 @@
   readonly sent: { atMs: number; bytes: number; from: string }[] = [];
   readonly senders: Sender[] = [];
   readonly random: () => number;
+  readonly #clockRates: readonly number[];
   owner!: Owner;
   loss = 0;
+  /** Highest sum of the rates that the holders may use at one time. */
+  highestRate = 0;
 
-  constructor(seed: number, count: number, messageBytes = 8_192) {
+  constructor(
+    seed: number,
+    count: number,
+    { messageBytes = 8_192, clockRates = [0.99, 1.01] } = {},
+  ) {
     this.random = createRandom(seed);
+    this.#clockRates = clockRates;
     this.replaceLedger();
     for (let index = 0; index < count; index++) {
       const sender: Sender = {
@@ -131,11 +142,11 @@
       { ...request, type: "request", holder: sender.name },
       this.#localMs(owner),
     );
-    const receive = (requestId: number, rate: number) =>
-      sender.machine.handle(
-        { type: "granted", requestId, rate },
-        this.#localMs(sender),
-      );
+    const receive = (requestId: number, rate: number) => {
+      const nowMs = this.#localMs(sender);
+      sender.machine.handle({ type: "granted", requestId, rate }, nowMs);
+      this.#measureRate();
+    };
     for (const { requestId, rate } of grants) {
       this.#send(() => {
         if (this.time.nowMs >= sender.frozenUntilMs) receive(requestId, rate);
@@ -144,6 +155,14 @@
     }
   }
 
+  #measureRate(): void {
+    const rates = this.senders.map((sender) =>
+      sender.machine.maxTake(this.#localMs(sender)) / BUCKET_S
+    );
+    const sum = rates.reduce((total, rate) => total + rate, 0);
+    this.highestRate = Math.max(this.highestRate, sum);
+  }
+
   #send(deliver: () => void): void {
     if (this.random() < this.loss) return;
     const isSlow = this.random() < 0.05;
@@ -155,7 +174,8 @@
   }
 
   #makeClockRate(): number {
-    return this.random() < 0.5 ? 0.99 : 1.01;
+    return this
+      .#clockRates[Math.floor(this.random() * this.#clockRates.length)]!;
   }
 }
 
@@ -193,6 +213,8 @@
       }
       const peak = world.findPeak();
       if (peak > BUDGET) throw new Error(`${peak} bytes in 1 s`);
+      const rate = world.highestRate;
+      if (rate > GRANTED) throw new Error(`${rate} bytes/s may be used`);
     },
   );
   fc.assert(property, { ...RUN, numRuns: 150 });
@@ -222,12 +244,21 @@
   }
 });
 
+test("guards against full buckets and fast clocks that fill a window", (t) => {
+  const world = new World(1, 18, { messageBytes: 512, clockRates: [1.01] });
+  world.time.runUntil(3_000);
+  world.senders.forEach((sender) => world.freeze(sender, 100));
+  world.time.runUntil(5_000);
+  const peak = world.findPeak() / BUDGET;
+  t.true(peak <= 1 && peak > 0.995, `${peak} of the budget in 1 s`);
+});
+
 test("guards against a whole large message beyond the stated bound", (t) => {
-  const bytes = 4 * 2 ** 20;
-  const world = new World(1, 4, bytes);
+  const messageBytes = 4 * 2 ** 20;
+  const world = new World(1, 4, { messageBytes });
   world.senders.forEach((sender) => sender.inDebt = true);
   world.time.runUntil(20_000);
-  const depth = BUDGET / 1.05 / 4 * 0.04;
-  t.true(world.findPeak() <= BUDGET + 4 * (bytes - depth));
+  const depth = GRANTED / 4 * BUCKET_S;
+  t.true(world.findPeak() <= BUDGET + 4 * (messageBytes - depth));
   t.true(world.computeRate(5_000, 20_000) <= BUDGET);
 });
