--- a/packages/core/permitting/src/ledger.ts
+++ b/packages/core/permitting/src/ledger.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import { GRANTED_SHARE, PERMIT_LIFETIME_MS } from "./limits.ts";
+import { GRANTED_SHARE, HOLD_MS } from "./limits.ts";
+import { computeShares } from "./shares.ts";
 import type {
   PermitGrant,
   PermitLedger,
@@ -12,104 +13,100 @@
   PermitLedgerOptions,
 } from "./types.ts";
 
-/** Creates the ledger of one link. */
-export function createPermitLedger(options: PermitLedgerOptions): PermitLedger {
-  return new Ledger(options.budgetBytesPerSecond * GRANTED_SHARE);
-}
-
 interface Permit {
   readonly rate: number;
-  readonly endsMs: number;
+  readonly untilMs: number;
 }
 
 interface Holder {
-  /** Permits that the holder may still use, the older ones first. */
-  permits: Permit[];
   demand: number;
+  /** Permits that the holder may still use; it uses one of them. */
+  permits: Permit[];
 }
 
-type RequestEvent = Extract<PermitLedgerEvent, { type: "request" }>;
+type Handlers = {
+  readonly [Type in PermitLedgerEvent["type"]]: (
+    event: Extract<PermitLedgerEvent, { type: Type }>,
+    nowMs: number,
+  ) => PermitGrant[];
+};
+
+/** Creates the ledger of one link; it grants nothing before `open`. */
+export function createPermitLedger(options: PermitLedgerOptions): PermitLedger {
+  return new Ledger(options);
+}
 
 class Ledger implements PermitLedger {
-  readonly #total: number;
+  readonly #limit: number;
   readonly #holders = new Map<string, Holder>();
-  /** Time from which permits may be granted. */
-  #openFromMs = Infinity;
+  #opensAtMs = Infinity;
 
-  constructor(total: number) {
-    this.#total = total;
+  readonly #handlers: Handlers = {
+    // Permits of an earlier ledger may be in use for one lifetime.
+    open: (_event, nowMs) => {
+      if (this.#opensAtMs === Infinity) this.#opensAtMs = nowMs + HOLD_MS;
+      return [];
+    },
+    close: () => {
+      this.#opensAtMs = Infinity;
+      this.#holders.clear();
+      return [];
+    },
+    request: (event, nowMs) => [this.#grant(event, nowMs)],
+    tick: () => [],
+  };
+
+  constructor(options: PermitLedgerOptions) {
+    this.#limit = options.budgetBytesPerSecond * GRANTED_SHARE;
   }
 
   handle(event: PermitLedgerEvent, nowMs: number): PermitGrant[] {
-    this.#removeExpired(nowMs);
-    switch (event.type) {
-      case "open":
-        // Permits of an earlier ledger lapse within one lifetime.
-        this.#openFromMs = nowMs + PERMIT_LIFETIME_MS;
-        return [];
-      case "close":
-        this.#openFromMs = Infinity;
-        return [];
-      case "request":
-        return [this.#grant(event, nowMs)];
-      case "tick":
-        return [];
-    }
+    this.#expire(nowMs);
+    const handler = this.#handlers[event.type] as (
+      event: PermitLedgerEvent,
+      nowMs: number,
+    ) => PermitGrant[];
+    return handler(event, nowMs);
   }
 
   outstanding(nowMs: number): number {
-    this.#removeExpired(nowMs);
+    this.#expire(nowMs);
     let sum = 0;
-    for (const holder of this.#holders.values()) sum += computeUse(holder);
+    for (const holder of this.#holders.values()) sum += getRate(holder);
     return sum;
   }
 
-  #grant(event: RequestEvent, nowMs: number): PermitGrant {
+  #grant(
+    event: Extract<PermitLedgerEvent, { type: "request" }>,
+    nowMs: number,
+  ): PermitGrant {
     const { holder: name, requestId, demand } = event;
-    const grant = (rate: number): PermitGrant => ({
-      type: "grant",
-      holder: name,
-      requestId,
-      rate,
-    });
-    if (nowMs < this.#openFromMs) return grant(0);
-    const holder = this.#holders.get(name) ?? { permits: [], demand: 0 };
-    const others = this.outstanding(nowMs) - computeUse(holder);
+    const grant = { type: "grant", holder: name, requestId } as const;
+    if (nowMs < this.#opensAtMs) return { ...grant, rate: 0 };
+    const holder = this.#holders.get(name) ?? { demand: 0, permits: [] };
+    holder.demand = Math.max(0, demand);
+    const demands = new Map(
+      [...this.#holders].map(([key, value]) => [key, value.demand]),
+    ).set(name, holder.demand);
+    const share = computeShares(this.#limit, demands).get(name)!;
+    const free = this.#limit - this.outstanding(nowMs) + getRate(holder);
+    const rate = Math.floor(Math.min(share, free));
+    // An earlier permit counts on, because this one may not arrive.
+    holder.permits = holder.permits.filter((permit) => permit.rate > rate);
+    holder.permits.push({ rate, untilMs: nowMs + HOLD_MS });
     this.#holders.set(name, holder);
-    holder.demand = Math.max(demand, 0);
-    const free = Math.max(this.#total - others, 0);
-    const rate = Math.min(this.#computeFairRate(holder), free);
-    holder.permits.push({ rate, endsMs: nowMs + PERMIT_LIFETIME_MS });
-    return grant(rate);
+    return { ...grant, rate };
   }
 
-  /** Max-min fair share of a holder among all that have a permit. */
-  #computeFairRate(wanted: Holder): number {
-    const demands = [...this.#holders.values()]
-      .map(({ demand }) => demand)
-      .sort((left, right) => left - right);
-    let left = this.#total;
-    let fair = left;
-    for (const [index, demand] of demands.entries()) {
-      fair = left / (demands.length - index);
-      if (demand > fair) break;
-      left -= demand;
-    }
-    return Math.min(wanted.demand, fair);
-  }
-
-  #removeExpired(nowMs: number): void {
+  #expire(nowMs: number): void {
     for (const [name, holder] of this.#holders) {
-      holder.permits = holder.permits.filter(({ endsMs }) => endsMs > nowMs);
+      holder.permits = holder.permits.filter(({ untilMs }) => untilMs > nowMs);
       if (holder.permits.length === 0) this.#holders.delete(name);
     }
   }
 }
 
-/**
- * Rate that a holder may use: it can still go by an earlier, higher permit
- * while the answer with the next one is on its way.
- */
-function computeUse(holder: Holder): number {
-  return holder.permits.reduce((most, { rate }) => Math.max(most, rate), 0);
+/** Highest rate that the holder may use. */
+function getRate(holder: Holder): number {
+  return Math.max(0, ...holder.permits.map(({ rate }) => rate));
 }
