Count entries of all regions and start the slope measurements

The keeper's read interval needs the number of all entries, which the list of known members does not give: it holds at most 16 entries of another region. Summaries now carry the region's size.

--- a/packages/core/membership/src/contacting.ts
+++ b/packages/core/membership/src/contacting.ts
@@ -92,6 +92,7 @@
       sequence: this.#sequence,
       entries,
       gone: knowledge.gone(),
+      size: live.length,
       states: this.#takeStates(nowMs),
     };
   }
--- a/packages/core/membership/src/membership.ts
+++ b/packages/core/membership/src/membership.ts
@@ -118,6 +118,12 @@
     return this.#live.filter((member) => member.region === region);
   }
 
+  countEntries(): number {
+    const { region } = this.#options.self;
+    return this.liveMembers(region).length +
+      this.#knowledge.regions.countEntries();
+  }
+
   state(key: string): StateView | undefined {
     return this.#knowledge.states.view(key, this.#nowMs);
   }
--- a/packages/core/membership/src/membership_test.ts
+++ b/packages/core/membership/src/membership_test.ts
@@ -83,6 +83,7 @@
 test("guards against callers sent to an entry that leaves", (t) => {
   const network = new Network({ seed: 4, regions: 2, size: 8 });
   network.runFor(20_000);
+  t.true(network.running().every((n) => n.machine.countEntries() === 16));
   const leaving = network.get("r1n4");
   network.apply(leaving, { type: "leave" });
   const isListed = (node: Node) =>
--- a/packages/core/membership/src/messages.ts
+++ b/packages/core/membership/src/messages.ts
@@ -60,6 +60,8 @@
   readonly entries: readonly MemberRecord[];
   /** Processes that left or died in the last seconds, up to 8. */
   readonly gone: readonly string[];
+  /** Live entries of the region in all. */
+  readonly size: number;
   readonly ageMs: number;
 }
 
@@ -121,6 +123,8 @@
   readonly entries: readonly MemberRecord[];
   /** Processes that left or died in the last seconds, up to 8. */
   readonly gone: readonly string[];
+  /** Live entries of the region in all. */
+  readonly size: number;
   /** States with global scope that the region's entries set, up to 32. */
   readonly states: readonly StateUpdate[];
 }
--- a/packages/core/membership/src/options.ts
+++ b/packages/core/membership/src/options.ts
@@ -112,6 +112,8 @@
   members(): readonly MemberUpdate[];
   /** Members that may serve: alive or suspect; of one region or of all. */
   liveMembers(region?: string): readonly MemberUpdate[];
+  /** Live entries of all regions, also those that are not known one by one. */
+  countEntries(): number;
   /** One soft-state entry, with its age at the last handled event. */
   state(key: string): StateView | undefined;
   /** Soft-state entries whose key has the prefix, in key order. */
--- a/packages/core/membership/src/region_table.ts
+++ b/packages/core/membership/src/region_table.ts
@@ -89,6 +89,13 @@
     return ageMs > MAX_AGE_MS ? undefined : { ...region.latest, ageMs };
   }
 
+  /** Live entries of all other regions, by the newest list of each. */
+  countEntries(): number {
+    let count = 0;
+    for (const { latest } of this.#regions.values()) count += latest?.size ?? 0;
+    return count;
+  }
+
   /** Entries of a region that were heard of within a time. */
   contacts(name: string, sinceMs = -Infinity): MemberRecord[] {
     const contacts = this.#regions.get(name)?.contacts.values() ?? [];
--- a/packages/core/membership/src/state_table.ts
+++ b/packages/core/membership/src/state_table.ts
@@ -19,6 +19,8 @@
 /** Soft state of one process. */
 export class StateTable {
   #entries = new Map<string, Entry>();
+  /** Look-ups list keys far more often than keys come and go. */
+  #sorted: readonly string[] | undefined;
   readonly #freshMs: number;
 
   constructor(freshMs: number) {
@@ -36,6 +38,7 @@
     }
     if (update.ageMs >= update.ttlMs) return false;
     if (!known && this.#entries.size >= MAX_STATES) return false;
+    if (!known) this.#sorted = undefined;
     const setAtMs = nowMs - Math.max(0, update.ageMs);
     this.#entries.set(update.key, { update, setAtMs });
     return known ?? true;
@@ -57,13 +60,14 @@
     return { key, value, version, region, ageMs, fresh };
   }
 
-  /** Keys in order. */
-  keys(prefix = ""): string[] {
-    const keys: string[] = [];
-    for (const key of this.#entries.keys()) {
-      if (key.startsWith(prefix)) keys.push(key);
-    }
-    return keys.sort();
+  /** Keys with a prefix, in order. */
+  keys(prefix = ""): readonly string[] {
+    this.#sorted ??= Array.from(this.#entries.keys()).sort();
+    const sorted = this.#sorted;
+    const start = findFirst(sorted, prefix);
+    let end = start;
+    while (end < sorted.length && sorted[end]!.startsWith(prefix)) end += 1;
+    return sorted.slice(start, end);
   }
 
   /** Keys of a region's entries with global scope, in order. */
@@ -78,11 +82,25 @@
   /** Removes entries whose time to live has passed. */
   expire(nowMs: number): void {
     for (const [key, { update, setAtMs }] of this.#entries) {
-      if (nowMs - setAtMs >= update.ttlMs) this.#entries.delete(key);
+      if (nowMs - setAtMs < update.ttlMs) continue;
+      this.#entries.delete(key);
+      this.#sorted = undefined;
     }
   }
 }
 
+/** Index of the first key that is not below the prefix. */
+function findFirst(sorted: readonly string[], prefix: string): number {
+  let low = 0;
+  let high = sorted.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if (sorted[middle]! < prefix) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
+
 /** Orders versions by fence, then by sequence. */
 export function compareVersions(a: StateVersion, b: StateVersion): number {
   return a[0] - b[0] || a[1] - b[1];
--- /dev/null
+++ b/packages/testing/bench/src/slopes/fleet.ts
@@ -0,0 +1,288 @@
+/**
+ * Entries of several regions with the product's membership and configuration
+ * keeper, under a virtual clock. Traffic is counted as encoded bytes.
+ *
+ * @module
+ */
+
+import { createConfigurationKeeper } from "@dotterelmoor/core.configuring";
+import type {
+  ConfigurationEvent,
+  ConfigurationKeeper,
+} from "@dotterelmoor/core.configuring";
+import { createMembership } from "@dotterelmoor/core.membership";
+import type {
+  Membership,
+  MembershipAction,
+  MembershipEvent,
+  MembershipMessage,
+} from "@dotterelmoor/core.membership";
+import { Encoder } from "cbor-x";
+import { VirtualClock } from "../policies/virtual_clock.ts";
+import { buildEmptySnapshot } from "./samples.ts";
+
+const TICK_MS = 100;
+/** Interval at which the daemon publishes the states of its groups. */
+const PUBLISH_MS = 500;
+/** Interval at which the daemon tells the keeper the live peers. */
+const PEERS_MS = 500;
+/** Length prefix of a frame. */
+const FRAME_BYTES = 4;
+
+/** The peer protocol's encoding. */
+const codec = new Encoder({
+  useRecords: false,
+  mapsAsObjects: true,
+  tagUint8Array: false,
+});
+
+/** Options of `Fleet`. */
+export interface FleetOptions {
+  readonly nodes: number;
+  readonly regions: number;
+  /** Services that have a group in each region. */
+  readonly services: number;
+  readonly loss: number;
+  readonly random: () => number;
+}
+
+/** One entry of the fleet. */
+export interface FleetNode {
+  readonly id: number;
+  readonly region: string;
+  readonly membership: Membership;
+  readonly keeper: ConfigurationKeeper;
+}
+
+/** Bytes and messages sent by all nodes. */
+export interface Traffic {
+  messages: number;
+  bytes: number;
+  /** Encoded bytes of the largest message. */
+  largest: number;
+  summaries: number;
+  summaryBytes: number;
+  /** Configuration snapshots sent, by push or in answer to a pull. */
+  snapshots: number;
+}
+
+/** Runs entries and counts what they send. */
+export class Fleet {
+  readonly clock = new VirtualClock();
+  readonly nodes: FleetNode[] = [];
+  traffic: Traffic = buildTraffic();
+  storeReads = 0;
+  #counting = false;
+  readonly #options: FleetOptions;
+
+  constructor(options: FleetOptions) {
+    this.#options = options;
+    for (let id = 0; id < options.nodes; id += 1) this.#add(id);
+    for (const node of this.nodes) this.#start(node);
+  }
+
+  /** Counts the traffic of a time. */
+  measureTraffic(durationMs: number): Traffic {
+    this.traffic = buildTraffic();
+    this.#counting = true;
+    this.clock.runUntil(this.clock.nowMs + durationMs);
+    this.#counting = false;
+    return this.traffic;
+  }
+
+  /** Commits a configuration at the first node. */
+  commit(sequence: number): void {
+    const snapshot = buildEmptySnapshot(sequence);
+    this.#configure(this.nodes[0]!, {
+      type: "snapshot",
+      snapshot,
+      source: "commit",
+    });
+  }
+
+  /** Milliseconds until all nodes have a sequence in force. */
+  measureSpread(sequence: number, limitMs: number): number {
+    const startMs = this.clock.nowMs;
+    while (this.clock.nowMs < startMs + limitMs) {
+      this.clock.runUntil(this.clock.nowMs + 5);
+      const done = this.nodes.every((node) =>
+        node.keeper.status().sequence >= sequence
+      );
+      if (done) return this.clock.nowMs - startMs;
+    }
+    return Infinity;
+  }
+
+  #add(id: number): void {
+    const { regions, random } = this.#options;
+    const region = `region-${id % regions}`;
+    const seeds = Array.from({ length: 2 * regions }, (_, n) => `${n}`);
+    const membership = createMembership({
+      self: {
+        instance: `entry-${id}`,
+        processId: `p-${id.toString(36).padStart(20, "0")}`,
+        incarnation: id + 1,
+        peerAddress: `${id}`,
+        callerAddress: `10.0.${id >> 8}.${id & 255}:8080`,
+        region,
+        zone: `${region}-${Math.floor(id / regions) % 4}`,
+      },
+      seeds,
+      random,
+    });
+    const keeper = createConfigurationKeeper({ seeds, random });
+    this.nodes.push({ id, region, membership, keeper });
+  }
+
+  #start(node: FleetNode): void {
+    const { random } = this.#options;
+    this.#apply(node, { type: "start" });
+    const snapshot = buildEmptySnapshot(1);
+    this.#configure(node, { type: "snapshot", snapshot, source: "store" });
+    this.#repeat(TICK_MS * random(), TICK_MS, () => {
+      this.#apply(node, { type: "tick" });
+      this.#configure(node, { type: "tick" });
+    });
+    this.#repeat(PEERS_MS * random(), PEERS_MS, () => {
+      const live = node.membership.liveMembers();
+      const addresses = live.map((member) => member.peerAddress)
+        .filter((address) => address !== `${node.id}`);
+      const entries = node.membership.countEntries();
+      this.#configure(node, { type: "peers", addresses, entries });
+    });
+    const rank = Math.floor(node.id / this.#options.regions);
+    if (rank >= this.#options.services) return;
+    let sequence = 0;
+    this.#repeat(PUBLISH_MS * random(), PUBLISH_MS, () => {
+      sequence += 1;
+      this.#publish(node, rank, sequence);
+    });
+  }
+
+  #publish(node: FleetNode, service: number, sequence: number): void {
+    const self = node.membership.members()[0]!;
+    this.#apply(node, {
+      type: "set_state",
+      key: `groups/service-${service}/${node.region}`,
+      value: {
+        ownerProcess: self.processId,
+        owner: self.incarnation,
+        fence: 7,
+        address: self.callerAddress,
+        queueMs: sequence % 13,
+        open: true,
+        sequence,
+      },
+      version: [7, sequence],
+      scope: "global",
+      ttlMs: 10_000,
+    });
+  }
+
+  #repeat(firstMs: number, periodMs: number, run: () => void): void {
+    this.clock.runAfter(firstMs, () => {
+      run();
+      this.#repeat(periodMs, periodMs, run);
+    });
+  }
+
+  #apply(node: FleetNode, event: MembershipEvent): void {
+    for (const action of node.membership.handle(event, this.clock.nowMs)) {
+      this.#take(node, action);
+    }
+  }
+
+  #take(node: FleetNode, action: MembershipAction): void {
+    if (action.type === "digest") {
+      this.#configure(node, action);
+    } else if (action.type === "send") {
+      const { address, message } = action;
+      if (this.#counting) this.#count(message);
+      this.#send(node, this.nodes[Number(address)], (to) =>
+        this.#apply(to, {
+          type: "message",
+          fromAddress: `${node.id}`,
+          message,
+        }));
+    }
+  }
+
+  #configure(node: FleetNode, event: ConfigurationEvent): void {
+    for (const action of node.keeper.handle(event, this.clock.nowMs)) {
+      if (action.type === "apply") {
+        const { sequence } = action.snapshot;
+        this.#apply(node, { type: "set_digest", sequence });
+      } else if (action.type === "push") {
+        const { snapshot } = action;
+        for (const address of action.addresses) {
+          this.#sendSnapshot(node, this.nodes[Number(address)], snapshot);
+        }
+      } else if (action.type === "pull") {
+        const peer = this.nodes[Number(action.address)]!;
+        this.#send(node, peer, () => {
+          const snapshot = peer.keeper.current();
+          if (snapshot) this.#sendSnapshot(peer, node, snapshot);
+        });
+      } else {
+        if (this.#counting) this.storeReads += 1;
+        this.clock.runAfter(
+          20,
+          () =>
+            this.#configure(node, { type: "store_read", result: "unchanged" }),
+        );
+      }
+    }
+  }
+
+  #sendSnapshot(
+    from: FleetNode,
+    to: FleetNode | undefined,
+    snapshot: ReturnType<typeof buildEmptySnapshot>,
+  ): void {
+    if (this.#counting) this.traffic.snapshots += 1;
+    this.#send(
+      from,
+      to,
+      (node) =>
+        this.#configure(node, { type: "snapshot", snapshot, source: "peer" }),
+    );
+  }
+
+  #send(
+    from: FleetNode,
+    to: FleetNode | undefined,
+    deliver: (to: FleetNode) => void,
+  ): void {
+    const { random, loss } = this.#options;
+    if (!to || random() < loss) return;
+    const delayMs = from.region === to.region ? 0.5 : 35;
+    this.clock.runAfter(delayMs + random() * 0.5, () => deliver(to));
+  }
+
+  #count(message: MembershipMessage): void {
+    const { traffic } = this;
+    const size = encodeFrame(message);
+    traffic.messages += 1;
+    traffic.bytes += size;
+    traffic.largest = Math.max(traffic.largest, size);
+    if (message.type === "summary") {
+      traffic.summaries += 1;
+      traffic.summaryBytes += size;
+    }
+  }
+}
+
+function encodeFrame(message: MembershipMessage): number {
+  return FRAME_BYTES + codec.encode({ type: "membership", message }).length;
+}
+
+function buildTraffic(): Traffic {
+  return {
+    messages: 0,
+    bytes: 0,
+    largest: 0,
+    summaries: 0,
+    summaryBytes: 0,
+    snapshots: 0,
+  };
+}
--- /dev/null
+++ b/packages/testing/bench/src/slopes/measurement.ts
@@ -0,0 +1,78 @@
+/**
+ * A measurement at several sizes, and the table of all of them.
+ *
+ * @module
+ */
+
+import { computeFit } from "./fitting.ts";
+import type { Fit, Point } from "./fitting.ts";
+
+/** One quantity measured at several sizes. */
+export interface Measurement {
+  readonly name: string;
+  /** What the size counts. */
+  readonly sizeName: string;
+  readonly unit: string;
+  readonly points: readonly Point[];
+  readonly fit: Fit;
+  /** True for wall-clock times, which differ between runs and machines. */
+  readonly timed: boolean;
+}
+
+/** Options of `toMeasurement`. */
+export interface ToMeasurementOptions {
+  readonly sizeName: string;
+  readonly unit: string;
+  readonly scale?: Fit["scale"];
+  readonly timed?: boolean;
+}
+
+/** Fits a line through the points of a quantity. */
+export function toMeasurement(
+  name: string,
+  points: readonly Point[],
+  options: ToMeasurementOptions,
+): Measurement {
+  const { sizeName, unit, scale = "linear", timed = false } = options;
+  return {
+    name,
+    sizeName,
+    unit,
+    points,
+    fit: computeFit(points, scale),
+    timed,
+  };
+}
+
+/** Renders measurements as a text table. */
+export function renderMeasurements(
+  measurements: readonly Measurement[],
+): string {
+  const rows = measurements.map((one) => [
+    one.name + (one.timed ? " (timed)" : ""),
+    one.unit,
+    one.points.map(({ size, value }) => `${size}: ${format(value)}`).join("  "),
+    `${format(one.fit.intercept)} + ${format(one.fit.slope)} × ` +
+    (one.fit.scale === "log2" ? `log2(${one.sizeName})` : one.sizeName),
+    one.fit.r2.toFixed(2),
+  ]);
+  const head = ["quantity", "unit", "measured", "fit", "r2"];
+  const widths = head.map((title, column) =>
+    Math.max(title.length, ...rows.map((row) => row[column]!.length))
+  );
+  return [head, ...rows]
+    .map((row) =>
+      row.map((cell, column) => cell.padEnd(widths[column]!)).join("  ")
+        .trimEnd()
+    )
+    .join("\n");
+}
+
+function format(value: number): string {
+  if (value === 0) return "0";
+  const size = Math.abs(value);
+  if (size >= 1_000) return String(Math.round(value));
+  return size >= 0.01
+    ? String(Number(value.toPrecision(4)))
+    : value.toExponential(2);
+}
