Report an entry as ready only when it may serve

With an empty table a look-up read an undefined view.

Change: the ready signal follows the cold-start rule, the entry joins and takes its session after it, and callers are refused until there is a view.

--- a/packages/daemon/entry/src/process/configuration_part.ts
+++ b/packages/daemon/entry/src/process/configuration_part.ts
@@ -38,6 +38,8 @@
   readonly createMachine: CreateMachine;
   readonly log: Logger;
   readonly onApply: (snapshot: ConfigurationSnapshot) => void;
+  /** This process may serve; may be called again. */
+  readonly onReady: () => void;
 }
 
 /** Configuration of this process. */
@@ -84,6 +86,11 @@
     },
   });
 
+  function send(event: ConfigurationEvent): void {
+    driver.send(event);
+    if (keeper.isReady() && keeper.current() !== undefined) options.onReady();
+  }
+
   async function pull(address: string): Promise<void> {
     const sequence = keeper.current()?.sequence ?? 0;
     const result = await options.peers.call(
@@ -94,34 +101,34 @@
     const message = result.type === "answered" ? result.message : undefined;
     if (message?.type === "config_push") {
       const { snapshot } = message;
-      driver.send({ type: "snapshot", snapshot, source: "peer" });
-      driver.send({
+      send({ type: "snapshot", snapshot, source: "peer" });
+      send({
         type: "seed_answered",
         address,
         sequence: snapshot.sequence,
       });
     } else if (message?.type === "config_unchanged") {
-      driver.send({
+      send({
         type: "seed_answered",
         address,
         sequence: message.sequence,
       });
     } else {
-      driver.send({ type: "seed_failed", address });
+      send({ type: "seed_failed", address });
     }
   }
 
   async function readStore(source: "store" | "commit"): Promise<void> {
     const current = await options.platform.read(CURRENT_KEY);
     if (current.type === "unavailable") {
-      driver.send({ type: "store_read", result: "unavailable" });
+      send({ type: "store_read", result: "unavailable" });
       return;
     }
     const sequence = current.rows[0]?.value ?? 0;
     if (typeof sequence !== "number" || sequence === 0) {
-      driver.send({ type: "store_read", result: "empty" });
+      send({ type: "store_read", result: "empty" });
     } else if (sequence <= (keeper.current()?.sequence ?? 0)) {
-      driver.send({ type: "store_read", result: "unchanged" });
+      send({ type: "store_read", result: "unchanged" });
     } else {
       await loadFromStore(source);
     }
@@ -130,17 +137,17 @@
   async function loadFromStore(source: "store" | "commit"): Promise<void> {
     const loaded = await loadSnapshot(options.platform);
     if (loaded.isOk()) {
-      driver.send({ type: "snapshot", snapshot: loaded.value, source });
+      send({ type: "snapshot", snapshot: loaded.value, source });
     } else {
       options.log.warn({ code: loaded.error.code }, "Cannot read the store.");
-      driver.send({ type: "store_read", result: "unavailable" });
+      send({ type: "store_read", result: "unavailable" });
     }
   }
 
-  startInterval(options.store, TICK_MS, () => driver.send({ type: "tick" }));
+  startInterval(options.store, TICK_MS, () => send({ type: "tick" }));
   return {
     keeper,
-    send: (event) => driver.send(event),
+    send,
     readStore: () => void readStore("commit"),
     answerPull: (sequence) => {
       const snapshot = keeper.current();
--- a/packages/daemon/entry/src/wiring.ts
+++ b/packages/daemon/entry/src/wiring.ts
@@ -145,8 +145,12 @@
       entries: live.length,
     });
   });
-  membership.start();
-  ownership.start();
+  // Peers' look-ups name every member, so an entry that refuses callers until
+  // it has a configuration must not have joined.
+  void parts.ready.promise.then(() => {
+    membership.start();
+    ownership.start();
+  });
   void parts.spread.readTable();
 }
 
--- a/packages/daemon/entry/src/wiring/parts.ts
+++ b/packages/daemon/entry/src/wiring/parts.ts
@@ -52,7 +52,7 @@
   readonly quarantine: QuarantinePart;
   readonly spread: QuarantineSpread;
   readonly groups: Groups;
-  /** Set once this entry has a configuration. */
+  /** Set once this entry has a configuration that it may serve by. */
   readonly ready: Signal;
   /** Set once everything owned has been handed over. */
   readonly left: Signal;
@@ -130,6 +130,7 @@
     store,
     log: base.logOf("config"),
     onApply: (snapshot) => applySnapshot(base, parts, snapshot),
+    onReady: () => parts.ready.set(),
   });
 }
 
@@ -154,7 +155,6 @@
     type: "resources",
     resources: [...listGroupResources(snapshot, region), ...links],
   });
-  parts.ready.set();
 }
 
 function buildOwnership(base: Base, parts: Parts): OwnershipPart {
--- a/packages/daemon/entry/src/wiring/requests.ts
+++ b/packages/daemon/entry/src/wiring/requests.ts
@@ -65,7 +65,8 @@
     lookUp: (service, client) =>
       lookUp(base, parts, { service, client, issuedKeys }),
     runRequest: run,
-    isReady: () => parts.configuration.keeper.isReady(),
+    isReady: () =>
+      state.view !== undefined && parts.configuration.keeper.isReady(),
     isLeaving: () => state.leaving,
     nowMs: clock.nowMs,
     onAnswer: (report) => recordAnswer(base, report),
