Record a live entry so that its trace replays

A recording lost buffered lines when the process was killed, left out the permit ledgers and holders, and wrote Infinity and bytes as null or objects. Lines are now written at once, permits are recorded, machines that replace an earlier one get a name of their own, and values without a JSON form are encoded. Calls that change state outside of `handle` (take and waitMs of a permit holder) are lines of the trace.

Issued keys stay unrecorded, because their options hold a secret.

--- a/packages/command/replay/src/command.ts
+++ b/packages/command/replay/src/command.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import { open } from "node:fs/promises";
+import { createReadStream } from "node:fs";
+import { encodeTraceValue } from "@dotterelmoor/core.recording";
 import { runReplay } from "./replay.ts";
 import type { ReplayResult } from "./replay.ts";
 
@@ -60,8 +61,7 @@
 
 async function runFile(file: string): Promise<ReplayResult> {
   try {
-    await using handle = await open(file);
-    return await runReplay(handle.readLines());
+    return await runReplay(readCompleteLines(file));
   } catch (error) {
     return {
       type: "invalid",
@@ -75,6 +75,19 @@
   }
 }
 
+/**
+ * Reads the lines of a file. What follows the last line break is left out: a
+ * process that is killed may leave part of a line there.
+ */
+async function* readCompleteLines(file: string): AsyncGenerator<string, void> {
+  let rest = "";
+  for await (const chunk of createReadStream(file, "utf8")) {
+    const lines = `${rest}${chunk}`.split("\n");
+    rest = lines.pop()!;
+    yield* lines;
+  }
+}
+
 function describeResult(file: string, result: ReplayResult): string {
   if (result.type === "same") return `${file}: ${result.events} events match`;
   if (result.type === "invalid") {
@@ -85,8 +98,8 @@
   return [
     `${file}:${line}: The actions differ`,
     `  at       ${event.atMs} ms in ${event.module}`,
-    `  event    ${JSON.stringify(event.event)}`,
-    `  expected ${JSON.stringify(event.expect)}`,
-    `  actual   ${JSON.stringify(actions)}`,
+    `  event    ${encodeTraceValue("event" in event ? event.event : event)}`,
+    `  expected ${encodeTraceValue(event.expect)}`,
+    `  actual   ${encodeTraceValue(actions)}`,
   ].join("\n");
 }
--- a/packages/command/replay/src/replay.ts
+++ b/packages/command/replay/src/replay.ts
@@ -8,8 +8,17 @@
 import { isDeepStrictEqual } from "node:util";
 import { MODULES } from "./modules.ts";
 import type { AnyMachine } from "./modules.ts";
-import { parseTraceLine } from "@dotterelmoor/core.recording";
-import type { EventLine, OptionsLine } from "@dotterelmoor/core.recording";
+import {
+  decodeTraceValue,
+  encodeTraceValue,
+  parseTraceLine,
+} from "@dotterelmoor/core.recording";
+import type {
+  CallLine,
+  EventLine,
+  OptionsLine,
+  TraceLine,
+} from "@dotterelmoor/core.recording";
 
 /** Result of a replay; stops at the first difference or error. */
 export type ReplayResult =
@@ -18,8 +27,9 @@
     readonly type: "different";
     /** Counted from 1. */
     readonly line: number;
-    readonly event: EventLine;
-    readonly actions: readonly unknown[];
+    readonly event: EventLine | CallLine;
+    /** Actions, or the result of a call. */
+    readonly actions: unknown;
   }
   | {
     readonly type: "invalid";
@@ -55,7 +65,7 @@
       return { type: "invalid", line, error: NO_OPTIONS };
     }
     events += 1;
-    const actions = runEvent(replayed, parsed);
+    const actions = runLine(replayed, parsed);
     if (!isDeepStrictEqual(actions, parsed.expect)) {
       return { type: "different", line, event: parsed, actions };
     }
@@ -69,7 +79,7 @@
   hint: "Put a line with its options before its first event",
 };
 
-function makeName({ module, instance = "" }: OptionsLine | EventLine): string {
+function makeName({ module, instance = "" }: TraceLine): string {
   return `${module}/${instance}`;
 }
 
@@ -87,7 +97,7 @@
       hint: `Use one of ${Object.keys(MODULES).join(", ")}`,
     };
   }
-  const drawn: number[] = [];
+  const drawn = [...line.random ?? []];
   const random: Random = () => {
     const value = drawn.shift();
     if (value === undefined) {
@@ -100,15 +110,27 @@
   return undefined;
 }
 
-/** Runs an event; an error takes the place of the actions. */
-function runEvent(replayed: Replayed, line: EventLine): unknown[] {
+/** Runs an event or a call; an error takes the place of the actions. */
+function runLine(replayed: Replayed, line: EventLine | CallLine): unknown {
   const { machine, drawn } = replayed;
   drawn.splice(0, drawn.length, ...line.random ?? []);
   try {
-    const actions = machine.handle(line.event, line.atMs);
-    // Traces are JSON, which knows neither undefined nor infinite values.
-    return JSON.parse(JSON.stringify(actions));
+    const result = "event" in line
+      ? machine.handle(line.event, line.atMs)
+      : runCall(machine, line);
+    // Recorded values have lost their undefined properties.
+    return result === undefined
+      ? undefined
+      : decodeTraceValue(JSON.parse(encodeTraceValue(result)));
   } catch (error) {
     return [{ type: "error", message: String(error) }];
   }
 }
+
+function runCall(machine: AnyMachine, { call, args }: CallLine): unknown {
+  const methods = machine as unknown as Record<
+    string,
+    (...args: readonly unknown[]) => unknown
+  >;
+  return methods[call]!.call(machine, ...args);
+}
--- a/packages/command/replay/src/replay_test.ts
+++ b/packages/command/replay/src/replay_test.ts
@@ -1,7 +1,15 @@
 import test from "ava";
 import { createDispatcher } from "@dotterelmoor/core.dispatching";
-import { readdir, readFile } from "node:fs/promises";
-import { createRecorder } from "@dotterelmoor/core.recording";
+import { createPermitHolder } from "@dotterelmoor/core.permitting";
+import {
+  createRecorder,
+  decodeTraceValue,
+  encodeTraceValue,
+} from "@dotterelmoor/core.recording";
+import fc from "fast-check";
+import { mkdtemp, readdir, readFile, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { handler, runReplay } from "./mod.ts";
 
 const TRACES = new URL("../traces/", import.meta.url);
@@ -73,3 +81,49 @@
   t.is(machines[0]!.inFlight, 3);
   t.deepEqual(await runReplay(lines), { type: "same", events: 24 });
 });
+
+test("guards against values that a trace line changes", (t) => {
+  const { tie } = fc.letrec((tie) => ({
+    tie: fc.oneof(
+      { depthSize: "small" },
+      fc.constantFrom(Infinity, -Infinity, NaN, null, true, "text", 0.1),
+      fc.uint8Array(),
+      fc.array(fc.oneof(fc.constant(undefined), tie("tie"))),
+      fc.dictionary(fc.string(), tie("tie"), { noNullPrototype: true }),
+    ),
+  }));
+  fc.assert(
+    fc.property(tie, (value) => {
+      const decoded = decodeTraceValue(JSON.parse(encodeTraceValue(value)));
+      t.deepEqual(decoded, value);
+    }),
+    { seed: 1 },
+  );
+});
+
+test("guards against lost calls and against a killed process's last line", async (t) => {
+  const lines: string[] = [];
+  const holder = createRecorder({
+    module: "permitting/holder",
+    create: createPermitHolder,
+    options: { budgetBytesPerSecond: 1_000 },
+    calls: ["take", "waitMs"],
+    nowMs: 0,
+    write: (line) => lines.push(line),
+  });
+  t.false(holder.take(10, 1));
+  t.is(holder.waitMs(10, 2), Infinity);
+  t.is(holder.handle({ type: "tick" }, 3).length, 1);
+  t.deepEqual(await runReplay(lines), { type: "same", events: 3 });
+  const other = lines.map((line) => line.replace("false", "true"));
+  t.like(await runReplay(other), { type: "different", line: 2 });
+
+  const directory = await mkdtemp(join(tmpdir(), "dotterelmoor-replay-"));
+  t.teardown(() => rm(directory, { recursive: true }));
+  const file = join(directory, "killed.jsonl");
+  await writeFile(file, `${lines.join("\n")}\n${lines[1]!.slice(0, 20)}`);
+  const printed: string[] = [];
+  const args = { files: [file], quiet: false };
+  t.is(await handler(args, (text) => printed.push(text)), 0);
+  t.deepEqual(printed, [`${file}: 3 events match`]);
+});
--- a/packages/core/recording/src/mod.ts
+++ b/packages/core/recording/src/mod.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
+export { decodeTraceValue, encodeTraceValue } from "./encoding.ts";
 export { createRecorder } from "./recorder.ts";
 export type { RecorderOptions } from "./recorder.ts";
 export { parseTraceLine } from "./trace.ts";
-export type { EventLine, OptionsLine, TraceLine } from "./trace.ts";
+export type { CallLine, EventLine, OptionsLine, TraceLine } from "./trace.ts";
--- a/packages/core/recording/src/recorder.ts
+++ b/packages/core/recording/src/recorder.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Random, StateMachine } from "@dotterelmoor/core.types";
-import type { EventLine, OptionsLine } from "./trace.ts";
+import { encodeTraceValue } from "./encoding.ts";
 
 /** What to record and where to. */
 export interface RecorderOptions<Options, Machine> {
@@ -15,10 +15,14 @@
   readonly create: (options: Options) => Machine;
   readonly options: Options;
   readonly nowMs: number;
+  /** Methods besides `handle` that change state; their last argument is the time. */
+  readonly calls?: readonly string[];
   /** Takes one line of the trace, without the line break. */
   readonly write: (line: string) => void;
 }
 
+type Method = (...args: unknown[]) => unknown;
+
 /**
  * Creates a state machine that writes a trace line for each event. Random
  * numbers drawn from `options.random` are part of the line, so that a replay
@@ -46,21 +50,31 @@
       : { ...options, random: recordRandom }) as Options,
   );
   const head = { module, instance };
-  const first: OptionsLine = { atMs: nowMs, ...head, options };
-  write(JSON.stringify(first));
-  const handle = machine.handle.bind(machine);
-  machine.handle = (event, atMs) => {
+  const takeDrawn = () => drawn.length > 0 ? drawn : undefined;
+  write(
+    encodeTraceValue({ atMs: nowMs, ...head, options, random: takeDrawn() }),
+  );
+
+  // The input is encoded first, because a machine may keep and change it.
+  function record<T>(input: object, run: () => T): T {
     drawn = [];
-    const expect = handle(event, atMs);
-    const line: EventLine = {
-      atMs,
-      ...head,
-      event: event as EventLine["event"],
-      random: drawn.length > 0 ? drawn : undefined,
-      expect,
-    };
-    write(JSON.stringify(line));
+    const start = encodeTraceValue(input);
+    const expect = run();
+    const end = encodeTraceValue({ random: takeDrawn(), expect });
+    write(`${start.slice(0, -1)},${end.slice(1)}`);
     return expect;
-  };
+  }
+
+  const handle = machine.handle.bind(machine);
+  machine.handle = (event, atMs) =>
+    record({ atMs, ...head, event }, () => handle(event, atMs));
+  const methods = machine as unknown as Record<string, Method>;
+  for (const call of recorder.calls ?? []) {
+    const method = methods[call]!.bind(machine);
+    methods[call] = (...args) => {
+      const line = { atMs: args.at(-1), ...head, call, args };
+      return record(line, () => method(...args));
+    };
+  }
   return machine;
 }
--- a/packages/core/recording/src/trace.ts
+++ b/packages/core/recording/src/trace.ts
@@ -5,30 +5,39 @@
  */
 
 import type { CodedError } from "@dotterelmoor/core.types";
+import { decodeTraceValue } from "./encoding.ts";
 
-/** Creates a state machine; later events of the instance go to it. */
-export interface OptionsLine {
+/** Fields of every line. */
+interface LineHead {
   readonly atMs: number;
   readonly module: string;
   /** Tells machines of one module apart; absent for a single one. */
   readonly instance?: string;
+  /** Random numbers drawn meanwhile. */
+  readonly random?: readonly number[];
+}
+
+/** Creates a state machine; later events of the instance go to it. */
+export interface OptionsLine extends LineHead {
   /** Options without functions. */
   readonly options: Readonly<Record<string, unknown>>;
 }
 
 /** An event and the actions that followed. */
-export interface EventLine {
-  readonly atMs: number;
-  readonly module: string;
-  readonly instance?: string;
+export interface EventLine extends LineHead {
   readonly event: Readonly<Record<string, unknown>>;
-  /** Random numbers drawn while the event was handled. */
-  readonly random?: readonly number[];
   readonly expect: readonly unknown[];
 }
 
+/** A call of a method that changes state, and what it returned. */
+export interface CallLine extends LineHead {
+  readonly call: string;
+  readonly args: readonly unknown[];
+  readonly expect?: unknown;
+}
+
 /** One line of a trace. */
-export type TraceLine = OptionsLine | EventLine;
+export type TraceLine = OptionsLine | EventLine | CallLine;
 
 /** A line that cannot be read. */
 export interface TraceError extends CodedError {
@@ -39,7 +48,7 @@
 export function parseTraceLine(text: string): TraceLine | TraceError {
   let value: unknown;
   try {
-    value = JSON.parse(text);
+    value = decodeTraceValue(JSON.parse(text));
   } catch {
     return {
       code: "trace_not_json",
@@ -57,9 +66,10 @@
 
 function isLine(value: unknown): value is TraceLine {
   if (!isObject(value)) return false;
-  const { atMs, module, options, event, expect } = value;
+  const { atMs, module, options, event, call, args, expect } = value;
   if (typeof atMs !== "number" || typeof module !== "string") return false;
   if (isObject(options)) return true;
+  if (typeof call === "string") return Array.isArray(args);
   return isObject(event) && typeof event.type === "string" &&
     Array.isArray(expect);
 }
--- a/packages/daemon/entry/src/process/link_part.ts
+++ b/packages/daemon/entry/src/process/link_part.ts
@@ -16,6 +16,7 @@
 import type { PeerMessage, PeerPool } from "@dotterelmoor/network.peering";
 import type { Clock } from "./clock.ts";
 import { startInterval } from "./intervals.ts";
+import type { CreateMachine } from "./recording.ts";
 
 const TICK_MS = 50;
 const PERMIT_TIMEOUT_MS = 500;
@@ -28,6 +29,7 @@
   readonly clock: Clock;
   readonly peers: PeerPool;
   readonly store: DisposableStore;
+  readonly createMachine: CreateMachine;
   /** Peer address of the ledger's owner; `self` if it is this process. */
   readonly findLedger: (resource: string) => string | "self" | undefined;
 }
@@ -87,12 +89,10 @@
     for (const { to, service, budget } of wanted) {
       const key = makeShareKey(to, service);
       if (shares.get(key)?.budget === budget) continue;
-      const settings = { budgetBytesPerSecond: budget };
-      const ledger = createPermitLedger(settings);
+      const { holder, ledger } = createPermits(key, budget);
       if (openLedgers.has(buildLinkKey(region, to))) {
         ledger.handle({ type: "open" }, clock.nowMs());
       }
-      const holder = createPermitHolder(settings);
       shares.set(key, { to, service, budget, holder, ledger });
     }
     const keys = new Set(
@@ -101,6 +101,25 @@
     for (const key of shares.keys()) if (!keys.has(key)) shares.delete(key);
   }
 
+  function createPermits(
+    instance: string,
+    budgetBytesPerSecond: number,
+  ): Pick<Share, "holder" | "ledger"> {
+    const source = { instance, options: { budgetBytesPerSecond } };
+    const ledger = options.createMachine({
+      ...source,
+      module: "permitting/ledger",
+      create: createPermitLedger,
+    });
+    const holder = options.createMachine({
+      ...source,
+      module: "permitting/holder",
+      create: createPermitHolder,
+      calls: ["take", "waitMs"],
+    });
+    return { holder, ledger };
+  }
+
   function grantPermit(ask: PermitAsk): number | undefined {
     const share = shares.get(makeShareKey(ask.to, ask.service));
     const owned = options.findLedger(buildLinkKey(ask.from, ask.to)) === "self";
--- a/packages/daemon/entry/src/process/recording.ts
+++ b/packages/daemon/entry/src/process/recording.ts
@@ -4,9 +4,10 @@
  * @module
  */
 
-import { createWriteStream } from "node:fs";
+import { closeSync, openSync, writeSync } from "node:fs";
 import { createRecorder } from "@dotterelmoor/core.recording";
 import type { DisposableStore, StateMachine } from "@dotterelmoor/core.types";
+import type { Logger } from "pino";
 import type { Clock } from "./clock.ts";
 
 /** Options of `createMachineFactory`. */
@@ -15,6 +16,7 @@
   readonly file?: string;
   readonly clock: Clock;
   readonly store: DisposableStore;
+  readonly log: Logger;
 }
 
 /** A state machine to create. */
@@ -25,6 +27,8 @@
   readonly instance?: string;
   readonly create: (options: Options) => Machine;
   readonly options: Options;
+  /** Methods besides `handle` that change state. */
+  readonly calls?: readonly string[];
 }
 
 /** Creates state machines, with a recorder around each one if wanted. */
@@ -44,14 +48,50 @@
   if (options.file === undefined) {
     return (source) => source.create(source.options);
   }
-  const stream = createWriteStream(options.file, { flags: "a" });
-  options.store.add(() =>
-    new Promise<void>((resolve) => stream.end(() => resolve()))
-  );
+  const write = openTrace(options.file, options);
+  const created = new Map<string, number>();
   return (source) =>
     createRecorder({
       ...source,
+      instance: makeInstance(source, created),
       nowMs: options.clock.nowMs(),
-      write: (line) => stream.write(`${line}\n`),
+      write,
     });
 }
+
+/** A machine that takes the place of an earlier one gets a name of its own. */
+function makeInstance(
+  { module, instance }: { readonly module: string; readonly instance?: string },
+  created: Map<string, number>,
+): string | undefined {
+  const name = `${module}/${instance ?? ""}`;
+  const count = (created.get(name) ?? 0) + 1;
+  created.set(name, count);
+  return count === 1 ? instance : `${instance ?? ""}#${count}`;
+}
+
+/**
+ * Opens a trace. Lines are written at once, so that those before a crash or a
+ * kill are in the file. Recording ends when the file cannot be written.
+ */
+function openTrace(
+  file: string,
+  { log, store }: MachineFactoryOptions,
+): (line: string) => void {
+  const descriptor = openSync(file, "a");
+  let isOpen = true;
+  const close = () => {
+    if (isOpen) closeSync(descriptor);
+    isOpen = false;
+  };
+  store.add(close);
+  return (line) => {
+    if (!isOpen) return;
+    try {
+      writeSync(descriptor, `${line}\n`);
+    } catch (error) {
+      close();
+      log.warn({ error: String(error) }, "Cannot write the trace.");
+    }
+  };
+}
--- a/packages/daemon/entry/src/wiring/base.ts
+++ b/packages/daemon/entry/src/wiring/base.ts
@@ -97,6 +97,7 @@
       file: settings.recordFile,
       clock,
       store,
+      log: logOf("entry"),
     }),
   };
   for (
--- a/packages/daemon/entry/src/wiring/parts.ts
+++ b/packages/daemon/entry/src/wiring/parts.ts
@@ -207,6 +207,7 @@
     clock,
     peers,
     store,
+    createMachine: base.createMachine,
     findLedger: (resource) =>
       readAuthority(base, parts, resource) > clock.nowMs()
         ? "self"
--- a/packages/testing/demo/src/calling.ts
+++ b/packages/testing/demo/src/calling.ts
@@ -7,7 +7,7 @@
 import { randomUUID } from "node:crypto";
 import got from "got";
 import type { Method } from "got";
-import { OPERATOR_TOKEN } from "./system.ts";
+import { OPERATOR_TOKEN } from "./entry_environment.ts";
 import type { RunningSystem } from "./system.ts";
 
 const TIMEOUT_MS = 15_000;
--- a/packages/testing/demo/src/mod.ts
+++ b/packages/testing/demo/src/mod.ts
@@ -28,7 +28,8 @@
 } from "./example_rows.ts";
 export { startProcess } from "./processes.ts";
 export type { ProcessOptions, RunningProcess } from "./processes.ts";
-export { OPERATOR_TOKEN, startSystem } from "./system.ts";
+export { OPERATOR_TOKEN } from "./entry_environment.ts";
+export { startSystem } from "./system.ts";
 export type {
   EntryProcess,
   PublishOptions,
--- a/packages/testing/demo/src/system.ts
+++ b/packages/testing/demo/src/system.ts
@@ -14,17 +14,13 @@
   ListedInstance,
   PlatformDocument,
 } from "@dotterelmoor/core.types";
+import { makeEntryEnv, makeSeedsEnv, writeFiles } from "./entry_environment.ts";
 import { loadExampleRows } from "./example_rows.ts";
 import type { ExampleName, LoadExampleRowsOptions } from "./example_rows.ts";
 import { startProcess } from "./processes.ts";
 import type { RunningProcess } from "./processes.ts";
 
 const PACKAGES = new URL("../../../", import.meta.url);
-const PEER_TOKEN = "example-peer-token-0123456789abcdef0123";
-
-/** Token of an administrator in systems that this module starts. */
-export const OPERATOR_TOKEN = "example-operator-token-0123456789abcdef";
-
 /** Options of `startSystem`. */
 export interface SystemOptions extends LoadExampleRowsOptions {
   readonly example: ExampleName;
@@ -37,6 +33,8 @@
   /** Environment of each entry process. */
   readonly entryEnv?: Readonly<Record<string, string>>;
   readonly lookupTtlMs?: number;
+  /** Directory for a trace of each entry, `<instance>.jsonl`. */
+  readonly recordDirectory?: string;
 }
 
 /** An entry process. */
@@ -109,9 +107,11 @@
     const process = await startProcess({
       script: findScript("daemon/entry"),
       env: {
-        ...makeEntryEnv({ instance, region, zone, platformUrl }, files),
-        ...makeSeedsEnv(entries),
-        DOTTERELMOOR_LOOKUP_TTL_MS: String(options.lookupTtlMs ?? 1_000),
+        ...makeEntryEnv(
+          { ...options, instance, region, zone, platformUrl },
+          files,
+        ),
+        ...makeSeedsEnv(entries.map(({ peers }) => peers)),
         ...options.entryEnv,
       },
     });
@@ -222,60 +222,6 @@
   return system;
 }
 
-interface SystemFiles {
-  readonly peerToken: string;
-  readonly operatorTokens: string;
-  readonly rows: string;
-}
-
-function writeFiles(directory: string): SystemFiles {
-  const files = {
-    peerToken: join(directory, "peer-token"),
-    operatorTokens: join(directory, "operator-tokens.yaml"),
-    rows: join(directory, "rows.json"),
-  };
-  writeFileSync(files.peerToken, PEER_TOKEN);
-  writeFileSync(
-    files.operatorTokens,
-    `- { name: example, token: ${OPERATOR_TOKEN}, teams: ["*"], role: admin }\n`,
-  );
-  return files;
-}
-
-interface EntryEnvOptions {
-  readonly instance: string;
-  readonly region: string;
-  readonly zone: string;
-  readonly platformUrl: string;
-}
-
-function makeEntryEnv(
-  options: EntryEnvOptions,
-  files: SystemFiles,
-): Record<string, string> {
-  return {
-    DOTTERELMOOR_INSTANCE: options.instance,
-    DOTTERELMOOR_REGION: options.region,
-    DOTTERELMOOR_ZONE: options.zone,
-    DOTTERELMOOR_CALLERS_LISTEN: "127.0.0.1:0",
-    DOTTERELMOOR_PEERS_LISTEN: "127.0.0.1:0",
-    DOTTERELMOOR_OPERATORS_LISTEN: "127.0.0.1:0",
-    DOTTERELMOOR_PLATFORM_URL: options.platformUrl,
-    DOTTERELMOOR_PEER_TOKEN_FILE: files.peerToken,
-    DOTTERELMOOR_OPERATOR_TOKENS_FILE: files.operatorTokens,
-    DOTTERELMOOR_LOG_LEVEL: "info",
-  };
-}
-
-function makeSeedsEnv(
-  entries: readonly EntryProcess[],
-): Record<string, string> {
-  if (entries.length === 0) return {};
-  return {
-    DOTTERELMOOR_SEEDS: entries.map((entry) => entry.peers).join(","),
-  };
-}
-
 function toListedInstance(entry: EntryProcess): ListedInstance {
   return {
     id: entry.instance,
