--- a/packages/command/replay/src/replay_test.ts
+++ b/packages/command/replay/src/replay_test.ts
@@ -24,7 +24,7 @@
   const exitCode = await handler(args, (text) => printed.push(text));
   t.deepEqual(printed, []);
   t.is(exitCode, 0);
-  t.true(files.length >= 7);
+  t.true(files.length >= 13);
 });
 
 test("guards against a replay that misses a difference or a bad line", async (t) => {
--- /dev/null
+++ b/packages/command/replay/src/traces/world.ts
@@ -0,0 +1,261 @@
+/**
+ * Two owners of resources, their table and their messages, in virtual time.
+ *
+ * @module
+ */
+
+import { createOwnership } from "@dotterelmoor/core.ownership";
+import type {
+  Ownership,
+  OwnershipAction,
+  OwnershipEvent,
+} from "@dotterelmoor/core.ownership";
+import { createRecorder } from "@dotterelmoor/core.recording";
+import type {
+  JsonValue,
+  TableRow,
+  TableTransaction,
+  TransactResult,
+} from "@dotterelmoor/core.types";
+
+/** A resource that the processes own in turn. */
+export const RESOURCE = "groups/booking-desk/zapad";
+
+const TICK_MS = 500;
+const ANNOUNCE_MS = 3_000;
+const STORE_MS = 10;
+const MESSAGE_MS = 5;
+const STORE_TIMEOUT_MS = 1_500;
+
+/** A process of the region. */
+export interface Process {
+  readonly name: string;
+  readonly zone: string;
+  readonly address: string;
+  readonly machine: Ownership;
+  readonly events: OwnershipAction[];
+  /** Times in milliseconds of the last opening and the last closing. */
+  openedAtMs: number;
+  closedAtMs: number;
+  state: "running" | "frozen" | "ended";
+  readonly inbox: OwnershipEvent[];
+}
+
+/** Options of a world. */
+export interface WorldOptions {
+  /** Resources that both processes want; one by default. */
+  readonly resources?: readonly string[];
+  /** Processes whose lines are kept; both by default. */
+  readonly recorded?: readonly string[];
+}
+
+interface Due {
+  readonly atMs: number;
+  readonly run: () => void;
+}
+
+/** Processes `a` and `b` in two zones; `a` starts first. */
+export class World {
+  readonly lines: string[] = [];
+  readonly a: Process;
+  readonly b: Process;
+  /** Processes that the store does not answer. */
+  readonly withoutStore = new Set<Process>();
+  /** Resources whose messages are lost. */
+  readonly lostResources = new Set<string>();
+  nowMs = 0;
+  readonly #rows = new Map<string, TableRow>();
+  readonly #versions = new Map<string, number>();
+  #queue: Due[] = [];
+
+  readonly #resources: readonly string[];
+  readonly #recorded: readonly string[];
+
+  constructor(options: WorldOptions = {}) {
+    this.#resources = options.resources ?? [RESOURCE];
+    this.#recorded = options.recorded ?? ["a", "b"];
+    this.a = this.#addProcess("a", 0);
+    this.b = this.#addProcess("b", 3_000);
+    this.after(100, () => this.#announce());
+  }
+
+  /** Runs everything that is due in the next while. */
+  runFor(durationMs: number): void {
+    const endMs = this.nowMs + durationMs;
+    for (;;) {
+      const [next] = this.#queue.toSorted((a, b) => a.atMs - b.atMs);
+      if (next === undefined || next.atMs > endMs) break;
+      this.#queue = this.#queue.filter((item) => item !== next);
+      this.nowMs = next.atMs;
+      next.run();
+    }
+    this.nowMs = endMs;
+  }
+
+  after(delayMs: number, run: () => void): void {
+    this.#queue.push({ atMs: this.nowMs + delayMs, run });
+  }
+
+  /** Lets a frozen process go on with the events that waited for it. */
+  resume(process: Process): void {
+    process.state = "running";
+    for (const event of process.inbox.splice(0)) this.deliver(process, event);
+  }
+
+  deliver(process: Process, event: OwnershipEvent): void {
+    if (process.state === "ended") return;
+    if (process.state === "frozen") return void process.inbox.push(event);
+    for (const action of process.machine.handle(event, this.nowMs)) {
+      process.events.push(action);
+      this.#apply(process, action);
+    }
+  }
+
+  authorityMs(process: Process, resource = RESOURCE): number {
+    return process.machine.authorityUntilMs(resource, this.nowMs);
+  }
+
+  #addProcess(name: string, startMs: number): Process {
+    const zone = `zapad-${name}`;
+    const address = `127.0.0.1:${name === "a" ? 7_001 : 7_002}`;
+    const place = { instance: `entry-${name}`, zone, address };
+    let drawn = 0;
+    const machine = createRecorder<
+      Parameters<typeof createOwnership>[0],
+      OwnershipEvent,
+      OwnershipAction,
+      Ownership
+    >({
+      module: "ownership",
+      instance: name,
+      create: createOwnership,
+      options: {
+        identity: { ...place, region: "zapad", processId: `process-${name}` },
+        random: () => (++drawn * 0.37) % 1,
+      },
+      nowMs: this.nowMs,
+      write: (line) => {
+        if (this.#recorded.includes(name)) this.lines.push(line);
+      },
+    });
+    const process: Process = {
+      ...place,
+      name,
+      machine,
+      events: [],
+      openedAtMs: 0,
+      closedAtMs: 0,
+      state: "running",
+      inbox: [],
+    };
+    this.after(startMs, () => {
+      this.deliver(process, { type: "resources", resources: this.#resources });
+      this.deliver(process, { type: "start" });
+      this.#tick(process);
+    });
+    return process;
+  }
+
+  #tick(process: Process): void {
+    if (process.state === "running") this.deliver(process, { type: "tick" });
+    if (process.state !== "ended") {
+      this.after(TICK_MS, () => this.#tick(process));
+    }
+  }
+
+  /** Tells everyone the members and the platform's list. */
+  #announce(): void {
+    const present = [this.a, this.b].filter(({ state }) => state !== "ended");
+    const ids = present.map(({ name }) => `entry-${name}`);
+    const members = present
+      .filter(({ machine, state }) =>
+        state === "running" && machine.status().phase === "live"
+      )
+      .map(({ name, zone, address, machine }) => ({
+        instance: `entry-${name}`,
+        incarnation: machine.incarnation(),
+        zone,
+        address,
+      }));
+    for (const process of present) {
+      if (process.state === "frozen") continue;
+      this.deliver(process, { type: "members", members });
+      this.deliver(process, { type: "instances", ids });
+    }
+    this.after(ANNOUNCE_MS, () => this.#announce());
+  }
+
+  #apply(process: Process, action: OwnershipAction): void {
+    if (action.type === "transact") {
+      const { operationId, transaction } = action;
+      this.#answer(process, (isDown) => ({
+        type: "transacted",
+        operationId,
+        result: isDown ? { type: "unavailable" } : this.#transact(transaction),
+      }));
+    } else if (action.type === "read") {
+      const { operationId, key } = action;
+      this.#answer(process, (isDown) => ({
+        type: "rows_read",
+        operationId,
+        result: isDown
+          ? { type: "unavailable" }
+          : { type: "rows", rows: [this.#read(key)] },
+      }));
+    } else if (action.type === "request_promise") {
+      this.#send(action.to, { ...action, type: "promise_requested" });
+    } else if (action.type === "answer_promise") {
+      this.#send(action.to, { ...action, type: "promise_answered" });
+    } else if (action.type === "opened") {
+      process.openedAtMs = this.nowMs;
+    } else if (action.type === "closed") {
+      process.closedAtMs = this.nowMs;
+    }
+  }
+
+  #answer(
+    process: Process,
+    run: (isDown: boolean) => OwnershipEvent,
+  ): void {
+    const isDown = this.withoutStore.has(process);
+    this.after(isDown ? STORE_TIMEOUT_MS : STORE_MS, () => {
+      this.deliver(process, run(isDown));
+    });
+  }
+
+  #send(
+    incarnation: number,
+    event: OwnershipEvent & { readonly resource: string },
+  ): void {
+    if (this.lostResources.has(event.resource)) return;
+    this.after(MESSAGE_MS, () => {
+      const to = [this.a, this.b].find(({ machine }) =>
+        machine.incarnation() === incarnation
+      );
+      if (to !== undefined) this.deliver(to, event);
+    });
+  }
+
+  #read(key: string): TableRow {
+    return this.#rows.get(key) ?? { key, version: 0, value: null };
+  }
+
+  #transact({ checks, writes }: TableTransaction): TransactResult {
+    const conflicts = checks
+      .filter(({ key, version }) => this.#read(key).version !== version)
+      .map(({ key }) => this.#read(key));
+    if (conflicts.length > 0) return { type: "conflict", rows: conflicts };
+    const versions = Object.fromEntries(
+      writes.map(({ key, value }) => [key, this.#write(key, value)]),
+    );
+    return { type: "committed", versions };
+  }
+
+  #write(key: string, value: JsonValue): number {
+    const version = (this.#versions.get(key) ?? 0) + 1;
+    this.#versions.set(key, version);
+    if (value === null) this.#rows.delete(key);
+    else this.#rows.set(key, { key, version, value });
+    return version;
+  }
+}
