Open a resource although a read overlaps its takeover

Cause: a row counted as outdated when any read had been answered after its operation was sent. A deputy whose read was answered while its takeover was in flight threw the committed row away, did not open, and took over again: with ticks every 500 ms the fence reached 19 in 30 s and nobody served. Ruled out: the promise rule and the lease, which were both fine in the trace. Change: versions of a key only grow, so they decide; times decide only for absent rows.

--- a/packages/core/ownership/src/views.ts
+++ b/packages/core/ownership/src/views.ts
@@ -101,8 +101,12 @@
   }
 }
 
-/** Tells whether a row was read before what is known was learnt. */
+/**
+ * Tells whether a row is older than what is known. Versions of a key only grow,
+ * so they decide; an absent row has none, and the times of the operations do.
+ */
 function isOutdated(row: TableRow, known: RowView, sentAtMs: number): boolean {
-  return sentAtMs < known.readAtMs ||
-    (row.version !== 0 && row.version < known.version);
+  return row.version !== 0 && known.version !== 0
+    ? row.version < known.version
+    : sentAtMs < known.readAtMs;
 }
--- a/packages/core/recording/src/recorder.ts
+++ b/packages/core/recording/src/recorder.ts
@@ -39,6 +39,7 @@
   const { module, instance, create, nowMs, write } = recorder;
   const { random, ...options } = recorder.options as { random?: Random };
   let drawn: number[] = [];
+  let isRecording = false;
   const recordRandom = () => {
     const value = random!();
     drawn.push(value);
@@ -56,10 +57,13 @@
   );
 
   // The input is encoded first, because a machine may keep and change it.
+  // A call that the machine makes to itself belongs to the outer line.
   function record<T>(input: object, run: () => T): T {
+    if (isRecording) return run();
     drawn = [];
     const start = encodeTraceValue(input);
-    const expect = run();
+    isRecording = true;
+    const expect = runThen(run, () => isRecording = false);
     const end = encodeTraceValue({ random: takeDrawn(), expect });
     write(`${start.slice(0, -1)},${end.slice(1)}`);
     return expect;
@@ -78,3 +82,11 @@
   }
   return machine;
 }
+
+function runThen<T>(run: () => T, end: () => void): T {
+  try {
+    return run();
+  } finally {
+    end();
+  }
+}
