Make run ids unique among the groups of an entry

An entry that owned two groups with equal fences ended with "Request 1-2 is queued or in flight already" under load. The id of a run was fence and number only, while the groups of a process share the quarantine, so that one group was told to run the other one's request. Ids now begin with the service.

Ruled out: a second submission by the retry path (it takes a new number) and the dispatcher (its duplicate check is what failed).

--- a/packages/daemon/entry/src/process/group_owner.ts
+++ b/packages/daemon/entry/src/process/group_owner.ts
@@ -219,7 +219,9 @@
 
   #admit(run: GroupRun): void {
     const { execution } = run;
-    const id = `${this.fence}-${this.#nextRun++}`;
+    // Unique in the process: its groups share the quarantine, and the fences
+    // of different groups may be equal.
+    const id = `${this.service}-${this.fence}-${this.#nextRun++}`;
     this.#runs.set(id, run);
     const admission = {
       id,
