--- a/packages/core/claiming/src/claims.ts
+++ b/packages/core/claiming/src/claims.ts
@@ -4,7 +4,9 @@
  * @module
  */
 
+import { applyEvent } from "@dotterelmoor/core.types";
 import type {
+  EventHandlers,
   NotRunReason,
   ReadResult,
   TableRow,
@@ -36,13 +38,6 @@
  */
 const RECHECKS_MS = [1_000, 5_000, 30_000];
 
-type Handlers = {
-  readonly [Type in ClaimsEvent["type"]]: (
-    event: Extract<ClaimsEvent, { type: Type }>,
-    nowMs: number,
-  ) => void;
-};
-
 /** Creates the claims of one process. */
 export function createClaims(options: ClaimsOptions = {}): Claims {
   return new ClaimsMachine(options);
@@ -57,7 +52,7 @@
   #incarnation = 0;
   #sequence = 0;
 
-  readonly #handlers: Handlers = {
+  readonly #handlers: EventHandlers<ClaimsEvent, void> = {
     session: (event) => void (this.#incarnation = event.incarnation),
     claim: (event, nowMs) => this.#claim(event, nowMs),
     release: (event, nowMs) => this.#release(event.requestId, nowMs),
@@ -92,11 +87,7 @@
 
   handle(event: ClaimsEvent, nowMs: number): ClaimsAction[] {
     this.#expire(nowMs);
-    const handler = this.#handlers[event.type] as (
-      event: ClaimsEvent,
-      nowMs: number,
-    ) => void;
-    handler(event, nowMs);
+    applyEvent(this.#handlers, event, nowMs);
     this.#queue.flush(nowMs);
     const actions = this.#actions;
     this.#actions = [];
--- a/packages/core/ownership/src/candidate.ts
+++ b/packages/core/ownership/src/candidate.ts
@@ -79,7 +79,7 @@
     const { session } = this.#parts;
     this.#given.expire(nowMs);
     if (session.phase !== "live" || session.leaseUntilMs <= nowMs) return;
-    if (this.#parts.members().length === 0) return;
+    if (!this.#parts.hasMembers()) return;
     for (const resource of this.#resources) {
       if (this.#keeper.has(resource) || this.#isWaiting(resource, nowMs)) {
         continue;
@@ -203,6 +203,7 @@
       if (result.type !== "committed") return;
       const version = result.versions[resource]!;
       const isCurrent = session.phase === "live" &&
+        this.#resources.includes(resource) &&
         session.incarnation === row.owner && session.leaseUntilMs > at &&
         views.get(resource)?.version === version;
       if (isCurrent) this.#keeper.open(resource, row, { version, sentAtMs });
--- a/packages/core/ownership/src/keeper.ts
+++ b/packages/core/ownership/src/keeper.ts
@@ -40,6 +40,8 @@
   readonly views: Views;
   readonly emit: (action: OwnershipAction) => void;
   readonly members: () => readonly OwnershipMember[];
+  /** False before the first report, when ranks would be wrong. */
+  readonly hasMembers: () => boolean;
 }
 
 interface Ask {
--- a/packages/core/ownership/src/ownership.ts
+++ b/packages/core/ownership/src/ownership.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { applyEvent, type EventHandlers } from "@dotterelmoor/core.types";
 import { Candidate } from "./candidate.ts";
 import { Departures } from "./departures.ts";
 import { Handover } from "./handover.ts";
@@ -11,7 +12,7 @@
 import { Operations } from "./operations.ts";
 import { Predecessor } from "./predecessor.ts";
 import { decodeResource, decodeSession, getSessionKey } from "./rows.ts";
-import { Session } from "./session.ts";
+import { Session, type SessionListener } from "./session.ts";
 import type {
   Ownership,
   OwnershipAction,
@@ -32,13 +33,6 @@
   observeMs: 1_000,
 };
 
-type Handlers = {
-  readonly [Type in OwnershipEvent["type"]]: (
-    event: Extract<OwnershipEvent, { type: Type }>,
-    nowMs: number,
-  ) => void;
-};
-
 /** Creates the ownership state machine of one process. */
 export function createOwnership(options: OwnershipOptions): Ownership {
   return new OwnershipMachine(options);
@@ -55,9 +49,9 @@
   readonly #departures = new Departures();
   readonly #emit = (action: OwnershipAction) => void this.#actions.push(action);
   #actions: OwnershipAction[] = [];
-  #members: readonly OwnershipMember[] = [];
+  #members: readonly OwnershipMember[] | undefined;
 
-  readonly #handlers: Handlers = {
+  readonly #handlers: EventHandlers<OwnershipEvent, void> = {
     start: (_event, nowMs) => this.#session.start(nowMs),
     resources: (event) => this.#setResources(event.resources),
     members: (event) => void (this.#members = [...event.members]),
@@ -99,12 +93,7 @@
       identity,
       timings,
       operations: this.#operations,
-      listener: {
-        started: (incarnation, again) =>
-          emit({ type: again ? "rejoined" : "session_started", incarnation }),
-        revoked: (nowMs) => this.#answerRevocation(nowMs),
-        left: () => emit({ type: "left" }),
-      },
+      listener: this.#makeListener(),
     });
     const parts: Parts = {
       identity,
@@ -113,7 +102,8 @@
       operations: this.#operations,
       views: this.#views,
       emit,
-      members: () => this.#members,
+      members: () => this.#members ?? [],
+      hasMembers: () => this.#members !== undefined,
     };
     this.#keeper = new Keeper(parts);
     this.#candidate = new Candidate(parts, {
@@ -123,14 +113,20 @@
     this.#handover = new Handover(parts, this.#keeper);
   }
 
+  #makeListener(): SessionListener {
+    const emit = this.#emit;
+    return {
+      started: (incarnation, again) =>
+        emit({ type: again ? "rejoined" : "session_started", incarnation }),
+      revoked: (nowMs) => this.#answerRevocation(nowMs),
+      left: () => emit({ type: "left" }),
+    };
+  }
+
   handle(event: OwnershipEvent, nowMs: number): OwnershipAction[] {
     // Lapsed authority goes first, so that no queued event can bring it back.
     this.#expire(nowMs);
-    const handler = this.#handlers[event.type] as (
-      event: OwnershipEvent,
-      nowMs: number,
-    ) => void;
-    handler(event, nowMs);
+    applyEvent(this.#handlers, event, nowMs);
     this.#advance(nowMs);
     const actions = this.#actions;
     this.#actions = [];
--- a/packages/core/permitting/src/ledger.ts
+++ b/packages/core/permitting/src/ledger.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { applyEvent, type EventHandlers } from "@dotterelmoor/core.types";
 import { GRANTED_SHARE, HOLD_MS } from "./limits.ts";
 import { computeShares } from "./shares.ts";
 import type {
@@ -24,13 +25,6 @@
   permits: Permit[];
 }
 
-type Handlers = {
-  readonly [Type in PermitLedgerEvent["type"]]: (
-    event: Extract<PermitLedgerEvent, { type: Type }>,
-    nowMs: number,
-  ) => PermitGrant[];
-};
-
 /** Creates the ledger of one link; it grants nothing before `open`. */
 export function createPermitLedger(options: PermitLedgerOptions): PermitLedger {
   return new Ledger(options);
@@ -41,7 +35,7 @@
   readonly #holders = new Map<string, Holder>();
   #opensAtMs = Infinity;
 
-  readonly #handlers: Handlers = {
+  readonly #handlers: EventHandlers<PermitLedgerEvent, PermitGrant[]> = {
     // Permits of an earlier ledger may be in use for one lifetime.
     open: (_event, nowMs) => {
       if (this.#opensAtMs === Infinity) this.#opensAtMs = nowMs + HOLD_MS;
@@ -62,11 +56,7 @@
 
   handle(event: PermitLedgerEvent, nowMs: number): PermitGrant[] {
     this.#expire(nowMs);
-    const handler = this.#handlers[event.type] as (
-      event: PermitLedgerEvent,
-      nowMs: number,
-    ) => PermitGrant[];
-    return handler(event, nowMs);
+    return applyEvent(this.#handlers, event, nowMs);
   }
 
   outstanding(nowMs: number): number {
--- a/packages/core/types/src/mod.ts
+++ b/packages/core/types/src/mod.ts
@@ -21,6 +21,8 @@
 } from "./configuration.ts";
 export { DisposableStore } from "./disposable_store.ts";
 export type { Dispose } from "./disposable_store.ts";
+export { applyEvent } from "./event_handlers.ts";
+export type { EventHandlers } from "./event_handlers.ts";
 export type {
   Answered,
   NotRun,
