Read rows of others less often in large regions

Cause: with 117 processes and 20 resources in a region the reads were 438/s, so about 3,000/s in 7 regions; the store allows 2,000/s. Change: intervals grow with the square of the rank beyond 5, and sessions that a deputy watches are read at a fifth of the rate.

--- a/packages/core/ownership/src/candidate.ts
+++ b/packages/core/ownership/src/candidate.ts
@@ -10,13 +10,24 @@
 import { GivenPromises } from "./promises.ts";
 import { spreadInstances } from "./rendezvous.ts";
 import { decodeResource, encodeRow, getSessionKey } from "./rows.ts";
+import type { ResourceRow } from "./rows.ts";
 import { checkTakeover, hasLapsed, type TakeoverPlan } from "./takeover.ts";
 
 /** Head start of each candidate over the next one in the order. */
 const RANK_WAIT_MS = 500;
 
-/** Longest interval between readings, in units of the shortest. */
-const MAX_SLOWDOWN = 10;
+/**
+ * Longest interval between readings, in units of the shortest. Together with
+ * the growth by rank it keeps the reads of one resource near 7/s even with 117
+ * processes in its region, as the store allows 2,000 reads/s in all.
+ */
+const MAX_SLOWDOWN = 120;
+
+/** Ranks whose interval grows only linearly. */
+const NEAR_RANKS = 5;
+
+/** Intervals between readings of a session that a deputy watches already. */
+const SESSION_SLOWDOWN = 5;
 
 /** The last takeover that was sent. */
 interface Attempt {
@@ -56,24 +67,30 @@
 
   /** Reads the rows that matter, more often where this process comes early. */
   observe(nowMs: number): void {
-    const { views, session } = this.#parts;
+    const { views } = this.#parts;
     for (const resource of this.#resources) {
       const intervalMs = this.#computeInterval(resource);
       views.poll(resource, intervalMs, nowMs);
       const view = views.get(resource);
       if (view === undefined || view.version === 0) continue;
-      const { owner, deputy } = decodeResource(view.value);
-      for (const incarnation of [owner, deputy]) {
-        if (incarnation === 0 || incarnation === session.incarnation) continue;
-        if (incarnation === deputy && !this.#concernsDeputy(owner, nowMs)) {
-          continue;
-        }
-        views.poll(getSessionKey(incarnation), intervalMs, nowMs);
-      }
+      this.#observeSessions(decodeResource(view.value), intervalMs, nowMs);
     }
     views.expire(nowMs);
   }
 
+  #observeSessions(row: ResourceRow, intervalMs: number, nowMs: number): void {
+    const { session, views } = this.#parts;
+    const self = session.incarnation;
+    const isWatched = row.deputy !== 0 && row.deputy !== self;
+    const sessionMs = isWatched ? intervalMs * SESSION_SLOWDOWN : intervalMs;
+    if (row.owner !== 0 && row.owner !== self) {
+      views.poll(getSessionKey(row.owner), sessionMs, nowMs);
+    }
+    if (isWatched && this.#concernsDeputy(row.owner)) {
+      views.poll(getSessionKey(row.deputy), sessionMs, nowMs);
+    }
+  }
+
   /** Takes every resource that the rules allow. */
   take(nowMs: number): void {
     const { session } = this.#parts;
@@ -113,12 +130,15 @@
   }
 
   /** The deputy matters to the owner, and to others once the owner lapsed. */
-  #concernsDeputy(owner: number, nowMs: number): boolean {
+  #concernsDeputy(owner: number): boolean {
     const { session, timings, views } = this.#parts;
     if (owner === session.incarnation) return true;
     const view = views.get(getSessionKey(owner));
     return view !== undefined &&
-      hasLapsed(view, { nowMs, takeoverMs: timings.takeoverMs });
+      hasLapsed(view, {
+        nowMs: view.readAtMs,
+        takeoverMs: timings.takeoverMs,
+      });
   }
 
   #computeInterval(resource: string): number {
@@ -129,8 +149,9 @@
     const isInvolved = view === undefined || row.owner === self ||
       row.deputy === self;
     if (isInvolved) return timings.observeMs;
-    const slowdown = Math.min(1 + this.#computeRank(resource), MAX_SLOWDOWN);
-    return timings.observeMs * slowdown;
+    const rank = this.#computeRank(resource);
+    const slowdown = 1 + rank + Math.max(0, rank - NEAR_RANKS) ** 2;
+    return timings.observeMs * Math.min(slowdown, MAX_SLOWDOWN);
   }
 
   /** Place in the order of the live members without the present owner. */
