--- a/packages/core/claiming/src/claims.ts
+++ b/packages/core/claiming/src/claims.ts
@@ -4,16 +4,18 @@
  * @module
  */
 
+import { applyEvent } from "@dotterelmoor/core.types";
 import type {
+  EventHandlers,
   NotRunReason,
   ReadResult,
   TableRow,
+  TableTransaction,
   TransactResult,
   UnknownReason,
 } from "@dotterelmoor/core.types";
-import { Releases } from "./releases.ts";
-import { buildClaimKey, encodeClaim, isOwnRow } from "./rows.ts";
-import type { ClaimRow } from "./rows.ts";
+import { type Claim, isOwnRow, makeClaim, makeWrite } from "./claim.ts";
+import { ClaimQueue } from "./claim_queue.ts";
 import type {
   Claims,
   ClaimsAction,
@@ -21,298 +23,268 @@
   ClaimsOptions,
 } from "./types.ts";
 
-/** Largest transaction; the table bounds the rows of one. */
-const MAX_BATCH_SIZE = 64;
-const DEFAULT_LINGER_MS = 3;
-const DEFAULT_SLOTS = 4;
+/** Attempts to insert one row before the request is refused. */
+const MAX_ATTEMPTS = 3;
 
-/** Creates the claims of one process. */
-export function createClaims(options: ClaimsOptions = {}): Claims {
-  return new ClaimsMachine(options);
-}
+/** Wait before a row that a read did not show is inserted again. */
+const RETRY_MS = 50;
 
-/** A claim that is queued, in flight or granted. */
-interface Claim {
-  readonly requestId: string;
-  readonly tableKey: string;
-  readonly row: ClaimRow;
-  readonly expiresAtMs: number;
-  /** Version of the row once it is granted. */
-  version: number;
-}
+/** Wait before a removal or a late check is repeated during an outage. */
+const OUTAGE_RETRY_MS = 1_000;
 
-type Operation =
-  | { readonly type: "batch"; readonly claims: readonly Claim[] }
-  | { readonly type: "check"; readonly claim: Claim };
+/**
+ * A write without an answer may take effect after a read did not show it, so
+ * the row of a request that was refused is looked at again at these intervals.
+ */
+const RECHECKS_MS = [1_000, 5_000, 30_000];
 
-interface Turn {
-  readonly nowMs: number;
-  readonly actions: ClaimsAction[];
+/** Creates the claims of one process. */
+export function createClaims(options: ClaimsOptions = {}): Claims {
+  return new ClaimsMachine(options);
 }
 
-type Handlers = {
-  readonly [Type in ClaimsEvent["type"]]: (
-    event: Extract<ClaimsEvent, { type: Type }>,
-    turn: Turn,
-  ) => void;
-};
-
 class ClaimsMachine implements Claims {
+  readonly #queue: ClaimQueue;
+  readonly #byRow = new Map<string, Claim>();
+  readonly #byRequest = new Map<string, Claim>();
   readonly #lingerMs: number;
-  readonly #batchSize: number;
-  readonly #slots: number;
-  readonly #releases = new Releases();
-  readonly #claims = new Map<string, Claim>();
-  /** Keys of claims of this process that are not over. */
-  readonly #keys = new Set<string>();
-  readonly #operations = new Map<number, Operation>();
-  #queue: Claim[] = [];
-  #sendAtMs: number | undefined;
-  #batches = 0;
+  #actions: ClaimsAction[] = [];
   #incarnation = 0;
-  #nextSequence = 1;
-  #nextOperation = 1;
+  #sequence = 0;
 
-  readonly #handlers: Handlers = {
-    session: ({ incarnation }) => {
-      this.#incarnation = incarnation;
+  readonly #handlers: EventHandlers<ClaimsEvent, void> = {
+    session: (event) => void (this.#incarnation = event.incarnation),
+    claim: (event, nowMs) => this.#claim(event, nowMs),
+    release: (event, nowMs) => this.#release(event.requestId, nowMs),
+    finish: (event) => this.#finish(event.requestId),
+    transacted: ({ operationId, result }, nowMs) => {
+      const answered = result.type !== "unavailable";
+      const claims = this.#queue.resolveBatch(operationId, answered);
+      this.#answerBatch(claims, result, nowMs);
+    },
+    rows_read: ({ operationId, result }, nowMs) => {
+      const answered = result.type !== "unavailable";
+      const claim = this.#queue.resolveRead(operationId, answered);
+      if (claim !== undefined) this.#answerRead(claim, result, nowMs);
     },
-    claim: (event, turn) => this.#claim(event, turn),
-    release: ({ requestId }, turn) => this.#release(requestId, turn),
-    finish: ({ requestId }) => this.#forget(requestId),
-    transacted: ({ operationId, result }, turn) =>
-      this.#applyTransacted(operationId, result, turn),
-    rows_read: ({ operationId, result }, turn) =>
-      this.#applyRead(operationId, result, turn),
     tick: () => {},
   };
 
   constructor(options: ClaimsOptions) {
-    this.#lingerMs = options.lingerMs ?? DEFAULT_LINGER_MS;
-    this.#batchSize = Math.min(
-      options.batchSize ?? MAX_BATCH_SIZE,
-      MAX_BATCH_SIZE,
-    );
-    this.#slots = options.slots ?? DEFAULT_SLOTS;
+    this.#lingerMs = options.lingerMs ?? 3;
+    this.#queue = new ClaimQueue({
+      batchSize: Math.min(options.batchSize ?? 64, 64),
+      slots: options.slots ?? 4,
+      lingerMs: this.#lingerMs,
+      submit: (operationId, claims) => {
+        const transaction = makeTransaction(claims);
+        this.#actions.push({ type: "transact", operationId, transaction });
+      },
+      read: (operationId, key) =>
+        this.#actions.push({ type: "read", operationId, key }),
+    });
   }
 
   handle(event: ClaimsEvent, nowMs: number): ClaimsAction[] {
-    const turn: Turn = { nowMs, actions: [] };
-    const handler = this.#handlers[event.type] as (
-      event: ClaimsEvent,
-      turn: Turn,
-    ) => void;
-    handler(event, turn);
-    this.#refuseExpired(turn);
-    this.#sendBatches(turn);
-    this.#sendReleases(turn);
-    return turn.actions;
+    this.#expire(nowMs);
+    applyEvent(this.#handlers, event, nowMs);
+    this.#queue.flush(nowMs);
+    const actions = this.#actions;
+    this.#actions = [];
+    return actions;
   }
 
   nextTickMs(): number | undefined {
-    const times: number[] = [];
-    if (this.#queue.length > 0) {
-      const isBusy = this.#batches >= this.#slots;
-      if (!isBusy) times.push(this.#sendAtMs ?? 0);
-      times.push(...this.#queue.map(({ expiresAtMs }) => expiresAtMs));
+    let nextMs = this.#queue.nextMs();
+    for (const claim of this.#byRequest.values()) {
+      if (claim.state === "pending") {
+        nextMs = Math.min(nextMs, claim.expiresAtMs);
+      }
     }
-    const releaseMs = this.#releases.nextMs();
-    if (releaseMs !== undefined) times.push(releaseMs);
-    return times.length === 0 ? undefined : Math.min(...times);
+    return nextMs === Infinity ? undefined : nextMs;
   }
 
   pending(): number {
-    const inFlight = [...this.#operations.values()].reduce(
-      (sum, operation) =>
-        sum + (operation.type === "batch" ? operation.claims.length : 1),
-      0,
-    );
-    return this.#queue.length + inFlight + this.#releases.size;
+    const claims = [...this.#byRow.values()];
+    return claims.filter(({ state }) => state !== "granted").length;
   }
 
   #claim(
     event: Extract<ClaimsEvent, { type: "claim" }>,
-    turn: Turn,
+    nowMs: number,
   ): void {
-    const { requestId, fingerprint, expiresAtMs } = event;
-    const tableKey = buildClaimKey(event.service, event.key);
-    if (this.#releases.has(tableKey)) {
-      return refuseNotRun(turn, requestId, "store-unavailable");
+    const claim = makeClaim(event, {
+      incarnation: this.#incarnation,
+      sequence: ++this.#sequence,
+      dueMs: nowMs + this.#lingerMs,
+    });
+    const former = this.#byRow.get(claim.rowKey);
+    if (former?.state === "pending" || former?.state === "granted") {
+      return this.#answer(claim, { unknown: "key-already-claimed" });
     }
-    if (this.#keys.has(tableKey)) {
-      return refuseUnknown(turn, requestId, "key-already-claimed");
+    const cannotSend = this.#incarnation === 0 || this.#queue.isDown() ||
+      event.expiresAtMs <= nowMs || former?.state === "releasing";
+    if (cannotSend) return this.#answer(claim, { notRun: "store-unavailable" });
+    if (former !== undefined) {
+      // The former request never ran, so its row may serve this one.
+      former.tokens.forEach((token) => claim.tokens.add(token));
+      claim.isUncertain = true;
+      former.state = "settled";
+      this.#queue.remove(former);
     }
-    if (this.#incarnation === 0) {
-      return refuseNotRun(turn, requestId, "store-unavailable");
-    }
-    const sequence = this.#nextSequence++;
-    const row = { incarnation: this.#incarnation, sequence, fingerprint };
-    const claim = { requestId, tableKey, row, expiresAtMs, version: 0 };
-    this.#claims.set(requestId, claim);
-    this.#keys.add(tableKey);
-    if (this.#queue.length === 0) this.#sendAtMs = turn.nowMs + this.#lingerMs;
-    this.#queue.push(claim);
+    this.#byRow.set(claim.rowKey, claim);
+    this.#byRequest.set(claim.requestId, claim);
+    this.#queue.add(claim);
   }
 
-  #release(requestId: string, turn: Turn): void {
-    const claim = this.#claims.get(requestId);
-    if (claim === undefined || claim.version === 0) return;
-    this.#forget(requestId);
-    this.#releases.add(claim, turn.nowMs);
+  #release(requestId: string, nowMs: number): void {
+    const claim = this.#byRequest.get(requestId);
+    if (claim?.state !== "granted") return;
+    this.#byRequest.delete(requestId);
+    this.#remove(claim, nowMs);
   }
 
-  #forget(requestId: string): void {
-    const claim = this.#claims.get(requestId);
-    if (claim === undefined) return;
-    this.#claims.delete(requestId);
-    this.#keys.delete(claim.tableKey);
+  #finish(requestId: string): void {
+    const claim = this.#byRequest.get(requestId);
+    if (claim?.state === "granted") this.#settle(claim);
   }
 
-  #refuseExpired(turn: Turn): void {
-    const expired = this.#queue.filter(({ expiresAtMs }) =>
-      expiresAtMs <= turn.nowMs
-    );
-    if (expired.length === 0) return;
-    this.#queue = this.#queue.filter((claim) => !expired.includes(claim));
-    for (const claim of expired) this.#abandon(claim, turn);
+  /** Refuses requests that can no longer use a grant. */
+  #expire(nowMs: number): void {
+    for (const claim of [...this.#byRequest.values()]) {
+      if (claim.state !== "pending" || claim.expiresAtMs > nowMs) continue;
+      this.#abandon(claim, nowMs);
+    }
   }
 
-  /** Gives up a claim whose earlier write may still take effect. */
-  #abandon(claim: Claim, turn: Turn): void {
-    this.#forget(claim.requestId);
-    this.#releases.add(claim, turn.nowMs);
-    refuseNotRun(turn, claim.requestId, "store-unavailable");
+  #answerBatch(
+    claims: readonly Claim[],
+    result: TransactResult,
+    nowMs: number,
+  ): void {
+    const rows = result.type === "conflict" ? result.rows : [];
+    const byKey = new Map(rows.map((row) => [row.key, row]));
+    for (const claim of claims) {
+      if (claim.state === "settled") continue;
+      if (result.type === "unavailable") this.#retryLost(claim, nowMs);
+      else if (result.type === "committed") {
+        const version = result.versions[claim.rowKey] ?? 0;
+        this.#confirm(claim, version, nowMs);
+      } else this.#answerConflict(claim, byKey.get(claim.rowKey), nowMs);
+    }
   }
 
-  #sendBatches(turn: Turn): void {
-    while (
-      this.#queue.length > 0 && this.#batches < this.#slots &&
-      (this.#queue.length >= this.#batchSize ||
-        (this.#sendAtMs ?? 0) <= turn.nowMs)
-    ) {
-      const claims = this.#queue.splice(0, this.#batchSize);
-      const operationId = this.#nextOperation++;
-      this.#operations.set(operationId, { type: "batch", claims });
-      this.#batches += 1;
-      turn.actions.push({
-        type: "transact",
-        operationId,
-        transaction: {
-          checks: claims.map(({ tableKey }) => ({ key: tableKey, version: 0 })),
-          writes: claims.map(({ tableKey, row }) => ({
-            key: tableKey,
-            value: encodeClaim(row),
-          })),
-        },
-      });
+  /** An operation without an answer may or may not have taken effect. */
+  #retryLost(claim: Claim, nowMs: number): void {
+    if (claim.state === "releasing") {
+      return this.#queue.add(claim, nowMs + OUTAGE_RETRY_MS);
     }
+    claim.isUncertain = true;
+    this.#queue.read(claim);
   }
 
-  #sendReleases(turn: Turn): void {
-    this.#releases.send(turn, () => this.#nextOperation++);
+  #confirm(claim: Claim, version: number, nowMs: number): void {
+    if (claim.state === "releasing") return this.#recheck(claim, nowMs);
+    claim.version = version;
+    if (claim.state === "abandoned") return this.#remove(claim, nowMs);
+    claim.state = "granted";
+    this.#actions.push({ type: "claimed", requestId: claim.requestId });
   }
 
-  #applyTransacted(
-    operationId: number,
-    result: TransactResult,
-    turn: Turn,
+  /** Without a conflict of its own a claim is sent again with others. */
+  #answerConflict(
+    claim: Claim,
+    row: TableRow | undefined,
+    nowMs: number,
   ): void {
-    const operation = this.#operations.get(operationId);
-    if (operation?.type !== "batch") {
-      this.#releases.applyTransacted(operationId, result, turn.nowMs);
-      return;
-    }
-    this.#operations.delete(operationId);
-    this.#batches -= 1;
-    const { claims } = operation;
-    if (result.type === "committed") {
-      for (const claim of claims) {
-        this.#grant(claim, result.versions[claim.tableKey] ?? 0, turn);
-      }
-    } else if (result.type === "conflict") {
-      this.#applyConflict(claims, result.rows, turn);
-    } else {
-      for (const claim of claims) this.#check(claim, turn);
+    if (claim.state === "releasing") {
+      return row === undefined
+        ? this.#queue.add(claim, nowMs)
+        : this.#recheck(claim, nowMs);
     }
+    if (row !== undefined) return this.#answerRow(claim, row, nowMs);
+    if (claim.state === "abandoned") return this.#recheck(claim, nowMs);
+    this.#queue.add(claim, nowMs);
   }
 
-  /** Settles the claims whose rows exist; the others go first again. */
-  #applyConflict(
-    claims: readonly Claim[],
-    rows: readonly TableRow[],
-    turn: Turn,
-  ): void {
-    const found = new Map(rows.map((row) => [row.key, row]));
-    const again: Claim[] = [];
-    for (const claim of claims) {
-      const row = found.get(claim.tableKey);
-      if (row === undefined || row.value === null) again.push(claim);
-      else this.#settle(claim, row, turn);
+  #answerRead(claim: Claim, result: ReadResult, nowMs: number): void {
+    if (claim.state === "settled") return;
+    if (result.type === "unavailable") {
+      if (claim.state === "pending") this.#abandon(claim, nowMs);
+      return this.#queue.add(claim, nowMs + OUTAGE_RETRY_MS);
+    }
+    const row = result.rows.find(({ key }) => key === claim.rowKey);
+    if (row !== undefined && row.version > 0) {
+      return this.#answerRow(claim, row, nowMs);
+    }
+    if (claim.state === "abandoned") return this.#recheck(claim, nowMs);
+    if (++claim.attempts < MAX_ATTEMPTS) {
+      return this.#queue.add(claim, nowMs + RETRY_MS);
     }
-    this.#queue.unshift(...again);
-    this.#sendAtMs = turn.nowMs;
+    this.#abandon(claim, nowMs);
+    this.#recheck(claim, nowMs);
   }
 
-  #settle(claim: Claim, row: TableRow, turn: Turn): void {
-    if (isOwnRow(row, claim.row)) {
-      this.#grant(claim, row.version, turn);
-    } else {
-      this.#forget(claim.requestId);
-      refuseUnknown(turn, claim.requestId, "key-already-claimed");
+  #answerRow(claim: Claim, row: TableRow, nowMs: number): void {
+    if (isOwnRow(claim, row)) return this.#confirm(claim, row.version, nowMs);
+    if (claim.state === "pending") {
+      this.#answer(claim, { unknown: "key-already-claimed" });
     }
+    this.#recheck(claim, nowMs);
   }
 
-  #grant(claim: Claim, version: number, turn: Turn): void {
-    claim.version = version;
-    if (claim.expiresAtMs > turn.nowMs) {
-      turn.actions.push({ type: "claimed", requestId: claim.requestId });
-    } else {
-      this.#abandon(claim, turn);
-    }
+  /** Refuses a request that was not sent; its row is released if it appears. */
+  #abandon(claim: Claim, nowMs: number): void {
+    claim.state = "abandoned";
+    this.#byRequest.delete(claim.requestId);
+    this.#answer(claim, { notRun: "store-unavailable" });
+    if (this.#queue.remove(claim)) this.#recheck(claim, nowMs);
   }
 
-  /** Reads a row back after a write whose answer was lost. */
-  #check(claim: Claim, turn: Turn): void {
-    const operationId = this.#nextOperation++;
-    this.#operations.set(operationId, { type: "check", claim });
-    turn.actions.push({ type: "read", operationId, key: claim.tableKey });
+  #remove(claim: Claim, nowMs: number): void {
+    claim.state = "releasing";
+    this.#queue.add(claim, nowMs + this.#lingerMs);
   }
 
-  #applyRead(operationId: number, result: ReadResult, turn: Turn): void {
-    const operation = this.#operations.get(operationId);
-    if (operation?.type !== "check") {
-      this.#releases.applyRead(operationId, result, turn.nowMs);
-      return;
-    }
-    this.#operations.delete(operationId);
-    const { claim } = operation;
-    const row = result.type === "rows" ? result.rows[0] : undefined;
-    if (row === undefined) {
-      this.#abandon(claim, turn);
-    } else if (row.value === null) {
-      // The same row again: if the first write is late, it is still ours.
-      this.#queue.unshift(claim);
-      this.#sendAtMs = turn.nowMs;
-    } else {
-      this.#settle(claim, row, turn);
+  /** Looks again later if an unanswered write may still take effect. */
+  #recheck(claim: Claim, nowMs: number): void {
+    claim.state = "abandoned";
+    this.#byRequest.delete(claim.requestId);
+    const delayMs = claim.isUncertain
+      ? RECHECKS_MS[claim.rechecks++]
+      : undefined;
+    if (delayMs === undefined) return this.#settle(claim);
+    this.#queue.add(claim, nowMs + delayMs);
+  }
+
+  #settle(claim: Claim): void {
+    claim.state = "settled";
+    this.#byRequest.delete(claim.requestId);
+    if (this.#byRow.get(claim.rowKey) === claim) {
+      this.#byRow.delete(claim.rowKey);
     }
   }
-}
 
-function refuseNotRun(
-  turn: Turn,
-  requestId: string,
-  reason: NotRunReason,
-): void {
-  const outcome = { type: "not-run", reason } as const;
-  turn.actions.push({ type: "refused", requestId, outcome });
+  #answer(
+    claim: Claim,
+    answer: { notRun: NotRunReason } | { unknown: UnknownReason },
+  ): void {
+    this.#actions.push({
+      type: "refused",
+      requestId: claim.requestId,
+      outcome: "notRun" in answer
+        ? { type: "not-run", reason: answer.notRun }
+        : { type: "unknown", reason: answer.unknown },
+    });
+  }
 }
 
-function refuseUnknown(
-  turn: Turn,
-  requestId: string,
-  reason: UnknownReason,
-): void {
-  const outcome = { type: "unknown", reason } as const;
-  turn.actions.push({ type: "refused", requestId, outcome });
+function makeTransaction(claims: readonly Claim[]): TableTransaction {
+  return {
+    checks: claims.map((claim) => ({
+      key: claim.rowKey,
+      version: claim.state === "releasing" ? claim.version : 0,
+    })),
+    writes: claims.map(makeWrite),
+  };
 }
--- a/packages/core/permitting/src/holder.ts
+++ b/packages/core/permitting/src/holder.ts
@@ -4,7 +4,12 @@
  * @module
  */
 
-import { BUCKET_MS, MIN_DEMAND_SHARE, PERMIT_LIFETIME_MS } from "./limits.ts";
+import {
+  ASK_MS,
+  ASK_WITHOUT_PERMIT_MS,
+  BUCKET_S,
+  LIFETIME_MS,
+} from "./limits.ts";
 import type {
   PermitHolder,
   PermitHolderEvent,
@@ -12,126 +17,144 @@
   PermitRequest,
 } from "./types.ts";
 
-/** Interval between requests while there is demand. */
-const REQUEST_INTERVAL_MS = 400;
-/** Time after the last use until the holder stops asking. */
-const IDLE_MS = 2_000;
-/** Demand above the measured use, so that a rising use is not held back. */
-const DEMAND_FACTOR = 1.5;
-const MS_PER_SECOND = 1_000;
+/** A holder that did not send for this time lets its permit lapse. */
+const IDLE_MS = 1_000;
+
+/** Headroom that a holder asks for beyond what it sent. */
+const DEMAND_MARGIN = 1.5;
+
+interface Permit {
+  readonly requestId: number;
+  readonly rate: number;
+  readonly untilMs: number;
+}
 
 /** Creates the holder of one process on one link. */
 export function createPermitHolder(options: PermitHolderOptions): PermitHolder {
-  return new Holder(options.budgetBytesPerSecond);
+  return new Holder(options);
 }
 
 class Holder implements PermitHolder {
   readonly #budget: number;
-  readonly #sentAtMs = new Map<number, number>();
-  #rate = 0;
-  #validUntilMs = -Infinity;
-  #appliedId = 0;
-  #nextId = 1;
+  /** Times at which unanswered requests were sent. */
+  readonly #asks = new Map<number, number>();
+  #permit: Permit | undefined;
   #tokens = 0;
-  #filledAtMs = 0;
-  #wantedBytes = 0;
-  #isShort = false;
-  #usedAtMs = -Infinity;
-  #askedAtMs = -Infinity;
-
-  constructor(budget: number) {
-    this.#budget = budget;
+  #accruedMs = 0;
+  #lastAsk = 0;
+  #lastAskMs = -Infinity;
+  #lastUseMs = -Infinity;
+  #sentBytes = 0;
+  #wasRefused = false;
+
+  constructor(options: PermitHolderOptions) {
+    this.#budget = options.budgetBytesPerSecond;
   }
 
   handle(event: PermitHolderEvent, nowMs: number): PermitRequest[] {
-    this.#fill(nowMs);
-    if (event.type === "granted") {
-      this.#apply(event.requestId, event.rate, nowMs);
-      return [];
-    }
-    return this.#ask(nowMs);
+    if (event.type === "tick") return this.#ask(nowMs);
+    this.#receive(event, nowMs);
+    return [];
   }
 
   take(bytes: number, nowMs: number): boolean {
-    this.#fill(nowMs);
-    this.#usedAtMs = nowMs;
-    if (
-      nowMs >= this.#validUntilMs || this.#tokens < this.#computeNeed(bytes)
-    ) {
-      this.#isShort = true;
+    this.#lastUseMs = nowMs;
+    if (this.waitMs(bytes, nowMs) > 0) {
+      this.#wasRefused = true;
       return false;
     }
-    this.#wantedBytes += bytes;
-    this.#tokens -= bytes;
+    this.#spend(bytes);
     return true;
   }
 
-  waitMs(bytes: number, nowMs: number): number {
-    this.#fill(nowMs);
-    if (nowMs >= this.#validUntilMs || this.#rate <= 0) return Infinity;
-    const missing = this.#computeNeed(bytes) - this.#tokens;
-    return Math.max(missing, 0) / this.#rate * MS_PER_SECOND;
+  takeUpTo(bytes: number, nowMs: number): number {
+    const depth = this.#depth(nowMs);
+    // Half a bucket at a time keeps slices from becoming tiny.
+    const least = Math.min(bytes, Math.floor(depth / 2));
+    const ready = Math.min(bytes, Math.floor(this.#tokens));
+    this.#lastUseMs = nowMs;
+    this.#wasRefused ||= ready < bytes;
+    if (depth === 0 || ready < least || ready <= 0) return 0;
+    this.#spend(ready);
+    return ready;
   }
 
-  /** A body larger than the bucket needs a full one and leaves a debt. */
-  #computeNeed(bytes: number): number {
-    return Math.min(bytes, this.#computeDepth());
+  maxTake(nowMs: number): number {
+    return Math.floor(this.#depth(nowMs));
   }
 
-  #computeDepth(): number {
-    return this.#rate * BUCKET_MS / MS_PER_SECOND;
+  waitMs(bytes: number, nowMs: number): number {
+    const depth = this.#depth(nowMs);
+    if (depth === 0) return Infinity;
+    const missing = Math.min(bytes, depth) - this.#tokens;
+    // Less than a byte is missing only by rounding.
+    return missing < 1e-6 ? 0 : missing / this.#permit!.rate * 1_000;
   }
 
-  #fill(nowMs: number): void {
-    const fromMs = this.#filledAtMs;
-    this.#filledAtMs = nowMs;
-    const untilMs = Math.min(nowMs, this.#validUntilMs);
-    if (untilMs > fromMs) {
-      const added = this.#rate * (untilMs - fromMs) / MS_PER_SECOND;
-      this.#tokens = Math.min(this.#tokens + added, this.#computeDepth());
-    }
-    // Tokens of a lapsed permit are void; a debt stays.
-    if (nowMs >= this.#validUntilMs) this.#tokens = Math.min(this.#tokens, 0);
+  #spend(bytes: number): void {
+    this.#tokens -= bytes;
+    this.#sentBytes += bytes;
   }
 
-  #apply(requestId: number, rate: number, nowMs: number): void {
-    const sentAtMs = this.#sentAtMs.get(requestId);
-    if (sentAtMs === undefined || requestId <= this.#appliedId) return;
-    for (const id of this.#sentAtMs.keys()) {
-      if (id <= requestId) this.#sentAtMs.delete(id);
-    }
-    // Validity counts from before the request, so it ends before the ledger
-    // gives the rate to anyone else.
-    if (sentAtMs + PERMIT_LIFETIME_MS <= nowMs) return;
-    this.#appliedId = requestId;
-    this.#rate = rate;
-    this.#validUntilMs = sentAtMs + PERMIT_LIFETIME_MS;
-    this.#tokens = Math.min(this.#tokens, this.#computeDepth());
+  /** Bucket depth in bytes after accrual, 0 without a valid permit. */
+  #depth(nowMs: number): number {
+    const permit = this.#permit;
+    if (permit === undefined) return 0;
+    const depth = permit.rate * BUCKET_S;
+    const untilMs = Math.min(nowMs, permit.untilMs);
+    const elapsedMs = Math.max(0, untilMs - this.#accruedMs);
+    this.#accruedMs = Math.max(untilMs, this.#accruedMs);
+    this.#tokens = Math.min(
+      depth,
+      this.#tokens + elapsedMs * permit.rate / 1e3,
+    );
+    if (nowMs < permit.untilMs) return depth;
+    // Tokens end with their permit; a debt stays.
+    this.#permit = undefined;
+    this.#tokens = Math.min(0, this.#tokens);
+    return 0;
   }
 
   #ask(nowMs: number): PermitRequest[] {
-    if (nowMs - this.#usedAtMs > IDLE_MS) return [];
-    const elapsedMs = nowMs - this.#askedAtMs;
-    const isUrgent = this.#isShort && nowMs >= this.#validUntilMs &&
-      elapsedMs >= REQUEST_INTERVAL_MS / 4;
-    if (elapsedMs < REQUEST_INTERVAL_MS && !isUrgent) return [];
-    const requestId = this.#nextId++;
-    const demand = this.#computeDemand(elapsedMs);
-    this.#askedAtMs = nowMs;
-    this.#wantedBytes = 0;
-    this.#isShort = false;
-    this.#sentAtMs.set(requestId, nowMs);
-    for (const [id, sentAtMs] of this.#sentAtMs) {
-      if (nowMs - sentAtMs > PERMIT_LIFETIME_MS) this.#sentAtMs.delete(id);
+    const isIdle = nowMs - this.#lastUseMs >= IDLE_MS;
+    const hasPermit = this.#depth(nowMs) > 0;
+    const intervalMs = hasPermit ? ASK_MS : ASK_WITHOUT_PERMIT_MS;
+    const elapsedMs = nowMs - this.#lastAskMs;
+    if (isIdle || elapsedMs < intervalMs) return [];
+    const requestId = ++this.#lastAsk;
+    for (const [id, sentAtMs] of this.#asks) {
+      if (nowMs - sentAtMs >= LIFETIME_MS) this.#asks.delete(id);
     }
+    this.#asks.set(requestId, nowMs);
+    const demand = this.#computeDemand(elapsedMs);
+    this.#lastAskMs = nowMs;
+    this.#sentBytes = 0;
+    this.#wasRefused = false;
     return [{ type: "request", requestId, demand }];
   }
 
+  /** A holder that had to wait could use the whole link for all it knows. */
   #computeDemand(elapsedMs: number): number {
-    const seconds = Math.max(elapsedMs, 1) / MS_PER_SECOND;
-    const measured = this.#wantedBytes / seconds * DEMAND_FACTOR;
-    const doubled = this.#isShort ? this.#rate * 2 : 0;
-    const floor = this.#budget * MIN_DEMAND_SHARE;
-    return Math.min(Math.max(measured, doubled, floor), this.#budget);
+    if (this.#wasRefused) return this.#budget;
+    const sent = this.#sentBytes * 1_000 / elapsedMs * DEMAND_MARGIN;
+    return Math.min(this.#budget, sent);
+  }
+
+  #receive(
+    event: Extract<PermitHolderEvent, { type: "granted" }>,
+    nowMs: number,
+  ): void {
+    const sentAtMs = this.#asks.get(event.requestId);
+    if (sentAtMs === undefined || event.rate <= 0) return;
+    this.#asks.delete(event.requestId);
+    const untilMs = sentAtMs + LIFETIME_MS;
+    const isLate = untilMs <= nowMs ||
+      event.requestId < (this.#permit?.requestId ?? 0);
+    if (isLate) return;
+    // Settles the former permit; the new one accrues from now on.
+    this.#depth(nowMs);
+    this.#accruedMs = nowMs;
+    this.#tokens = Math.min(this.#tokens, event.rate * BUCKET_S);
+    this.#permit = { requestId: event.requestId, rate: event.rate, untilMs };
   }
 }
