Test the loss of a group's owner under load

The owner is killed, or frozen for 15 s while callers keep using it. The group must be served again within 15 s, callers of the other region's entries are served meanwhile, and no server exceeds its slots.

--- /dev/null
+++ b/packages/testing/system/src/owner_loss_test.ts
@@ -0,0 +1,179 @@
+import test from "ava";
+import { waitUntil } from "@dotterelmoor/testing.demo";
+import type { EntryProcess, RunningSystem } from "@dotterelmoor/testing.demo";
+import type { ExecutionContext } from "ava";
+import {
+  describeResults,
+  FIRST_REGION_CLIENT,
+  sendCall,
+  startLoad,
+} from "./calls.ts";
+import type { Call, CallResult, Load } from "./calls.ts";
+import { readAllCounters } from "./counting.ts";
+import { findOwner, readStatus, startTestSystem } from "./test_system.ts";
+
+const SERVICE = "availdesk";
+const SLOTS = 3;
+const HOME = "southeast";
+const SPARE = "farnorth";
+const GROUP = { service: SERVICE, region: HOME };
+/** Takeover after 11 s, and the time to read rows and to spread the state. */
+const SERVED_AGAIN_MS = 15_000;
+/** Peers declare the owner dead about 4 s after its first failed probe. */
+const NOTICED_MS = 6_000;
+const FROZEN_MS = 15_000;
+
+interface Lost {
+  readonly system: RunningSystem;
+  readonly owner: EntryProcess;
+  readonly load: Load;
+}
+
+/** Bursts above the slots of the group, and below its shift cap at the start. */
+function makeBurst(entries: readonly EntryProcess[], number: number): Call[] {
+  return Array.from({ length: 12 }, (_, index) => ({
+    entry: entries[index % entries.length]!.callers,
+    service: SERVICE,
+    path: `/availability?burst=${number}-${index}`,
+    from: FIRST_REGION_CLIENT,
+  }));
+}
+
+async function startUnderLoad(t: ExecutionContext): Promise<Lost> {
+  const system = await startTestSystem(t, {
+    example: "consortium",
+    regions: [HOME, SPARE],
+    entriesPerRegion: 2,
+    serversPerGroup: 3,
+    teams: [SERVICE],
+    serverFlags: ["--service-ms", "150", "--distribution", "uniform"],
+  });
+  const owner = await findOwner(system.entries, GROUP);
+  if (owner === undefined) throw new Error("The group has no owner");
+  const others = system.entries.filter((entry) => entry !== owner);
+  const load = startLoad({
+    intervalMs: 750,
+    makeBurst: (number) => makeBurst(others, number),
+  });
+  t.teardown(() => load.stop());
+  await waitUntil(() => countAnswered(load.results, HOME) >= 30, {
+    timeoutMs: 8_000,
+    what: "answers from the owner",
+  });
+  return { system, owner, load };
+}
+
+function countAnswered(results: readonly CallResult[], region: string): number {
+  return results.filter(({ outcome, server }) =>
+    outcome === "answered" && server.includes(region)
+  ).length;
+}
+
+/** Time after which the group's own servers answered again. */
+async function waitForTakeover(t: ExecutionContext, lost: Lost) {
+  const lostMs = performance.now();
+  const before = lost.load.results.length;
+  const others = lost.system.entries.filter((entry) => entry !== lost.owner);
+  await waitUntil(
+    async () => await findOwner(others, GROUP) !== undefined,
+    { timeoutMs: SERVED_AGAIN_MS, what: "a new owner" },
+  );
+  const openedMs = performance.now();
+  await waitUntil(
+    () =>
+      lost.load.results.some((result) =>
+        result.endedMs > openedMs && countAnswered([result], HOME) === 1
+      ),
+    { timeoutMs: SERVED_AGAIN_MS, what: "answers from the new owner" },
+  );
+  const servedMs = performance.now() - lostMs;
+  t.log(`served again after ${Math.round(servedMs)} ms`);
+  t.true(servedMs <= SERVED_AGAIN_MS);
+  assertSpareServes(t, lost, { lostMs, openedMs, before });
+}
+
+/** Checks the calls between the notice of the loss and the takeover. */
+function assertSpareServes(
+  t: ExecutionContext,
+  lost: Lost,
+  times: { lostMs: number; openedMs: number; before: number },
+): void {
+  const { lostMs, openedMs, before } = times;
+  const meanwhile = lost.load.results.slice(before).filter((result) =>
+    result.startedMs > lostMs + NOTICED_MS && result.endedMs < openedMs
+  );
+  // Callers take the spare entry from their look-up answer. Entries of the
+  // home region may be unable to shift, as the ledger of the link may have
+  // had the same owner as the group.
+  const spareEntries = new Set(
+    lost.system.entries.filter(({ region }) => region === SPARE).map((
+      { callers },
+    ) => callers),
+  );
+  const isSpare = ({ call }: CallResult) => spareEntries.has(call.entry);
+  const atSpare = meanwhile.filter(isSpare);
+  const atHome = meanwhile.filter((result) => !isSpare(result));
+  t.log(`meanwhile at the spare entries: ${describeResults(atSpare)}`);
+  t.log(`meanwhile at the home entry: ${describeResults(atHome)}`);
+  t.true(atSpare.length >= 16, `${atSpare.length} calls meanwhile`);
+  t.is(countAnswered(atSpare, SPARE), atSpare.length);
+}
+
+async function assertSlots(
+  t: ExecutionContext,
+  { system, load }: Lost,
+): Promise<void> {
+  t.log(`so far: ${describeResults(load.results)}`);
+  const counters = await readAllCounters(system);
+  const full = counters.filter(({ maxInFlight }) => maxInFlight === SLOTS);
+  for (const { server, overSlots, maxInFlight } of counters) {
+    t.is(overSlots, 0, `${server} ran requests above its slots`);
+    t.true(maxInFlight <= SLOTS);
+  }
+  t.true(full.length >= 3, "the load did not use all slots");
+}
+
+test.serial("guards against slots in use twice and a closed group after its owner was killed", async (t) => {
+  const lost = await startUnderLoad(t);
+  lost.owner.process.kill();
+  await waitForTakeover(t, lost);
+  await assertSlots(t, lost);
+});
+
+test.serial("guards against a frozen owner that dispatches again with a new owner in place", async (t) => {
+  const lost = await startUnderLoad(t);
+  const before = (await readStatus(lost.owner)).session.incarnation;
+  lost.owner.process.freeze();
+  const frozenMs = performance.now();
+  await waitForTakeover(t, lost);
+  await waitUntil(() => performance.now() - frozenMs >= FROZEN_MS, {
+    timeoutMs: FROZEN_MS,
+    what: "the end of the freeze",
+  });
+  // Callers that still use the frozen entry have it start work on resuming,
+  // while the new owner has more work than its slots.
+  const held = makeBurst([lost.owner], FROZEN_MS).map(sendCall);
+  lost.owner.process.resume();
+  const atOthers = makeBurst(
+    lost.system.entries.filter((entry) =>
+      entry !== lost.owner && entry.region === HOME
+    ),
+    FROZEN_MS + 1,
+  ).map(sendCall);
+  const atResumed = await Promise.all(held);
+  await Promise.all(atOthers);
+  t.log(`at the resumed entry: ${describeResults(atResumed)}`);
+  t.true(atResumed.every(({ outcome }) => outcome !== "lost"));
+  await assertSlots(t, lost);
+  const resumed = lost.load.results.length;
+  await waitUntil(async () => {
+    const { owned, session } = await readStatus(lost.owner);
+    return session.incarnation > before &&
+      !owned.some(({ service }) => service === SERVICE);
+  }, { timeoutMs: 5_000, what: "a new session of the resumed entry" });
+  await waitUntil(() => lost.load.results.length >= resumed + 48, {
+    timeoutMs: 8_000,
+    what: "load after the freeze",
+  });
+  await assertSlots(t, lost);
+});
