--- a/packages/testing/bench/src/path/path_bench.ts
+++ b/packages/testing/bench/src/path/path_bench.ts
@@ -32,20 +32,30 @@
 /** Options of `runPathBench`. */
 export interface PathBenchOptions {
   readonly seed: number;
+  /** Rounds of both ways; an odd number has a middle one. */
+  readonly rounds: number;
+  /** Duration of each way in each round. */
   readonly durationMs: number;
   readonly warmupMs: number;
 }
 
 /** Latencies of both ways and their ratios. */
 export interface PathBenchResult {
-  readonly direct: PathLatency;
-  readonly entry: PathLatency;
+  readonly rounds: readonly PathRound[];
+  /** Middle of the rounds' ratios, so that one disturbed round does not count. */
   readonly medianRatio: number;
   readonly p99Ratio: number;
   /** Requests through the entry that were not answered. */
   readonly unanswered: number;
 }
 
+/** Latencies of one round. */
+export interface PathRound {
+  readonly direct: PathLatency;
+  readonly entry: PathLatency;
+  readonly unanswered: number;
+}
+
 /** Latencies in milliseconds. */
 export interface PathLatency {
   readonly count: number;
@@ -69,9 +79,13 @@
   try {
     await waitForGroups(system, 1);
     const mix = parseMix(MIX);
-    const direct = await runDirect(system, mix, options);
-    const entry = await runThroughEntry(system, mix, options);
-    return compareReports(direct, entry);
+    const rounds: PathRound[] = [];
+    for (let round = 0; round < options.rounds; round += 1) {
+      const direct = await runDirect(system, mix, options);
+      const entry = await runThroughEntry(system, mix, options);
+      rounds.push(makeRound(direct, entry));
+    }
+    return compareRounds(rounds);
   } finally {
     await system.stop();
   }
@@ -130,16 +144,26 @@
   });
 }
 
-function compareReports(direct: RunReport, entry: RunReport): PathBenchResult {
-  const ways = { direct: toLatency(direct), entry: toLatency(entry) };
+function makeRound(direct: RunReport, entry: RunReport): PathRound {
   return {
-    ...ways,
-    medianRatio: ways.entry.p50 / ways.direct.p50,
-    p99Ratio: ways.entry.p99 / ways.direct.p99,
+    direct: toLatency(direct),
+    entry: toLatency(entry),
     unanswered: entry.total.all.count - entry.total.answered.count,
   };
 }
 
+function compareRounds(rounds: readonly PathRound[]): PathBenchResult {
+  const findMiddle = (measure: (latency: PathLatency) => number) =>
+    rounds.map(({ direct, entry }) => measure(entry) / measure(direct))
+      .sort((left, right) => left - right)[Math.floor(rounds.length / 2)]!;
+  return {
+    rounds,
+    medianRatio: findMiddle(({ p50 }) => p50),
+    p99Ratio: findMiddle(({ p99 }) => p99),
+    unanswered: rounds.reduce((sum, round) => sum + round.unanswered, 0),
+  };
+}
+
 function toLatency(report: RunReport): PathLatency {
   const { count, p50, p99 } = report.total.answered;
   return { count, p50, p99 };
