Forward issued keys to an entry that is leaving

A request with an issued key that reached another entry ended as unknown (key-already-claimed) as soon as the key's issuer announced that it leaves, although the issuer serves until the look-up time to live has passed. The issuer was searched among live members only; leaving ones now count too.

Ruled out: claims in the table (only issued keys were hit) and a second use of a key.

--- a/packages/daemon/entry/src/process/membership_part.ts
+++ b/packages/daemon/entry/src/process/membership_part.ts
@@ -48,7 +48,7 @@
   send(event: MembershipEvent): void;
   /** Address of the live member with an incarnation. */
   findAddress(incarnation: number): string | undefined;
-  /** The live member with a process id. */
+  /** The member with a process id, live or leaving. */
   findProcess(processId: string): MemberRecord | undefined;
 }
 
@@ -89,7 +89,9 @@
         member.incarnation === incarnation
       )?.peerAddress,
     findProcess: (processId) =>
-      membership.liveMembers().find((member) => member.processId === processId),
+      membership.members().find((member) =>
+        member.processId === processId && member.state !== "dead"
+      ),
   };
 }
 
--- a/packages/daemon/entry/src/request/key_claims.ts
+++ b/packages/daemon/entry/src/request/key_claims.ts
@@ -23,7 +23,7 @@
   readonly peers: PeerPool;
   readonly region: string;
   readonly links: LinkPart;
-  /** A live member by its process id. */
+  /** A live or leaving member by its process id. */
   readonly findProcess: (processId: string) => MemberRecord | undefined;
 }
 
