--- a/packages/testing/system/src/leaving_issuer_test.ts
+++ b/packages/testing/system/src/leaving_issuer_test.ts
@@ -31,6 +31,8 @@
       instance === issuer!.instance && state === "leaving"
     );
   }, { timeoutMs: 1_000, what: "the issuer leaving" });
+  // A key issued by now would keep the issuer from ending, or be lost.
+  await t.throwsAsync(lookUp(issuer!.callers, HOLD), { message: /503/ });
   const request = { ...HOLD, method: "POST", key: issuedKey } as const;
   t.like(await sendRequest(other!.callers, request), { outcome: "answered" });
   t.like(await sendRequest(other!.callers, request), { outcome: "unknown" });
