Answer look-ups while leaving, without a key

Refusing look-ups at a leaving entry cut off callers that knew no other entry, although this one knows the others. It answers with the other entries now and issues no key, which would outlive it. The load tool asks the next entry for a key.

--- a/packages/command/load/src/lookups.ts
+++ b/packages/command/load/src/lookups.ts
@@ -75,7 +75,7 @@
     // Requests of one group share one look-up, but each needs its own key.
     const answer =
       await (needsKey
-        ? this.#requestAny(question)
+        ? this.#requestAny(question, needsKey)
         : this.#requestShared(key, question));
     const addresses = answer.entries
       .toSorted((a, b) =>
@@ -95,19 +95,25 @@
   #requestShared(key: string, question: LookupQuestion): Promise<LookupAnswer> {
     const open = this.#open.get(key);
     if (open !== undefined) return open;
-    const asked = this.#requestAny(question).finally(() =>
+    const asked = this.#requestAny(question, false).finally(() =>
       this.#open.delete(key)
     );
     this.#open.set(key, asked);
     return asked;
   }
 
-  async #requestAny(question: LookupQuestion): Promise<LookupAnswer> {
+  async #requestAny(
+    question: LookupQuestion,
+    needsKey: boolean,
+  ): Promise<LookupAnswer> {
     const { entries, ask } = this.#options;
     for (let tried = 0; tried < entries.length; tried++) {
       const entry = entries[this.#next % entries.length]!;
       try {
-        return ANSWER.parse(await ask(entry, question));
+        const answer = ANSWER.parse(await ask(entry, question));
+        // An entry that is leaving issues no keys.
+        if (!needsKey || answer.issuedKey !== undefined) return answer;
+        this.#next += 1;
       } catch {
         // The next entry is asked from now on, by later look-ups too.
         this.#next += 1;
--- a/packages/daemon/entry/src/request/caller_app.ts
+++ b/packages/daemon/entry/src/request/caller_app.ts
@@ -69,9 +69,7 @@
     if (!options.isReady()) {
       answerOutcome(context, makeNotRun("not-configured"));
     } else if (context.path === "/v1/lookup") {
-      // A key issued now would outlive its entry.
-      if (options.isLeaving()) answerOutcome(context, makeNotRun("closing"));
-      else answerLookup(context, options);
+      answerLookup(context, options);
     } else if (context.path.startsWith(SERVICE_PREFIX)) {
       await answerRequest(context, options);
     } else {
--- a/packages/daemon/entry/src/wiring/requests.ts
+++ b/packages/daemon/entry/src/wiring/requests.ts
@@ -141,10 +141,12 @@
     groups: view.listGroups(service),
     nowMs,
   });
+  // A key issued while leaving would outlive its entry.
+  const isIssuing = needsKey(view, service) && !base.state.leaving;
   return {
     ...answer,
     ttlMs: base.settings.lookupTtlMs,
-    issuedKey: needsKey(view, service) ? issuedKeys.issue(nowMs) : undefined,
+    issuedKey: isIssuing ? issuedKeys.issue(nowMs) : undefined,
   };
 }
 
