Take over only from fresh readings

Cause: in a region of 117 processes bystanders judged sessions lapsed that they had not read for long: 112 takeovers in 20 s failed with a conflict. Change: rows behind a takeover are read again if the reading is older than two intervals.

--- a/packages/core/ownership/src/candidate.ts
+++ b/packages/core/ownership/src/candidate.ts
@@ -102,7 +102,8 @@
         continue;
       }
       const plan = this.#makePlan(resource, nowMs);
-      if (plan !== undefined) this.#submit(resource, plan, nowMs);
+      if (plan === undefined || !this.#isFresh(resource, plan, nowMs)) continue;
+      this.#submit(resource, plan, nowMs);
     }
   }
 
@@ -202,6 +203,17 @@
     return nowMs >= free.sinceMs + waitMs ? plan : undefined;
   }
 
+  /** Reads rows again that were read too long ago to rely on them. */
+  #isFresh(resource: string, plan: TakeoverPlan, nowMs: number): boolean {
+    const { timings: { observeMs }, views } = this.#parts;
+    const keys = [resource, ...plan.checks.map(({ key }) => key)];
+    const outdated = keys.filter((key) =>
+      nowMs - views.get(key)!.readAtMs > 2 * observeMs
+    );
+    outdated.forEach((key) => views.poll(key, observeMs, nowMs));
+    return outdated.length === 0;
+  }
+
   #submit(resource: string, plan: TakeoverPlan, nowMs: number): void {
     const { operations, session, timings, views } = this.#parts;
     const view = views.get(resource)!;
