--- a/packages/core/ownership/src/candidate.ts
+++ b/packages/core/ownership/src/candidate.ts
@@ -78,6 +78,12 @@
     views.expire(nowMs);
   }
 
+  /** Reads the row of a resource now, unless a reading is under way. */
+  read(resource: string, nowMs: number): void {
+    if (!this.#resources.includes(resource)) return;
+    this.#parts.views.poll(resource, 0, nowMs);
+  }
+
   #observeSessions(row: ResourceRow, intervalMs: number, nowMs: number): void {
     const { session, views } = this.#parts;
     const self = session.incarnation;
