Report the best target's reason when no target runs a request

A request refused in its home region ended with the reason of a region that has no entries, group-closed, and was tried again in further rounds although the home region was full.

--- a/packages/daemon/entry/src/request/front.ts
+++ b/packages/daemon/entry/src/request/front.ts
@@ -212,7 +212,6 @@
     parts.nowMs(),
   );
   let first: NotRun | undefined;
-  let passing: NotRun | undefined;
   let lost: OutcomeUnknown | undefined;
   for (const target of targets) {
     if (execution.deadlineAtMs - parts.nowMs() < MIN_ATTEMPT_MS) break;
@@ -225,10 +224,10 @@
     if (outcome.type !== "not-run") return outcome;
     if (FINAL_REASONS.has(outcome.reason)) return lost ?? outcome;
     first ??= outcome;
-    if (PASSING_REASONS.has(outcome.reason)) passing ??= outcome;
   }
-  // A lost attempt may have taken effect, whatever the later ones said.
-  return lost ?? passing ?? first ?? makeNotRun("deadline-too-short");
+  // A lost attempt may have taken effect, whatever the later ones said. Else
+  // the best target's reason counts: another round helps only if that passes.
+  return lost ?? first ?? makeNotRun("deadline-too-short");
 }
 
 /** A repeatable request may go on when the owner was lost on the way. */
