--- a/packages/testing/bench/src/mod.ts
+++ b/packages/testing/bench/src/mod.ts
@@ -10,3 +10,4 @@
   runTargetBench,
 } from "./policies/policy_bench.ts";
 export type { PolicyBenchOptions, PolicyRow } from "./policies/policy_bench.ts";
+export * from "./slopes/mod.ts";
