--- a/packages/core/steering/src/client_blocks.ts
+++ b/packages/core/steering/src/client_blocks.ts
@@ -167,10 +167,14 @@
     open.push(block);
   }
   closeUntil(ADDRESSES);
+  return trim(ranges);
+}
+
+function trim({ count, starts, ends, owners }: Blocks): Ranges {
   return {
-    starts: ranges.starts.slice(0, ranges.count),
-    ends: ranges.ends.slice(0, ranges.count),
-    owners: ranges.owners.slice(0, ranges.count),
+    starts: starts.slice(0, count),
+    ends: ends.slice(0, count),
+    owners: owners.slice(0, count),
   };
 }
 
--- a/packages/testing/bench/src/slopes/membership_slopes.ts
+++ b/packages/testing/bench/src/slopes/membership_slopes.ts
@@ -60,6 +60,21 @@
       at((run) => run.traffic.largest),
       { ...nodes, unit: "bytes" },
     ),
+    ...describeStates(runs),
+    toMeasurement(
+      "membership and configuration processor time per node",
+      at((run) => 100 * run.cpuMs / run.size / MEASURED_MS),
+      { ...nodes, unit: "% of a core", timed: true },
+    ),
+  ];
+}
+
+/** Ages of the group states that the nodes know, and their store reads. */
+function describeStates(runs: readonly Run[]): Measurement[] {
+  const nodes = { sizeName: "nodes" };
+  const at = (value: (run: Run) => number) =>
+    runs.map((run) => ({ size: run.size, value: value(run) }));
+  return [
     toMeasurement(
       "group states older than 5 s",
       at((run) => 100 * run.staleShare),
@@ -69,11 +84,6 @@
       ...nodes,
       unit: "ms",
     }),
-    toMeasurement(
-      "membership and configuration processor time per node",
-      at((run) => 100 * run.cpuMs / run.size / MEASURED_MS),
-      { ...nodes, unit: "% of a core", timed: true },
-    ),
     toMeasurement(
       "configuration reads of all nodes",
       at((run) => run.storeReads / (MEASURED_MS / 1_000)),
@@ -90,28 +100,17 @@
   const byRegions = [3, 5, 7].map((regions) =>
     runFleet(regions, { nodes: 30 * regions, regions, services: 4, seed })
   );
-  const sent = (runs: readonly Run[], nodes: (size: number) => number) =>
-    runs.map(({ size, traffic }) => ({
-      size,
-      value: traffic.bytes / nodes(size) / (MEASURED_MS / 1_000),
-    }));
-  const summary = (runs: readonly Run[]) =>
-    runs.map(({ size, traffic }) => ({
-      size,
-      value: traffic.summaryBytes / traffic.summaries,
-    }));
   const stale = (runs: readonly Run[]) =>
     runs.map(({ size, staleShare }) => ({ size, value: 100 * staleShare }));
   const services = { sizeName: "services" };
-  const regions = { sizeName: "regions" };
   return [
-    toMeasurement("summary, 7 regions of 30", summary(byServices), {
+    toMeasurement("summary, 7 regions of 30", describeSummary(byServices), {
       ...services,
       unit: "bytes",
     }),
     toMeasurement(
       "sent per node, 7 regions of 30",
-      sent(byServices, () => 210),
+      describeSent(byServices, () => 210),
       {
         ...services,
         unit: "bytes/s",
@@ -121,13 +120,34 @@
       ...services,
       unit: "% of (node, group)",
     }),
-    toMeasurement("summary, 4 services", summary(byRegions), {
+    ...describeRegions(byRegions),
+  ];
+}
+
+function describeSent(runs: readonly Run[], nodes: (size: number) => number) {
+  return runs.map(({ size, traffic }) => ({
+    size,
+    value: traffic.bytes / nodes(size) / (MEASURED_MS / 1_000),
+  }));
+}
+
+function describeSummary(runs: readonly Run[]) {
+  return runs.map(({ size, traffic }) => ({
+    size,
+    value: traffic.summaryBytes / traffic.summaries,
+  }));
+}
+
+function describeRegions(runs: readonly Run[]): Measurement[] {
+  const regions = { sizeName: "regions" };
+  return [
+    toMeasurement("summary, 4 services", describeSummary(runs), {
       ...regions,
       unit: "bytes",
     }),
     toMeasurement(
       "sent per node, regions of 30, 4 services",
-      sent(byRegions, (size) => 30 * size),
+      describeSent(runs, (size) => 30 * size),
       { ...regions, unit: "bytes/s" },
     ),
   ];
--- a/packages/testing/bench/src/slopes/store_slopes.ts
+++ b/packages/testing/bench/src/slopes/store_slopes.ts
@@ -95,12 +95,9 @@
   reads: number;
 }
 
-function countOperations(size: number, seed: number): Operations {
-  const clock = new VirtualClock();
-  const table = new Table();
-  const random = createRandom(seed);
+function buildNodes(size: number, random: () => number): Node[] {
   const regions = size <= 20 ? 3 : 7;
-  const nodes = Array.from({ length: size }, (_, id): Node => {
+  return Array.from({ length: size }, (_, id): Node => {
     const region = `region-${id % regions}`;
     const identity = {
       instance: `entry-${id}`,
@@ -111,6 +108,13 @@
     };
     return { id, region, machine: createOwnership({ identity, random }) };
   });
+}
+
+function countOperations(size: number, seed: number): Operations {
+  const clock = new VirtualClock();
+  const table = new Table();
+  const random = createRandom(seed);
+  const nodes = buildNodes(size, random);
   const counts: Operations = { writes: 0, reads: 0 };
   const send = (node: Node, event: OwnershipEvent) => {
     for (const action of node.machine.handle(event, clock.nowMs)) {
