Test backend servers that leave under steady load

Guards against a leaving server that keeps getting work because the other sources lag or claim that it is in use: one test for each source that tells first, two servers at once, the last server of a group, a withdrawn drain. Starts of work are counted at the server after its own mark.

--- a/packages/testing/system/src/change_helpers.ts
+++ b/packages/testing/system/src/change_helpers.ts
@@ -193,8 +193,8 @@
     try {
       while (!stopped) {
         const entry = await finder();
-        const headers = options.makeHeaders?.(sent++);
-        const record = await sendRecorded(entry, { agent, options, headers });
+        const number = sent++;
+        const record = await sendRecorded(entry, { agent, options, number });
         records.push(record);
         await wait(
           record.outcome === "answered"
@@ -252,21 +252,25 @@
 interface SendOptions {
   readonly agent: Agent;
   readonly options: LoadOptions;
-  readonly headers?: Record<string, string>;
+  readonly number: number;
 }
 
 async function sendRecorded(
   entry: string,
-  { agent, options, headers }: SendOptions,
+  { agent, options, number }: SendOptions,
 ): Promise<LoadRecord> {
   const sentMs = performance.now();
   const requestId = randomUUID();
   try {
     const response = await got(
-      `http://${entry}/services/${options.service}${options.path}`,
+      // Equal requests would wait for each other at the group owner.
+      `http://${entry}/services/${options.service}${options.path}?n=${number}`,
       {
         agent: { http: agent },
-        headers: { "dotterelmoor-request-id": requestId, ...headers },
+        headers: {
+          "dotterelmoor-request-id": requestId,
+          ...options.makeHeaders?.(number),
+        },
         throwHttpErrors: false,
         timeout: { request: REQUEST_TIMEOUT_MS },
         retry: { limit: 0 },
--- /dev/null
+++ b/packages/testing/system/src/server_leaving_test.ts
@@ -0,0 +1,244 @@
+import type { ExecutionContext } from "ava";
+import test from "ava";
+import { readCounters, setFaults, waitUntil } from "@dotterelmoor/testing.demo";
+import type {
+  RunningSystem,
+  ServerProcess,
+  SystemOptions,
+} from "@dotterelmoor/testing.demo";
+import type {
+  ServerCounters,
+  ServerFaults,
+} from "@dotterelmoor/testing.server";
+import {
+  describeRecords,
+  findFailed,
+  findOwner,
+  findServers,
+  startLoad,
+  startOpenSystem,
+  submitDrain,
+} from "./change_helpers.ts";
+import type { Load } from "./change_helpers.ts";
+
+const SERVICE = "availdesk";
+const REGION = "southeast";
+/** Time after the mark at which new work must have ended. */
+const LIMIT_MS = 3_000;
+/** Time after the mark up to which the load goes on. */
+const WATCHED_MS = 6_000;
+
+interface Leaving {
+  readonly system: RunningSystem;
+  readonly servers: readonly ServerProcess[];
+}
+
+/** One source of the news that a server leaves; the others mislead. */
+interface Source {
+  readonly faults: Partial<ServerFaults>;
+  readonly tell?: (leaving: Leaving) => Promise<void>;
+  /** Claims that the server is in use again. */
+  readonly mislead: (leaving: Leaving) => Promise<void>;
+}
+
+const SOURCES: Readonly<Record<string, Source>> = {
+  "the instance list": {
+    faults: { refuseWhenDraining: false, healthState: "ok" },
+    tell: ({ system, servers }) =>
+      system.publishInstances({ leaving: listIds(servers) }),
+    mislead: ({ system }) => system.publishInstances(),
+  },
+  "the health endpoint": {
+    faults: { refuseWhenDraining: false, healthState: null },
+    mislead: ({ servers }) => setAllFaults(servers, { healthState: "ok" }),
+  },
+  "a refusal": {
+    faults: { refuseWhenDraining: true, healthState: "ok" },
+    mislead: ({ servers }) =>
+      setAllFaults(servers, { refuseWhenDraining: false }),
+  },
+  "an operator's drain": {
+    faults: { refuseWhenDraining: false, healthState: "ok" },
+    tell: async ({ system, servers }) => {
+      for (const { instance } of servers) {
+        await submitDrain(system.entries.at(-1)!, instance.id);
+      }
+    },
+    mislead: ({ system }) => system.publishInstances(),
+  },
+};
+
+function listIds(servers: readonly ServerProcess[]): string[] {
+  return servers.map(({ instance }) => instance.id);
+}
+
+async function setAllFaults(
+  servers: readonly ServerProcess[],
+  faults: Partial<ServerFaults>,
+): Promise<void> {
+  for (const { controlUrl } of servers) await setFaults(controlUrl, faults);
+}
+
+function readServer({ controlUrl }: ServerProcess): Promise<ServerCounters> {
+  return readCounters<ServerCounters>(controlUrl);
+}
+
+async function startGroup(
+  t: ExecutionContext,
+  options: Partial<SystemOptions> = {},
+): Promise<RunningSystem> {
+  return await startOpenSystem(t, {
+    example: "consortium",
+    regions: [REGION],
+    entriesPerRegion: 1,
+    serversPerGroup: 3,
+    teams: [SERVICE],
+    // Long enough that the servers always have work in flight.
+    serverFlags: ["--service-ms", "100"],
+    ...options,
+  });
+}
+
+function startCallers(t: ExecutionContext, system: RunningSystem): Load {
+  return startLoad(t, system.entries, {
+    service: SERVICE,
+    path: "/availability",
+    from: "127.1.0.5",
+    callers: 5,
+    pauseMs: 20,
+  });
+}
+
+/** Waits until each server has work in flight under the load. */
+async function waitForWork(servers: readonly ServerProcess[]): Promise<void> {
+  await waitUntil(async () => {
+    const counters = await Promise.all(servers.map(readServer));
+    return counters.every(({ runs }) => runs >= 10);
+  }, { timeoutMs: 10_000, what: "work at every server" });
+}
+
+/** Waits until requests sent a while after a time have been answered. */
+async function waitForLater(load: Load, sinceMs: number): Promise<void> {
+  await waitUntil(() => load.countAnswered(sinceMs) >= 20, {
+    timeoutMs: 15_000,
+    what: "requests that were answered later",
+  });
+}
+
+async function assertLeft(
+  t: ExecutionContext,
+  servers: readonly ServerProcess[],
+): Promise<void> {
+  for (const server of servers) {
+    const counters = await readServer(server);
+    const lastMs = Math.max(0, ...counters.startedAfterDrainingMs);
+    t.log(`${counters.server}: last start ${lastMs} ms after the mark`);
+    t.true(lastMs <= LIMIT_MS, `Work started ${lastMs} ms after the mark`);
+    t.is(counters.cancelled, 0);
+    t.is(counters.stoppedAtDeadline, 0);
+    t.is(counters.inFlight, 0);
+    t.is(counters.completed, counters.runs);
+  }
+}
+
+async function assertAllAnswered(t: ExecutionContext, load: Load) {
+  const records = await load.stop();
+  const failed = findFailed(records);
+  t.is(failed.length, 0, describeRecords(failed));
+}
+
+for (const [name, source] of Object.entries(SOURCES)) {
+  // Guards against a leaving server that keeps getting work because the other
+  // sources lag or claim that it is in use.
+  test.serial(`a server leaves when only ${name} tells it`, async (t) => {
+    t.timeout(45_000);
+    const system = await startGroup(t);
+    const all = findServers(system, SERVICE, REGION);
+    const leaving = { system, servers: all.slice(0, 1) };
+    const load = startCallers(t, system);
+    await waitForWork(all);
+
+    const markedMs = performance.now();
+    await setAllFaults(leaving.servers, { draining: true, ...source.faults });
+    await source.tell?.(leaving);
+    await waitForLater(load, markedMs + LIMIT_MS / 2);
+    const before = await readServer(leaving.servers[0]!);
+    t.true(before.runs + before.refused >= 10);
+    await source.mislead(leaving);
+    await waitForLater(load, markedMs + WATCHED_MS);
+
+    await assertAllAnswered(t, load);
+    await assertLeft(t, leaving.servers);
+    // Requests refused before running were offered all the same.
+    const after = await readServer(leaving.servers[0]!);
+    t.true(after.refused <= 3, `${after.refused} requests were refused`);
+  });
+}
+
+test.serial("a withdrawn drain makes a server eligible again", async (t) => {
+  t.timeout(45_000);
+  const system = await startGroup(t, { serversPerGroup: 2 });
+  const all = findServers(system, SERVICE, REGION);
+  const [server] = all;
+  const load = startCallers(t, system);
+  await waitForWork(all);
+  await submitDrain(system.entries[0]!, server!.instance.id);
+  await waitForLater(load, performance.now() + LIMIT_MS);
+  const drained = await readServer(server!);
+  t.is(drained.inFlight, 0);
+  await submitDrain(system.entries[0]!, server!.instance.id, "DELETE");
+  await waitUntil(async () => (await readServer(server!)).runs > drained.runs, {
+    timeoutMs: 5_000,
+    what: "work after the drain was withdrawn",
+  });
+  await assertAllAnswered(t, load);
+});
+
+test.serial("two servers of a group leave at once", async (t) => {
+  t.timeout(45_000);
+  const system = await startGroup(t);
+  const all = findServers(system, SERVICE, REGION);
+  const leaving = all.slice(0, 2);
+  const load = startCallers(t, system);
+  await waitForWork(all);
+  const markedMs = performance.now();
+  await Promise.all(
+    leaving.map((server, index) =>
+      setFaults(server.controlUrl, {
+        draining: true,
+        refuseWhenDraining: index === 0,
+        healthState: index === 0 ? "ok" : null,
+      })
+    ),
+  );
+  await waitForLater(load, markedMs + WATCHED_MS);
+  await assertAllAnswered(t, load);
+  await assertLeft(t, leaving);
+});
+
+test.serial("the last server of a group leaves", async (t) => {
+  t.timeout(45_000);
+  const system = await startGroup(t, {
+    regions: [REGION, "farnorth"],
+    serversPerGroup: 1,
+  });
+  const [last] = findServers(system, SERVICE, REGION);
+  const [other] = findServers(system, SERVICE, "farnorth");
+  t.truthy(await findOwner(system.entries, SERVICE, "farnorth"));
+  const load = startLoad(t, system.entries, {
+    service: SERVICE,
+    path: "/availability",
+    from: "127.1.0.5",
+    callers: 1,
+    // Below the first step of the cap, so that no request needs a refusal.
+    pauseMs: 100,
+  });
+  await waitForWork([last!]);
+  const markedMs = performance.now();
+  await setFaults(last!.controlUrl, { draining: true, healthState: "ok" });
+  await waitForLater(load, markedMs + WATCHED_MS);
+  await assertAllAnswered(t, load);
+  await assertLeft(t, [last!]);
+  t.true((await readServer(last!)).refused <= 3);
+  t.true((await readServer(other!)).runs >= 20);
+});
