--- a/packages/core/claiming/src/issued_keys.ts
+++ b/packages/core/claiming/src/issued_keys.ts
@@ -5,7 +5,6 @@
  */
 
 import { createHmac, timingSafeEqual } from "node:crypto";
-import type { Random } from "@dotterelmoor/core.types";
 import type {
   IssuedKeys,
   IssuedKeysOptions,
@@ -14,76 +13,94 @@
 } from "./types.ts";
 
 const PREFIX = "dm1";
+
 const DEFAULT_LIFETIME_MS = 60_000;
-const MAC_LENGTH = 32;
-const NONCE_PARTS = 4;
-const KEY_FORM =
-  /^dm1\.([0-9a-zA-Z-]{1,64})\.(\d{1,15})\.([0-9a-f]{32})\.([0-9a-f]{32})$/;
+
+/** Used keys are forgotten in groups that expire within this time. */
+const BUCKET_MS = 1_000;
 
 /** Creates the issued keys of one process. */
 export function createIssuedKeys(options: IssuedKeysOptions): IssuedKeys {
-  const { processId, secret, random } = options;
-  const lifetimeMs = options.lifetimeMs ?? DEFAULT_LIFETIME_MS;
-  /** Expiry of each used key, in order of use. */
-  const used = new Map<string, number>();
-
-  function sign(content: string): string {
-    return createHmac("sha256", secret).update(content).digest("hex")
-      .slice(0, MAC_LENGTH);
+  return new KeyIssuer(options);
+}
+
+class KeyIssuer implements IssuedKeys {
+  readonly #options: IssuedKeysOptions;
+  /** Nonces of used keys by the period in which they expire. */
+  readonly #used = new Map<number, Set<string>>();
+  #issued = 0;
+
+  constructor(options: IssuedKeysOptions) {
+    this.#options = options;
   }
 
-  function removeExpired(nowMs: number): void {
-    for (const [key, expiresAtMs] of used) {
-      if (expiresAtMs <= nowMs) used.delete(key);
-    }
+  issue(nowMs: number): string {
+    const { processId, random, lifetimeMs = DEFAULT_LIFETIME_MS } =
+      this.#options;
+    const expiresAtMs = Math.floor(nowMs + lifetimeMs);
+    // The count makes the nonce unique, the random part hides the count.
+    const salt = Math.floor(random() * 2 ** 48).toString(36);
+    const nonce = `${(++this.#issued).toString(36)}-${salt}`;
+    const text = `${PREFIX}.${processId}.${expiresAtMs}.${nonce}`;
+    return `${text}.${this.#sign(text)}`;
+  }
+
+  parse(key: string): ParsedKey | undefined {
+    const parts = key.split(".");
+    const [expiry = "", nonce = "", mac = ""] = parts.slice(-3);
+    const processId = parts.slice(1, -3).join(".");
+    const hasForm = parts[0] === PREFIX && parts.length >= 5 &&
+      processId !== "" && /^\d{1,15}$/.test(expiry) && nonce !== "" &&
+      mac !== "";
+    if (!hasForm) return undefined;
+    return { processId, expiresAtMs: Number(expiry), nonce };
   }
 
-  function use(key: string, nowMs: number): KeyUse {
-    const parsed = parseKey(key);
+  use(key: string, nowMs: number): KeyUse {
+    const parsed = this.parse(key);
     if (parsed === undefined) return "invalid";
-    if (parsed.processId !== processId) return "not-ours";
-    const end = key.length - MAC_LENGTH;
-    if (!isEqual(sign(key.slice(0, end - 1)), key.slice(end))) return "invalid";
+    if (parsed.processId !== this.#options.processId) return "not-ours";
+    if (!this.#isSigned(key)) return "invalid";
+    this.#expire(nowMs);
     if (parsed.expiresAtMs <= nowMs) return "expired";
-    if (used.has(key)) return "already-used";
-    removeExpired(nowMs);
-    used.set(key, parsed.expiresAtMs);
+    const bucket = getBucket(parsed);
+    const nonces = this.#used.get(bucket) ?? new Set();
+    if (nonces.has(parsed.nonce)) return "already-used";
+    this.#used.set(bucket, nonces.add(parsed.nonce));
     return "used-once";
   }
 
-  return {
-    issue: (nowMs) => {
-      const expiresAtMs = Math.ceil(nowMs + lifetimeMs);
-      const nonce = makeNonce(random);
-      const content = `${PREFIX}.${processId}.${expiresAtMs}.${nonce}`;
-      return `${content}.${sign(content)}`;
-    },
-    parse: parseKey,
-    use,
-    release: (key) => {
-      used.delete(key);
-    },
-    size: () => used.size,
-  };
-}
+  release(key: string): void {
+    const parsed = this.parse(key);
+    if (parsed === undefined || !this.#isSigned(key)) return;
+    this.#used.get(getBucket(parsed))?.delete(parsed.nonce);
+  }
 
-function parseKey(key: string): ParsedKey | undefined {
-  const match = KEY_FORM.exec(key);
-  if (match === null) return undefined;
-  return {
-    processId: match[1]!,
-    expiresAtMs: Number(match[2]),
-    nonce: match[3]!,
-  };
-}
+  size(): number {
+    let size = 0;
+    for (const nonces of this.#used.values()) size += nonces.size;
+    return size;
+  }
 
-function makeNonce(random: Random): string {
-  return Array.from(
-    { length: NONCE_PARTS },
-    () => Math.floor(random() * 2 ** 32).toString(16).padStart(8, "0"),
-  ).join("");
+  #expire(nowMs: number): void {
+    for (const bucket of this.#used.keys()) {
+      if ((bucket + 1) * BUCKET_MS <= nowMs) this.#used.delete(bucket);
+    }
+  }
+
+  #isSigned(key: string): boolean {
+    const end = key.lastIndexOf(".");
+    const given = Buffer.from(key.slice(end + 1));
+    const expected = Buffer.from(this.#sign(key.slice(0, end)));
+    return given.length === expected.length && timingSafeEqual(given, expected);
+  }
+
+  #sign(text: string): string {
+    const { secret } = this.#options;
+    return createHmac("sha256", secret).update(text).digest("base64url");
+  }
 }
 
-function isEqual(left: string, right: string): boolean {
-  return timingSafeEqual(Buffer.from(left), Buffer.from(right));
+function getBucket(key: ParsedKey): number {
+  return Math.floor(key.expiresAtMs / BUCKET_MS);
 }
--- a/packages/daemon/entry/src/process/group_owner.ts
+++ b/packages/daemon/entry/src/process/group_owner.ts
@@ -219,7 +219,8 @@
 
   #admit(run: GroupRun): void {
     const { execution } = run;
-    const id = `${this.fence}-${this.#nextRun++}`;
+    // The quarantine is shared by the groups of a process.
+    const id = `${this.service}/${this.fence}-${this.#nextRun++}`;
     this.#runs.set(id, run);
     const admission = {
       id,
@@ -276,7 +277,12 @@
     } else {
       this.#monitor.recordFailure();
     }
-    this.#options.quarantine.send({ type: "finish", id, result: finish });
+    this.#options.quarantine.send({
+      type: "finish",
+      id,
+      // A cut answer alone is no crash, but its slot is held like a lost one.
+      result: result.type === "incomplete_answer" ? result.type : finish,
+    });
     const outcome = toOutcome(result, server);
     // The run leaves the table first, so that an action on the same id that
     // the dispatcher emits now cannot end it a second time.
