Let the ramp of a shift grow with measurements of the daemon

Cause: the ramp counts a measurement as missing when more than one window has passed since the last one. The daemon measures once per window from a tick of 100 ms, so that measurements are 1.0 to 1.1 windows apart, and each of them started a new run of good measurements. A shift stayed at its start share.

Change: a measurement is missing after 1.9 windows, which a lost one exceeds and a late tick does not, from windows of 200 ms.

Ruled out: bad measurements (no failure, latency steady) and missing demand (the allowance was used in every window).

Measured with "a shift stays within the cap and uses it": share 0.25 after 10 s before, share 1 after 5 s and 93 to 100 % of the cap used after.

--- a/packages/core/shifting/src/ramp.ts
+++ b/packages/core/shifting/src/ramp.ts
@@ -10,6 +10,12 @@
 /** Windows without demand after which the next shift starts a new ramp. */
 const IDLE_WINDOWS = 3;
 
+/**
+ * Windows between measurements above which one is missing. They come once per
+ * window and up to one tick of the process late.
+ */
+const MAX_GAP_WINDOWS = 1.9;
+
 /** Part of the allowance that must be used, or good measurements say nothing. */
 const USED_SHARE = 0.5;
 
@@ -64,7 +70,9 @@
   ): void {
     const { nowMs } = options;
     const gapMs = nowMs - this.#lastMeasuredMs;
-    if (condition !== "good" || gapMs > this.#limits.windowMs) {
+    if (
+      condition !== "good" || gapMs > MAX_GAP_WINDOWS * this.#limits.windowMs
+    ) {
       this.#goodSinceMs = undefined;
     }
     this.#lastMeasuredMs = nowMs;
