--- a/packages/testing/server/src/state.ts
+++ b/packages/testing/server/src/state.ts
@@ -92,7 +92,12 @@
       this.startedAfterDrainingMs.push(Math.round(after));
     }
     if (this.#runLog !== undefined) {
-      const line = JSON.stringify({ server: this.name, key: key ?? null });
+      const line = JSON.stringify({
+        server: this.name,
+        key: key ?? null,
+        // One clock for all processes of a machine.
+        atMs: performance.timeOrigin + performance.now(),
+      });
       // Synchronous, so that the line survives a crash of this process.
       appendFileSync(this.#runLog, `${line}\n`);
     }
