Count all entries for the rate of store reads

The sum of store reads stays near 10/s only if an entry knows how many entries there are, and live members leave most of other regions out. An entry that may not serve yet also answers pulls with sequence 0, so that it does not count as an answer of a cold start.

--- a/packages/daemon/entry/src/process/configuration_part.ts
+++ b/packages/daemon/entry/src/process/configuration_part.ts
@@ -150,7 +150,8 @@
     send,
     readStore: () => void readStore("commit"),
     answerPull: (sequence) => {
-      const snapshot = keeper.current();
+      // An entry that may not serve yet must not count as a cold-start answer.
+      const snapshot = keeper.isReady() ? keeper.current() : undefined;
       if (snapshot === undefined || snapshot.sequence <= sequence) {
         return {
           type: "config_unchanged",
--- a/packages/daemon/entry/src/wiring/members.ts
+++ b/packages/daemon/entry/src/wiring/members.ts
@@ -25,7 +25,7 @@
   configuration.send({
     type: "peers",
     addresses: others.map((member) => member.peerAddress),
-    entries: live.length,
+    entries: membership.membership.countEntries(),
   });
 }
 
