Give the place under the cap back when a shifted request is not sent

Ruled out: the gate itself, which reported 80 of 80. Change: the gate takes withdrawals of admissions that certainly were not sent, and the group owner reports them. The property test withdraws at random; with a withdrawal that counts twice it fails after 2 runs. The state machines of a group are created in their own module.

--- a/packages/core/shifting/src/shift_gate.ts
+++ b/packages/core/shifting/src/shift_gate.ts
@@ -39,6 +39,10 @@
 
   readonly #handlers: Handlers = {
     admit: ({ id }, nowMs) => this.#admit(id, nowMs),
+    withdraw: ({ admittedAtMs }) => {
+      this.#window.remove(admittedAtMs);
+      return [];
+    },
     measurement: ({ condition }, nowMs) => {
       const used = this.getUsed(nowMs);
       this.#ramp.recordMeasurement(condition, { used, nowMs });
--- a/packages/core/shifting/src/shift_gate_test.ts
+++ b/packages/core/shifting/src/shift_gate_test.ts
@@ -22,6 +22,8 @@
   /** Returns about when the last refusal said, as callers do. */
   aimMs: fc.option(fc.double({ min: -30, max: 2, noNaN: true }), { freq: 2 }),
   admits: fc.integer({ min: 0, max: 5 }),
+  /** Admitted requests that are taken back at once or later. */
+  withdrawn: fc.array(fc.nat({ max: 20 }), { maxLength: 2 }),
   condition: fc.constantFrom<TargetCondition>("good", "good", "bad", "unknown"),
   settings: fc.option(limits, { freq: 20 }),
 });
@@ -37,7 +39,8 @@
       const gate = createShiftGate({ limits: first, startedAtMs: now });
       let inForce = first;
       let freeAt = 0;
-      for (const { waitMs, aimMs, admits, condition, settings } of steps) {
+      for (const one of steps) {
+        const { waitMs, aimMs, admits, condition, settings, withdrawn } = one;
         now = aimMs === null ? now + waitMs : Math.max(now, freeAt + aimMs);
         gate.handle({ type: "measurement", condition }, now);
         if (settings !== null) {
@@ -55,6 +58,13 @@
           const count = admitted.filter((atMs) => atMs >= since).length;
           if (count > inForce.cap) throw new Error(`${count} at ${now}`);
         }
+        for (const back of withdrawn) {
+          // The last owner's requests are in front and cannot be taken back.
+          const index = admitted.length - 1 - back;
+          if (index < first.cap) continue;
+          const [admittedAtMs] = admitted.splice(index, 1);
+          gate.handle({ type: "withdraw", admittedAtMs: admittedAtMs! }, now);
+        }
       }
     },
   );
--- a/packages/core/shifting/src/sliding_window.ts
+++ b/packages/core/shifting/src/sliding_window.ts
@@ -42,6 +42,16 @@
     }
   }
 
+  /** Takes back an admission of the given time, if it still counts. */
+  remove(atMs: number): void {
+    const bucket = this.#buckets.find(({ startMs, lastMs }) =>
+      startMs <= atMs && atMs <= lastMs
+    );
+    if (bucket === undefined || bucket.count === 0) return;
+    bucket.count -= 1;
+    this.#used -= 1;
+  }
+
   /**
    * Admissions that count at the time, infinite while some of the window is
    * unknown. Both ends of the window count.
--- a/packages/core/shifting/src/types.ts
+++ b/packages/core/shifting/src/types.ts
@@ -12,6 +12,11 @@
 /** Input of the shift gate. */
 export type ShiftEvent =
   | { readonly type: "admit"; readonly id: string }
+  | {
+    /** An admitted request was certainly never sent; its place is free. */
+    readonly type: "withdraw";
+    readonly admittedAtMs: number;
+  }
   | { readonly type: "measurement"; readonly condition: TargetCondition }
   | { readonly type: "settings"; readonly limits: ShiftLimits };
 
--- a/packages/daemon/entry/src/process/group_owner.ts
+++ b/packages/daemon/entry/src/process/group_owner.ts
@@ -4,7 +4,6 @@
  * @module
  */
 
-import { createDispatcher } from "@dotterelmoor/core.dispatching";
 import type {
   DispatchAction,
   Dispatcher,
@@ -13,9 +12,7 @@
   ServerSource,
   ServerState,
 } from "@dotterelmoor/core.dispatching";
-import { createRetryBudget } from "@dotterelmoor/core.retrying";
 import type { RetryBudget } from "@dotterelmoor/core.retrying";
-import { createShiftGate } from "@dotterelmoor/core.shifting";
 import type { ShiftGate } from "@dotterelmoor/core.shifting";
 import type {
   NotRun,
@@ -25,6 +22,8 @@
 import type { Execution } from "../request/execution.ts";
 import { createGroupRun } from "../request/group_run.ts";
 import type { GroupRun } from "../request/group_run.ts";
+import { createGroupMachines } from "./group_machines.ts";
+import type { GroupLimits } from "./group_machines.ts";
 import type { GroupOwner, GroupOwnerOptions } from "./group_owner_types.ts";
 import { createMachineDriver } from "./machine_driver.ts";
 import type { MachineDriver } from "./machine_driver.ts";
@@ -78,35 +77,16 @@
     this.service = options.service;
     this.region = options.region;
     this.fence = options.fence;
-    const { createMachine, document } = options;
-    const instance = `${options.service}/${options.region}/${options.fence}`;
-    this.gate = createMachine({
-      module: "shifting",
-      instance,
-      create: createShiftGate,
-      options: {
-        limits: document.shift,
-        startedAtMs: this.#nowMs(),
-        jitterMs: document.shift.windowMs * SHIFT_WAIT_SHARE,
-      },
-    });
-    this.#budget = createMachine({
-      module: "retrying",
-      instance,
-      create: createRetryBudget,
-      options: { limits: document.retry },
-    });
-    this.dispatcher = createMachine({
-      module: "dispatching",
-      instance,
-      create: createDispatcher,
-      options: {
-        random: options.random,
-        concurrency: this.#readConcurrency(document),
-        queueLength: MAX_QUEUE,
-        transitMs: AUTHORITY_MARGIN_MS,
-      },
+    const { document } = options;
+    const machines = createGroupMachines(options, {
+      startedAtMs: this.#nowMs(),
+      jitterMs: document.shift.windowMs * SHIFT_WAIT_SHARE,
+      transitMs: AUTHORITY_MARGIN_MS,
+      limits: this.#readLimits(document),
     });
+    this.gate = machines.gate;
+    this.#budget = machines.budget;
+    this.dispatcher = machines.dispatcher;
     this.#driver = this.#createDriver();
     this.#windowMs = document.shift.windowMs;
     this.#windowEndsMs = this.#nowMs() + this.#windowMs;
@@ -116,17 +96,18 @@
     if (signal.aborted) {
       return Promise.resolve({ type: "unknown", reason: "caller-left" });
     }
-    const refused = this.#refuse(execution);
+    const nowMs = this.#nowMs();
+    const refused = this.#refuse(execution, nowMs);
     if (refused !== undefined) return Promise.resolve(refused);
-    this.#budget.handle({ type: "request" }, this.#nowMs());
+    this.#budget.handle({ type: "request" }, nowMs);
     return new Promise((resolve) => {
       const abort = new AbortController();
       signal.addEventListener("abort", () => this.#cancel(abort), {
         once: true,
       });
-      const sendByMs = this.#computeSendBy(execution);
+      const admittedAtMs = this.#isShifted(execution) ? nowMs : undefined;
       this.#admit(
-        createGroupRun({ execution, resolve, abort, sendByMs, avoid: [] }),
+        createGroupRun({ execution, resolve, abort, admittedAtMs, avoid: [] }),
       );
     });
   }
@@ -136,8 +117,7 @@
     this.#windowMs = document.shift.windowMs;
     this.gate.handle({ type: "settings", limits: document.shift }, nowMs);
     this.#budget.handle({ type: "settings", limits: document.retry }, nowMs);
-    const concurrency = this.#readConcurrency(document);
-    this.#send({ type: "limits", concurrency, queueLength: MAX_QUEUE });
+    this.#send({ type: "limits", ...this.#readLimits(document) });
   }
 
   setServers(servers: readonly KnownServer[]): void {
@@ -170,8 +150,13 @@
     return this.#options.clock.nowMs();
   }
 
-  #readConcurrency(document: ServiceDocument): number {
-    return document.concurrency[this.region] ?? 0;
+  #readLimits(document: ServiceDocument): GroupLimits {
+    const concurrency = document.concurrency[this.region] ?? 0;
+    return { concurrency, queueLength: MAX_QUEUE };
+  }
+
+  #isShifted(execution: Execution): boolean {
+    return execution.homeRegion !== this.region;
   }
 
   #createDriver(): MachineDriver<DispatchEvent> {
@@ -202,14 +187,14 @@
     this.#driver.send(event);
   }
 
-  #refuse(execution: Execution): NotRun | undefined {
+  #refuse(execution: Execution, nowMs: number): NotRun | undefined {
     if (this.dispatcher.closed) return makeNotRun("closing", CLOSED_RETRY_MS);
-    if (this.#options.authorityUntilMs() <= this.#nowMs()) {
+    if (this.#options.authorityUntilMs() <= nowMs) {
       return makeNotRun("authority-lapsed", CLOSED_RETRY_MS);
     }
-    if (execution.homeRegion === this.region) return undefined;
+    if (!this.#isShifted(execution)) return undefined;
     const event = { type: "admit", id: execution.requestId } as const;
-    for (const action of this.gate.handle(event, this.#nowMs())) {
+    for (const action of this.gate.handle(event, nowMs)) {
       if (action.type === "refused") {
         return makeNotRun("shift-cap", action.retryAfterMs);
       }
@@ -245,7 +230,7 @@
         deadlineAtMs,
         exclusive: trial,
         avoid: run.avoid,
-        sendByMs: run.sendByMs,
+        sendByMs: this.#computeSendBy(run),
       },
     });
   }
@@ -255,6 +240,7 @@
     const run = this.#runs.get(id);
     if (run === undefined) return;
     const startedMs = this.#nowMs();
+    run.isSent = true;
     this.#options.quarantine.send({ type: "start", id, server });
     const result = await this.#options.backend.send({
       ...run.request,
@@ -291,19 +277,20 @@
     this.#send({ type: "finish", id, result: finish, draining });
     if (!isOver) return;
     this.#options.quarantine.release(id);
-    if (result.type === "connection_lost" && this.#canRetry(run)) {
-      const sendByMs = this.#computeSendBy(run.execution);
-      this.#admit(createGroupRun({ ...run, sendByMs, avoid: [server] }));
+    const nowMs = this.#nowMs();
+    if (result.type === "connection_lost" && this.#canRetry(run, nowMs)) {
+      const admittedAtMs = this.#isShifted(run.execution) ? nowMs : undefined;
+      this.#admit(createGroupRun({ ...run, admittedAtMs, avoid: [server] }));
     } else {
       run.resolve(outcome);
     }
   }
 
-  #canRetry({ execution, retried }: GroupRun): boolean {
+  #canRetry({ execution, retried }: GroupRun, nowMs: number): boolean {
     if (!execution.repeatable || retried) return false;
-    if (this.#refuse(execution) !== undefined) return false;
+    if (this.#refuse(execution, nowMs) !== undefined) return false;
     const event = { type: "retry", id: execution.requestId } as const;
-    return this.#budget.handle(event, this.#nowMs())
+    return this.#budget.handle(event, nowMs)
       .some((action) => action.type === "granted");
   }
 
@@ -312,6 +299,7 @@
     if (run === undefined) return;
     this.#runs.delete(id);
     this.#options.quarantine.release(id);
+    this.#withdraw(run);
     // The first run of a retried request may have taken effect.
     const isLost = run.retried && outcome.type === "not-run";
     run.resolve(
@@ -319,10 +307,16 @@
     );
   }
 
-  /** Time by which a shifted request must be sent, counted from admission. */
-  #computeSendBy(execution: Execution): number | undefined {
-    if (execution.homeRegion === this.region) return undefined;
-    return this.#nowMs() + this.#windowMs * SHIFT_WAIT_SHARE;
+  /** Time by which a shifted request must be sent, so that the cap holds. */
+  #computeSendBy({ admittedAtMs }: GroupRun): number | undefined {
+    if (admittedAtMs === undefined) return undefined;
+    return admittedAtMs + this.#windowMs * SHIFT_WAIT_SHARE;
+  }
+
+  /** Gives the place under the cap back; the request was never sent. */
+  #withdraw({ admittedAtMs, isSent }: GroupRun): void {
+    if (admittedAtMs === undefined || isSent) return;
+    this.gate.handle({ type: "withdraw", admittedAtMs }, this.#nowMs());
   }
 
   #cancel(abort: AbortController): void {
--- a/packages/daemon/entry/src/request/group_run.ts
+++ b/packages/daemon/entry/src/request/group_run.ts
@@ -14,8 +14,10 @@
   readonly resolve: (outcome: Outcome) => void;
   /** Servers that must not get this run. */
   readonly avoid: readonly string[];
-  /** Time by which a shifted request must be sent. */
-  readonly sendByMs: number | undefined;
+  /** Time of the admission that counts for the cap, of a shifted request. */
+  readonly admittedAtMs: number | undefined;
+  /** Set when the request is handed to the client of a server. */
+  isSent: boolean;
   /** True for the second run of a request. */
   readonly retried: boolean;
   /** Parts of the HTTP request that do not depend on the server. */
@@ -37,7 +39,7 @@
   readonly resolve: (outcome: Outcome) => void;
   readonly abort: AbortController;
   readonly avoid: readonly string[];
-  readonly sendByMs: number | undefined;
+  readonly admittedAtMs: number | undefined;
 }
 
 /** Creates a run; a run that avoids a server is a retry. */
@@ -48,7 +50,8 @@
     abort: options.abort,
     resolve: options.resolve,
     avoid: options.avoid,
-    sendByMs: options.sendByMs,
+    admittedAtMs: options.admittedAtMs,
+    isSent: false,
     retried: options.avoid.length > 0,
     request: {
       method: execution.method,
