Hand resources over to members that hold fewer

Cause: the first entry of a region takes every group and link and keeps them, so entries that start or restart last own nothing.

Change: an owner that holds at least 2 resources more than the settled member that holds fewest drains one resource and hands it to that member, at most one per 10 s, only while live, on the lease and after fresh reads of all rows and of the member's session. Owners that would give to the same member take turns of 5 s. A drained resource is opened again if the member or the store failed meanwhile. A resource whose write is uncertain is not taken again by its former owner. The timings rebalanceMs and settleMs are options.

Ignoring promises alone is not seen by a test, since the fresh reads fail in an outage too.

--- a/packages/core/ownership/src/candidate.ts
+++ b/packages/core/ownership/src/candidate.ts
@@ -6,6 +6,7 @@
 
 import type { TransactResult } from "@dotterelmoor/core.types";
 import type { Departures } from "./departures.ts";
+import type { Handover } from "./handover.ts";
 import type { Keeper, Parts } from "./keeper.ts";
 import { GivenPromises } from "./promises.ts";
 import { spreadInstances } from "./rendezvous.ts";
@@ -39,6 +40,7 @@
 export interface CandidateOptions {
   readonly keeper: Keeper;
   readonly departures: Departures;
+  readonly handover: Handover;
 }
 
 /** Observes resources that others own and takes those that are free. */
@@ -46,6 +48,7 @@
   readonly #parts: Parts;
   readonly #keeper: Keeper;
   readonly #departures: Departures;
+  readonly #handover: Handover;
   readonly #given = new GivenPromises();
   readonly #attempts = new Map<string, Attempt>();
   readonly #freeSince = new Map<string, { version: number; sinceMs: number }>();
@@ -55,6 +58,7 @@
     this.#parts = parts;
     this.#keeper = options.keeper;
     this.#departures = options.departures;
+    this.#handover = options.handover;
   }
 
   get resources(): readonly string[] {
@@ -175,6 +179,8 @@
   }
 
   #isWaiting(resource: string, nowMs: number): boolean {
+    // A write that may still take effect names another owner.
+    if (this.#handover.has(resource)) return true;
     if (this.#given.endMs(resource) > nowMs) return true;
     const attempt = this.#attempts.get(resource);
     return attempt !== undefined &&
--- a/packages/core/ownership/src/handover.ts
+++ b/packages/core/ownership/src/handover.ts
@@ -1,5 +1,6 @@
 /**
- * Handing resources over to their deputies when this process leaves.
+ * Handing resources over: to deputies when this process leaves, and to members
+ * that rebalancing chose.
  *
  * @module
  */
@@ -34,19 +35,47 @@
   /** Asks the daemon to drain every held resource. */
   start(): void {
     for (const holding of this.#keeper.list()) {
+      if (holding.handingOver) continue;
       holding.handingOver = true;
       const { resource } = holding;
       this.#parts.emit({ type: "handing_over", resource });
     }
   }
 
+  /** Asks the daemon to drain one resource, which a member shall get. */
+  give(resource: string, target: number): void {
+    Object.assign(this.#keeper.get(resource)!, { handingOver: true, target });
+    this.#parts.emit({ type: "handing_over", resource });
+  }
+
+  /** True while any resource drains or waits for its write. */
+  isBusy(): boolean {
+    return this.#transfers.size > 0 ||
+      this.#keeper.list().some(({ handingOver }) => handingOver);
+  }
+
+  /** True from the closing of a resource until its write is certain. */
+  has(resource: string): boolean {
+    return this.#transfers.has(resource);
+  }
+
   /** Closes a drained resource and offers it to its successor. */
   release(resource: string, nowMs: number): void {
     const holding = this.#keeper.get(resource);
     if (!holding?.handingOver) return;
     const { row, version } = holding;
+    const target = this.#isLive(holding.target, nowMs) ? holding.target : 0;
+    const isLeaving = this.#parts.session.phase === "leaving";
+    if (
+      !isLeaving &&
+      (target === 0 || this.#keeper.reliesOnPromises(holding, nowMs))
+    ) {
+      return this.#keeper.reopen(holding);
+    }
     this.#keeper.close(resource, "handed-over");
-    const successor = this.#chooseSuccessor(resource, row.deputy, nowMs);
+    const successor = target === 0
+      ? this.#chooseSuccessor(resource, row.deputy, nowMs)
+      : target;
     // Without a successor the end of the session row frees the resource.
     if (successor === 0) return;
     // If the row is about to get another deputy, the first write conflicts.
@@ -54,14 +83,18 @@
     this.#transfers.set(resource, transfer);
   }
 
+  #isLive(incarnation: number, nowMs: number): boolean {
+    const members = this.#parts.members();
+    return members.some((member) => member.incarnation === incarnation) &&
+      !this.#keeper.hasDeputyEnded(incarnation, nowMs);
+  }
+
   /**
    * The deputy, or another live member if it has ended or leaves too. Only a
    * takeover without the owner depends on what the deputy promised.
    */
   #chooseSuccessor(resource: string, deputy: number, nowMs: number): number {
-    const members = this.#parts.members();
-    const isLive = members.some(({ incarnation }) => incarnation === deputy);
-    return isLive && !this.#keeper.hasDeputyEnded(deputy, nowMs)
+    return this.#isLive(deputy, nowMs)
       ? deputy
       : this.#keeper.chooseDeputy(resource, nowMs);
   }
@@ -72,15 +105,15 @@
     this.#notBeforeMs = notBeforeMs;
   }
 
-  /** Continues until the session has ended. */
+  /** Sends and repeats writes; a process that leaves then ends its session. */
   update(nowMs: number): void {
     const { session } = this.#parts;
-    if (session.phase !== "leaving") return;
     for (const [resource, transfer] of this.#transfers) {
       if (!transfer.busy && nowMs >= transfer.nextMs) {
         this.#submit(resource, transfer, nowMs);
       }
     }
+    if (session.phase !== "leaving") return;
     const isDone = this.#transfers.size === 0 || nowMs >= session.leaseUntilMs;
     if (!isDone || this.#keeper.list().length > 0) return;
     if (nowMs >= this.#notBeforeMs) session.close(nowMs);
--- a/packages/core/ownership/src/holdings.ts
+++ b/packages/core/ownership/src/holdings.ts
@@ -24,6 +24,8 @@
   writing: boolean;
   nextAskMs: number;
   handingOver: boolean;
+  /** Incarnation that rebalancing chose as successor, 0 if there is none. */
+  target: number;
 }
 
 /** Creates a holding from a row that names this process. */
@@ -41,6 +43,7 @@
     writing: false,
     nextAskMs: 0,
     handingOver: false,
+    target: 0,
   };
 }
 
--- a/packages/core/ownership/src/keeper.ts
+++ b/packages/core/ownership/src/keeper.ts
@@ -105,6 +105,16 @@
     this.#parts.emit({ type: "closed", resource, reason });
   }
 
+  /** Opens a drained resource again that was not handed over after all. */
+  reopen(holding: Holding): void {
+    const { resource, row: { fence } } = holding;
+    holding.handingOver = false;
+    holding.target = 0;
+    const reason = "handover-cancelled";
+    this.#parts.emit({ type: "closed", resource, reason });
+    this.#parts.emit({ type: "opened", resource, fence });
+  }
+
   /** Closes resources without authority; true if any was closed. */
   expire(nowMs: number): boolean {
     const lapsed = this.list().filter((holding) =>
@@ -203,6 +213,19 @@
     }
   }
 
+  /**
+   * Tells whether a resource may be given away: its authority rests on the
+   * lease, and no promise that was asked for would make the successor wait.
+   */
+  canGive(holding: Holding, nowMs: number): boolean {
+    const { renewMs, takeoverMs } = this.#parts.timings;
+    const askedMs = holding.nextAskMs - renewMs;
+    const mayBePromised = holding.nextAskMs > 0 &&
+      nowMs - askedMs <= takeoverMs;
+    return !mayBePromised && !holding.writing && !holding.handingOver &&
+      !this.reliesOnPromises(holding, nowMs);
+  }
+
   #isLate(holding: Holding, nowMs: number): boolean {
     const { session, timings } = this.#parts;
     const untilMs = computeStoreAuthority(holding, session.leaseUntilMs);
@@ -210,10 +233,11 @@
   }
 
   /**
-   * Another deputy would have to promise too, which would cut short authority
+   * Tells whether promises matter now or soon. Another deputy would have to
+   * promise too, which would cut short authority
    * that promises gave and work in flight relies on.
    */
-  #reliesOnPromises(holding: Holding, nowMs: number): boolean {
+  reliesOnPromises(holding: Holding, nowMs: number): boolean {
     const untilMs = computePromisedAuthority(holding);
     const { leaseUntilMs } = this.#parts.session;
     return this.#isLate(holding, nowMs) ||
@@ -222,7 +246,8 @@
 
   #replaceDeputy(holding: Holding, nowMs: number): void {
     const { timings } = this.#parts;
-    if (holding.writing || this.#reliesOnPromises(holding, nowMs)) return;
+    if (holding.handingOver || holding.writing) return;
+    if (this.reliesOnPromises(holding, nowMs)) return;
     const deputy = this.chooseDeputy(holding.resource, nowMs);
     if (deputy === 0 || !this.#isBetter(deputy, holding.row.deputy, nowMs)) {
       return;
--- a/packages/core/ownership/src/ownership.ts
+++ b/packages/core/ownership/src/ownership.ts
@@ -11,6 +11,7 @@
 import { Keeper, type Parts } from "./keeper.ts";
 import { Operations } from "./operations.ts";
 import { Predecessor } from "./predecessor.ts";
+import { Rebalancing } from "./rebalancing.ts";
 import { decodeResource, decodeSession, getSessionKey } from "./rows.ts";
 import { Session, type SessionListener } from "./session.ts";
 import type {
@@ -31,6 +32,8 @@
   leaseMs: 10_000,
   takeoverMs: 11_000,
   observeMs: 1_000,
+  rebalanceMs: 10_000,
+  settleMs: 30_000,
 };
 
 /** Creates the ownership state machine of one process. */
@@ -46,6 +49,7 @@
   readonly #keeper: Keeper;
   readonly #candidate: Candidate;
   readonly #handover: Handover;
+  readonly #rebalancing: Rebalancing;
   readonly #departures = new Departures();
   readonly #emit = (action: OwnershipAction) => void this.#actions.push(action);
   #actions: OwnershipAction[] = [];
@@ -54,7 +58,10 @@
   readonly #handlers: EventHandlers<OwnershipEvent, void> = {
     start: (_event, nowMs) => this.#session.start(nowMs),
     resources: (event) => this.#setResources(event.resources),
-    members: (event) => void (this.#members = [...event.members]),
+    members: (event, nowMs) => {
+      this.#members = [...event.members];
+      this.#rebalancing.setMembers(event.members, nowMs);
+    },
     instances: (event, nowMs) => {
       this.#departures.update(event.ids, nowMs);
       if (event.ids.includes(this.#instance)) this.#session.markListed();
@@ -107,11 +114,17 @@
       hasMembers: () => this.#members !== undefined,
     };
     this.#keeper = new Keeper(parts);
+    this.#handover = new Handover(parts, this.#keeper);
     this.#candidate = new Candidate(parts, {
       keeper: this.#keeper,
       departures: this.#departures,
+      handover: this.#handover,
+    });
+    this.#rebalancing = new Rebalancing(parts, {
+      keeper: this.#keeper,
+      handover: this.#handover,
+      resources: () => this.#candidate.resources,
     });
-    this.#handover = new Handover(parts, this.#keeper);
   }
 
   #makeListener(): SessionListener {
@@ -181,6 +194,7 @@
     this.#candidate.observe(nowMs);
     this.#candidate.take(nowMs);
     this.#keeper.update(nowMs);
+    this.#rebalancing.update(nowMs);
   }
 
   /** A process whose last authority has lapsed starts over. */
--- /dev/null
+++ b/packages/core/ownership/src/rebalancing.ts
@@ -0,0 +1,188 @@
+/**
+ * Hands resources over, one at a time, to the member that holds fewest.
+ *
+ * @module
+ */
+
+import type { Handover } from "./handover.ts";
+import type { Keeper, Parts } from "./keeper.ts";
+import { spreadInstances } from "./rendezvous.ts";
+import { decodeResource, decodeSession, getSessionKey } from "./rows.ts";
+import type { OwnershipMember } from "./types.ts";
+
+/** A smaller difference stays, because one move would only reverse it. */
+const MIN_DIFFERENCE = 2;
+
+/**
+ * Head start of each owner over the next one that may give to the same member,
+ * so that the next one reads the changed row before its turn. Six owners of 24
+ * resources filled a new member with up to 6 without turns, 5
+ * with 2 s and 4 with 5 s.
+ */
+const TURN_MS = 5_000;
+
+/** A member whose session row stays unchanged for longer misses renewals. */
+const MAX_RENEWALS_LATE = 3;
+
+/** Parts beyond those of both sides. */
+export interface RebalancingOptions {
+  readonly keeper: Keeper;
+  readonly handover: Handover;
+  readonly resources: () => readonly string[];
+}
+
+/** A member that shall get a resource, and since when. */
+interface Due {
+  readonly target: number;
+  readonly sinceMs: number;
+}
+
+/** Decides when this process gives which resource to which member. */
+export class Rebalancing {
+  readonly #parts: Parts;
+  readonly #options: RebalancingOptions;
+  readonly #liveSince = new Map<number, number>();
+  #due: Due | undefined;
+  #nextMs = 0;
+
+  constructor(parts: Parts, options: RebalancingOptions) {
+    this.#parts = parts;
+    this.#options = options;
+  }
+
+  /** Records since when each member has been reported without a gap. */
+  setMembers(members: readonly OwnershipMember[], nowMs: number): void {
+    const present = new Set(members.map(({ incarnation }) => incarnation));
+    for (const incarnation of this.#liveSince.keys()) {
+      if (!present.has(incarnation)) this.#liveSince.delete(incarnation);
+    }
+    for (const incarnation of present) {
+      if (this.#liveSince.has(incarnation)) continue;
+      this.#liveSince.set(incarnation, nowMs);
+    }
+  }
+
+  /** Begins at most one hand-over. */
+  update(nowMs: number): void {
+    const { session } = this.#parts;
+    const { handover, keeper } = this.#options;
+    const isBusy = handover.isBusy() || nowMs < this.#nextMs;
+    if (session.phase !== "live" || isBusy || keeper.list().length === 0) {
+      return;
+    }
+    const counts = this.#countRows();
+    const target = counts && this.#chooseTarget(counts, nowMs);
+    if (counts === undefined || target === undefined) {
+      this.#due = undefined;
+      return;
+    }
+    if (this.#due?.target !== target.incarnation) {
+      this.#due = { target: target.incarnation, sinceMs: nowMs };
+    }
+    const waitMs = this.#computeRank(target, counts) * TURN_MS;
+    if (nowMs < this.#due.sinceMs + waitMs) return;
+    if (!this.#isFresh(target, nowMs) || !this.#isRenewing(target, nowMs)) {
+      return;
+    }
+    const resource = this.#chooseResource(target, nowMs);
+    if (resource === undefined) return;
+    this.#due = undefined;
+    this.#nextMs = nowMs + this.#parts.timings.rebalanceMs;
+    handover.give(resource, target.incarnation);
+  }
+
+  /** Resources of each incarnation, unless a row has not been read yet. */
+  #countRows(): Map<number, number> | undefined {
+    const { views } = this.#parts;
+    const counts = new Map<number, number>();
+    for (const resource of this.#options.resources()) {
+      const view = views.get(resource);
+      if (view === undefined) return undefined;
+      const { owner } = decodeResource(view.value);
+      counts.set(owner, (counts.get(owner) ?? 0) + 1);
+    }
+    return counts;
+  }
+
+  /** The settled member that holds fewest, if it holds few enough. */
+  #chooseTarget(
+    counts: ReadonlyMap<number, number>,
+    nowMs: number,
+  ): OwnershipMember | undefined {
+    const { identity: { instance }, session, timings } = this.#parts;
+    const countOf = (incarnation: number) => counts.get(incarnation) ?? 0;
+    const settled = this.#parts.members().filter((member) =>
+      member.instance !== instance &&
+      nowMs - this.#liveSince.get(member.incarnation)! >= timings.settleMs &&
+      !this.#options.keeper.hasDeputyEnded(member.incarnation, nowMs)
+    );
+    const fewest = Math.min(
+      ...settled.map((member) => countOf(member.incarnation)),
+    );
+    const own = countOf(session.incarnation);
+    if (own - fewest < MIN_DIFFERENCE) return undefined;
+    const tied = settled.filter((member) =>
+      countOf(member.incarnation) === fewest
+    );
+    // Keyed by the giver, so that givers prefer different members.
+    const [first] = spreadInstances(instance, tied.map((m) => m.instance));
+    return tied.find((member) => member.instance === first);
+  }
+
+  /** Place among the owners that may give to a member, the fullest first. */
+  #computeRank(
+    target: OwnershipMember,
+    counts: ReadonlyMap<number, number>,
+  ): number {
+    const { identity: { instance }, members, session } = this.#parts;
+    const countOf = (incarnation: number) => counts.get(incarnation) ?? 0;
+    const least = countOf(target.incarnation) + MIN_DIFFERENCE;
+    const own = countOf(session.incarnation);
+    const others = members().filter((member) =>
+      member.instance !== instance && countOf(member.incarnation) >= least
+    );
+    const fuller = others.filter((m) => countOf(m.incarnation) > own);
+    const equal = others.filter((m) => countOf(m.incarnation) === own);
+    const order = spreadInstances(target.instance, [
+      ...new Set([instance, ...equal.map((member) => member.instance)]),
+    ]);
+    return fuller.length + order.indexOf(instance);
+  }
+
+  /** Reads rows again that were read too long ago to count them. */
+  #isFresh(target: OwnershipMember, nowMs: number): boolean {
+    const { timings: { observeMs }, views } = this.#parts;
+    const keys = [
+      ...this.#options.resources(),
+      getSessionKey(target.incarnation),
+    ];
+    const outdated = keys.filter((key) =>
+      nowMs - (views.get(key)?.readAtMs ?? -Infinity) > 2 * observeMs
+    );
+    outdated.forEach((key) => views.poll(key, observeMs, nowMs));
+    return outdated.length === 0;
+  }
+
+  /** A member that cannot renew at the store could not take the resource. */
+  #isRenewing(target: OwnershipMember, nowMs: number): boolean {
+    const { timings: { renewMs }, views } = this.#parts;
+    const view = views.get(getSessionKey(target.incarnation))!;
+    return decodeSession(view.value)?.state === "live" &&
+      nowMs - view.firstSeenMs <= MAX_RENEWALS_LATE * renewMs;
+  }
+
+  /** The resource whose order of instances names the member first. */
+  #chooseResource(target: OwnershipMember, nowMs: number): string | undefined {
+    const { keeper } = this.#options;
+    const instances = this.#parts.members().map(({ instance }) => instance);
+    const order = [...new Set(instances)];
+    const ranked = keeper.list()
+      .filter((holding) => keeper.canGive(holding, nowMs))
+      .map(({ resource }) => ({
+        resource,
+        rank: spreadInstances(resource, order).indexOf(target.instance),
+      }));
+    ranked.sort((a, b) => a.rank - b.rank);
+    return ranked[0]?.resource;
+  }
+}
--- a/packages/core/ownership/src/types.ts
+++ b/packages/core/ownership/src/types.ts
@@ -37,6 +37,10 @@
   readonly takeoverMs: number;
   /** Interval between reads of a row that may need a takeover. */
   readonly observeMs: number;
+  /** Shortest interval between resources that rebalancing hands over. */
+  readonly rebalanceMs: number;
+  /** Time for which a member has been live before it is given a resource. */
+  readonly settleMs: number;
 }
 
 /** Options of {@linkcode createOwnership}. */
@@ -101,6 +105,8 @@
 export type CloseReason =
   | "authority-lapsed"
   | "handed-over"
+  /** Opened again at once, because the successor or the store failed. */
+  | "handover-cancelled"
   | "not-configured"
   | "owner-changed"
   | "session-revoked";
