--- a/packages/daemon/entry/src/connection/peer_handlers.ts
+++ b/packages/daemon/entry/src/connection/peer_handlers.ts
@@ -4,7 +4,6 @@
  * @module
  */
 
-import { buildGroupKey } from "@dotterelmoor/core.steering";
 import type { NotRun, Outcome } from "@dotterelmoor/core.types";
 import type {
   ExecMessage,
@@ -64,8 +63,7 @@
         rate: rate ?? 0,
       });
     },
-    handover: ({ service, region }) => {
-      const resource = buildGroupKey(service, region);
+    handover: ({ resource }) => {
       ownership.send({ type: "row_changed", resource });
       return Promise.resolve(undefined);
     },
--- a/packages/daemon/entry/src/request/target_runner.ts
+++ b/packages/daemon/entry/src/request/target_runner.ts
@@ -14,7 +14,7 @@
 import { computeFrameBytes, LINK_WAIT_MS } from "./link_limits.ts";
 
 /** Time by which the deadline shrinks on the way to a peer. */
-const HOP_MS = 5;
+const HOP_MS = 20;
 
 /** Options of `createTargetRunner`. */
 export interface TargetRunnerOptions {
--- a/packages/daemon/entry/src/wiring/members.ts
+++ b/packages/daemon/entry/src/wiring/members.ts
@@ -8,8 +8,6 @@
 import type { Base } from "./base.ts";
 import type { Parts } from "./parts.ts";
 
-const GROUP_KEY = /^groups\/([^/]+)\/([^/]+)$/;
-
 /** Tells ownership and configuration which members are live. */
 export function sendMembers(base: Base, parts: Parts): void {
   const { configuration, membership, ownership } = parts;
@@ -30,7 +28,7 @@
 }
 
 /**
- * Tells the successor of a group to read its row. Without the news it reads
+ * Tells the successor of a resource to read its row. Without the news it reads
  * the row up to 1 s later, longer than many requests can wait.
  */
 export function notifySuccessor(
@@ -38,9 +36,7 @@
   parts: Parts,
   { resource, to, fence }: ResourceHandover,
 ): void {
-  const [, service, region] = GROUP_KEY.exec(resource) ?? [];
   const address = parts.membership.findAddress(to);
-  if (service === undefined || region === undefined) return;
   if (address === undefined) return;
-  base.peers.notify(address, { type: "handover", service, region, fence });
+  base.peers.notify(address, { type: "handover", resource, fence });
 }
--- a/packages/network/peering/src/envelope_test.ts
+++ b/packages/network/peering/src/envelope_test.ts
@@ -71,8 +71,7 @@
     { type: "config_push", snapshot, forward: true },
     { type: "config_pull", sequence: 0 },
     { type: "config_unchanged", sequence: 9 },
-    { type: "handover", service: "s", region: "r", fence: 2 },
-    { type: "conviction", fingerprint: "f", validMs: 0 },
+    { type: "handover", resource: "groups/s/r", fence: 2 },
   ];
   for (const message of messages) {
     const frame = encodeFrame({ ...message, id: 7 }, 1_000_000)!;
--- a/packages/network/peering/src/guards.ts
+++ b/packages/network/peering/src/guards.ts
@@ -148,8 +148,7 @@
   config_push: { snapshot: isSnapshot, forward: isBoolean },
   config_pull: { sequence: isCount },
   config_unchanged: { sequence: isCount },
-  handover: { service: isString, region: isString, fence: isCount },
-  conviction: { fingerprint: isString, validMs: isAmount },
+  handover: { resource: isString, fence: isCount },
   error: { code: isString, message: isString },
 };
 
--- a/packages/network/peering/src/messages.ts
+++ b/packages/network/peering/src/messages.ts
@@ -142,22 +142,14 @@
   readonly sequence: number;
 }
 
-/** Tells a deputy that the group row now names it as the owner. */
+/** Tells the successor that the row of a resource now names it as the owner. */
 export interface HandoverMessage {
   readonly type: "handover";
-  readonly service: string;
-  readonly region: string;
+  /** Table key, `groups/<service>/<region>` or `links/<from>/<to>`. */
+  readonly resource: string;
   readonly fence: number;
 }
 
-/** Spreads or lifts the conviction of a request that crashes servers. */
-export interface ConvictionMessage {
-  readonly type: "conviction";
-  readonly fingerprint: string;
-  /** Remaining validity in milliseconds; 0 lifts the conviction. */
-  readonly validMs: number;
-}
-
 /** Says why a call failed or why a connection is closed. */
 export interface PeerErrorMessage {
   readonly type: "error";
@@ -170,7 +162,6 @@
   | ConfigPullMessage
   | ConfigPushMessage
   | ConfigUnchangedMessage
-  | ConvictionMessage
   | ExecMessage
   | ExecResultMessage
   | HandoverMessage
--- a/packages/network/peering/src/mod.ts
+++ b/packages/network/peering/src/mod.ts
@@ -9,7 +9,6 @@
   ConfigPullMessage,
   ConfigPushMessage,
   ConfigUnchangedMessage,
-  ConvictionMessage,
   ExecMessage,
   ExecResultMessage,
   HandoverMessage,
--- a/packages/network/peering/src/peering_test.ts
+++ b/packages/network/peering/src/peering_test.ts
@@ -288,12 +288,12 @@
   let notified = (_message: PeerMessage) => {};
   const message = new Promise<PeerMessage>((resolve) => notified = resolve);
   const { address } = await openServer(t, {
-    conviction: (received) => {
+    handover: (received) => {
       notified(received);
       return Promise.resolve(undefined);
     },
   });
-  const sent = { type: "conviction", fingerprint: "f", validMs: 5 } as const;
+  const sent = { type: "handover", resource: "links/a/b", fence: 5 } as const;
   openPool(t).notify(address, sent);
   t.deepEqual(await message, sent);
 });
