Move the admission of shifted traffic out of the group owner

Cap, suspects, waiting time and measurements of shifted traffic are one class now, and publishing of group states has its own module. The tests of shifts, of crashing requests and of live replay pass.

--- a/packages/daemon/entry/src/process/group_owner.ts
+++ b/packages/daemon/entry/src/process/group_owner.ts
@@ -29,25 +29,13 @@
 import type { MachineDriver } from "./machine_driver.ts";
 import { makeNotRun, toFinishResult, toOutcome } from "./send_results.ts";
 import type { SendResult } from "./send_results.ts";
-import { createShiftMonitor } from "./shift_monitor.ts";
+import { computeShiftWaitMs, ShiftAdmission } from "./shift_admission.ts";
 
 /** Requests that may wait for a group. */
 const MAX_QUEUE = 256;
 /** Transit allowance between the deadline at the server and authority. */
 const AUTHORITY_MARGIN_MS = 200;
 const CLOSED_RETRY_MS = 100;
-/**
- * Time in which a conviction reaches every region. Meanwhile only the home
- * region runs a suspect again, or each region could lose a second server.
- */
-const SUSPICION_SPREAD_MS = 2_000;
-/**
- * Share of a shift window that an admitted request may wait for its server.
- * The window is longer by as much, so that the cap holds at the servers too;
- * a larger share would leave more of the cap unused.
- */
-const SHIFT_WAIT_SHARE = 0.05;
-
 /** Creates the owner of one group, with authority from now on. */
 export function createGroupOwner(options: GroupOwnerOptions): GroupOwner {
   return new GroupOwnerTask(options);
@@ -71,10 +59,8 @@
   readonly #options: GroupOwnerOptions;
   readonly #budget: RetryBudget;
   readonly #driver: MachineDriver<DispatchEvent>;
-  readonly #monitor = createShiftMonitor();
+  readonly #shifts: ShiftAdmission;
   readonly #runs = new Map<string, GroupRun>();
-  #windowMs: number;
-  #windowEndsMs: number;
   #nextRun = 0;
 
   constructor(options: GroupOwnerOptions) {
@@ -83,9 +69,10 @@
     this.region = options.region;
     this.fence = options.fence;
     const { document } = options;
+    const startedAtMs = this.#nowMs();
     const machines = createGroupMachines(options, {
-      startedAtMs: this.#nowMs(),
-      jitterMs: document.shift.windowMs * SHIFT_WAIT_SHARE,
+      startedAtMs,
+      jitterMs: computeShiftWaitMs(document.shift),
       transitMs: AUTHORITY_MARGIN_MS,
       limits: this.#readLimits(document),
     });
@@ -93,8 +80,13 @@
     this.#budget = machines.budget;
     this.dispatcher = machines.dispatcher;
     this.#driver = this.#createDriver();
-    this.#windowMs = document.shift.windowMs;
-    this.#windowEndsMs = this.#nowMs() + this.#windowMs;
+    this.#shifts = new ShiftAdmission({
+      region: options.region,
+      gate: machines.gate,
+      quarantine: options.quarantine.quarantine,
+      windowMs: document.shift.windowMs,
+      startedAtMs,
+    });
   }
 
   execute(execution: Execution, signal: AbortSignal): Promise<Outcome> {
@@ -110,7 +102,7 @@
       signal.addEventListener("abort", () => this.#cancel(abort), {
         once: true,
       });
-      const admittedAtMs = this.#isShifted(execution) ? nowMs : undefined;
+      const admittedAtMs = this.#shifts.findAdmittedAt(execution, nowMs);
       this.#admit(
         createGroupRun({ execution, resolve, abort, admittedAtMs, avoid: [] }),
       );
@@ -119,8 +111,7 @@
 
   setDocument(document: ServiceDocument): void {
     const nowMs = this.#nowMs();
-    this.#windowMs = document.shift.windowMs;
-    this.gate.handle({ type: "settings", limits: document.shift }, nowMs);
+    this.#shifts.setLimits(document.shift, nowMs);
     this.#budget.handle({ type: "settings", limits: document.retry }, nowMs);
     this.#send({ type: "limits", ...this.#readLimits(document) });
   }
@@ -138,12 +129,7 @@
   }
 
   tick(): void {
-    const nowMs = this.#nowMs();
-    if (nowMs >= this.#windowEndsMs) {
-      this.#windowEndsMs = nowMs + this.#windowMs;
-      const condition = this.#monitor.closeWindow();
-      this.gate.handle({ type: "measurement", condition }, nowMs);
-    }
+    this.#shifts.tick(this.#nowMs());
     this.#send({ type: "tick" });
   }
 
@@ -160,10 +146,6 @@
     return { concurrency, queueLength: MAX_QUEUE };
   }
 
-  #isShifted(execution: Execution): boolean {
-    return execution.homeRegion !== this.region;
-  }
-
   #createDriver(): MachineDriver<DispatchEvent> {
     return createMachineDriver<DispatchEvent, DispatchAction>({
       machine: this.dispatcher,
@@ -197,21 +179,7 @@
     if (this.#options.authorityUntilMs() <= nowMs) {
       return makeNotRun("authority-lapsed", CLOSED_RETRY_MS);
     }
-    if (!this.#isShifted(execution)) return undefined;
-    const ageMs = this.#options.quarantine.quarantine.getSuspicionAgeMs(
-      execution.fingerprint,
-      nowMs,
-    );
-    if (ageMs !== undefined && ageMs < SUSPICION_SPREAD_MS) {
-      return makeNotRun("quarantined", SUSPICION_SPREAD_MS - ageMs);
-    }
-    const event = { type: "admit", id: execution.requestId } as const;
-    for (const action of this.gate.handle(event, nowMs)) {
-      if (action.type === "refused") {
-        return makeNotRun("shift-cap", action.retryAfterMs);
-      }
-    }
-    return undefined;
+    return this.#shifts.admit(execution, nowMs);
   }
 
   #admit(run: GroupRun): void {
@@ -242,7 +210,7 @@
         deadlineAtMs,
         exclusive: trial,
         avoid: run.avoid,
-        sendByMs: this.#computeSendBy(run),
+        sendByMs: this.#shifts.computeSendBy(run),
       },
     });
   }
@@ -271,9 +239,9 @@
     const { id, server } = action;
     const finish = toFinishResult(result);
     if (result.type === "answered") {
-      this.#monitor.recordAnswer(this.#nowMs() - startedMs);
+      this.#shifts.monitor.recordAnswer(this.#nowMs() - startedMs);
     } else {
-      this.#monitor.recordFailure();
+      this.#shifts.monitor.recordFailure();
     }
     this.#options.quarantine.send({
       type: "finish",
@@ -301,7 +269,7 @@
     if (!execution.repeatable || retried) return false;
     // Only the home region retries: a request that crashes servers would cost
     // two in each region before the suspicion has spread.
-    if (this.#isShifted(execution)) return false;
+    if (this.#shifts.isShifted(execution)) return false;
     if (this.#refuse(execution, nowMs) !== undefined) return false;
     const event = { type: "retry", id: execution.requestId } as const;
     return this.#budget.handle(event, nowMs)
@@ -313,7 +281,7 @@
     if (run === undefined) return;
     this.#runs.delete(id);
     this.#options.quarantine.release(id);
-    this.#withdraw(run);
+    this.#shifts.withdraw(run, this.#nowMs());
     // The first run of a retried request may have taken effect.
     const isLost = run.retried && outcome.type === "not-run";
     run.resolve(
@@ -321,18 +289,6 @@
     );
   }
 
-  /** Time by which a shifted request must be sent, so that the cap holds. */
-  #computeSendBy({ admittedAtMs }: GroupRun): number | undefined {
-    if (admittedAtMs === undefined) return undefined;
-    return admittedAtMs + this.#windowMs * SHIFT_WAIT_SHARE;
-  }
-
-  /** Gives the place under the cap back; the request was never sent. */
-  #withdraw({ admittedAtMs, isSent }: GroupRun): void {
-    if (admittedAtMs === undefined || isSent) return;
-    this.gate.handle({ type: "withdraw", admittedAtMs }, this.#nowMs());
-  }
-
   #cancel(abort: AbortController): void {
     for (const [id, run] of this.#runs) {
       if (run.abort !== abort) continue;
--- a/packages/daemon/entry/src/process/membership_part.ts
+++ b/packages/daemon/entry/src/process/membership_part.ts
@@ -44,6 +44,8 @@
 /** Membership of this process. */
 export interface MembershipPart {
   readonly membership: Membership;
+  /** Peer address of this process. */
+  readonly address: string;
   start(): void;
   send(event: MembershipEvent): void;
   /** Address of the live member with an incarnation. */
@@ -82,6 +84,7 @@
   startInterval(options.store, TICK_MS, () => driver.send({ type: "tick" }));
   return {
     membership,
+    address: options.self.peerAddress,
     start: () => driver.send({ type: "start" }),
     send: (event) => driver.send(event),
     findAddress: (incarnation) =>
--- a/packages/daemon/entry/src/wiring/parts.ts
+++ b/packages/daemon/entry/src/wiring/parts.ts
@@ -15,7 +15,7 @@
 import type { ConfigurationPart } from "../process/configuration_part.ts";
 import { createGroupOwner } from "../process/group_owner.ts";
 import { createGroups, listGroupResources } from "../process/groups.ts";
-import type { GroupPublication, Groups } from "../process/groups.ts";
+import type { Groups } from "../process/groups.ts";
 import { buildLinkKey, createLinkPart } from "../process/link_part.ts";
 import type { LinkPart } from "../process/link_part.ts";
 import { createMembershipPart } from "../process/membership_part.ts";
@@ -30,10 +30,9 @@
 import type { Signal } from "../process/signal.ts";
 import { createRoutingView } from "../version/routing_view.ts";
 import type { Base } from "./base.ts";
+import { publishGroup } from "./publishing.ts";
 import { notifySuccessor, sendMembers } from "./members.ts";
 
-/** Other entries stop steering to a group that is silent for this long. */
-const GROUP_STATE_TTL_MS = 10_000;
 const LINK_PREFIX = "links/";
 
 /** Addresses that other processes use to reach this one. */
@@ -283,27 +282,6 @@
             buildGroupKey(options.service, options.region),
           ),
       }),
-    publish: (publication) => publishGroup(base, parts, publication),
-  });
-}
-
-function publishGroup(
-  base: Base,
-  parts: Parts,
-  { key, state, urgent }: GroupPublication,
-): void {
-  parts.membership.send({
-    type: "set_state",
-    key,
-    value: {
-      ...state,
-      ownerProcess: base.processId,
-      owner: base.state.incarnation,
-      address: parts.addresses.peers,
-    },
-    version: [state.fence, state.sequence],
-    scope: "global",
-    ttlMs: GROUP_STATE_TTL_MS,
-    urgent,
+    publish: (publication) => publishGroup(base, parts.membership, publication),
   });
 }
