--- a/packages/core/configuring/src/keeper.ts
+++ b/packages/core/configuring/src/keeper.ts
@@ -4,7 +4,11 @@
  * @module
  */
 
-import type { ConfigurationSnapshot } from "@dotterelmoor/core.types";
+import { applyEvent } from "@dotterelmoor/core.types";
+import type {
+  ConfigurationSnapshot,
+  EventHandlers,
+} from "@dotterelmoor/core.types";
 import { ColdStart } from "./cold_start.ts";
 import type {
   ConfigurationAction,
@@ -27,13 +31,6 @@
   return new Keeper(options);
 }
 
-type Handlers = {
-  readonly [Type in ConfigurationEvent["type"]]: (
-    event: Extract<ConfigurationEvent, { type: Type }>,
-    nowMs: number,
-  ) => ConfigurationAction[];
-};
-
 class Keeper implements ConfigurationKeeper {
   readonly #options: Required<ConfigurationKeeperOptions>;
   readonly #coldStart: ColdStart;
@@ -67,46 +64,43 @@
     this.#puller = new Puller(pullTimeoutMs);
   }
 
-  readonly #handlers: Handlers = {
-    snapshot: (event, nowMs) => {
-      if (event.source !== "peer") this.#noteStoreAnswer();
-      return this.#take(event.snapshot, event.source, nowMs);
-    },
-    digest: (event, nowMs) => [
-      ...this.#pull(event.address, event.sequence, nowMs),
-      ...this.#repair(event.address, event.sequence, nowMs),
-    ],
-    store_read: (event, nowMs) => {
-      if (event.result === "unavailable") {
-        this.#storeSilentSinceMs ??= nowMs;
-      } else {
-        this.#noteStoreAnswer();
-      }
-      return [];
-    },
-    peers: (event) => {
-      this.#peers = event.addresses;
-      this.#entries = Math.max(1, event.entries);
-      return [];
-    },
-    seed_answered: (event, nowMs) => {
-      this.#coldStart.noteAnswer(event.address, event.sequence);
-      this.#coldStart.settle(this.#sequence(), nowMs);
-      return this.#pull(event.address, event.sequence, nowMs);
-    },
-    seed_failed: (event) => {
-      this.#coldStart.noteFailure(event.address);
-      return [];
-    },
-    tick: (_event, nowMs) => this.#tick(nowMs),
-  };
+  readonly #handlers: EventHandlers<ConfigurationEvent, ConfigurationAction[]> =
+    {
+      snapshot: (event, nowMs) => {
+        if (event.source !== "peer") this.#noteStoreAnswer();
+        return this.#take(event.snapshot, event.source, nowMs);
+      },
+      digest: (event, nowMs) => [
+        ...this.#pull(event.address, event.sequence, nowMs),
+        ...this.#repair(event.address, event.sequence, nowMs),
+      ],
+      store_read: (event, nowMs) => {
+        if (event.result === "unavailable") {
+          this.#storeSilentSinceMs ??= nowMs;
+        } else {
+          this.#noteStoreAnswer();
+        }
+        return [];
+      },
+      peers: (event) => {
+        this.#peers = event.addresses;
+        this.#entries = Math.max(1, event.entries);
+        return [];
+      },
+      seed_answered: (event, nowMs) => {
+        this.#coldStart.noteAnswer(event.address, event.sequence);
+        this.#coldStart.settle(this.#sequence(), nowMs);
+        return this.#pull(event.address, event.sequence, nowMs);
+      },
+      seed_failed: (event) => {
+        this.#coldStart.noteFailure(event.address);
+        return [];
+      },
+      tick: (_event, nowMs) => this.#tick(nowMs),
+    };
 
   handle(event: ConfigurationEvent, nowMs: number): ConfigurationAction[] {
-    const handler = this.#handlers[event.type] as (
-      event: ConfigurationEvent,
-      nowMs: number,
-    ) => ConfigurationAction[];
-    return handler(event, nowMs);
+    return applyEvent(this.#handlers, event, nowMs);
   }
 
   current(): ConfigurationSnapshot | undefined {
--- a/packages/core/dispatching/src/dispatcher.ts
+++ b/packages/core/dispatching/src/dispatcher.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import type { Priority } from "@dotterelmoor/core.types";
+import { applyEvent } from "@dotterelmoor/core.types";
+import type { EventHandlers, Priority } from "@dotterelmoor/core.types";
 import {
   computeClassWaitMs,
   computeSendEndMs,
@@ -28,13 +29,6 @@
   ServerView,
 } from "./types.ts";
 
-type Handlers = {
-  readonly [Type in DispatchEvent["type"]]: (
-    event: Extract<DispatchEvent, { type: Type }>,
-    turn: Turn,
-  ) => void;
-};
-
 type FinishHandler = (flight: Flight, draining: boolean, turn: Turn) => void;
 
 /** Creates the dispatcher of one target group. */
@@ -73,7 +67,7 @@
   #idleReported = false;
   #nowMs = -Infinity;
 
-  readonly #handlers: Handlers = {
+  readonly #handlers: EventHandlers<DispatchEvent, void, Turn> = {
     servers: ({ servers }) => this.#state.servers.setServers(servers),
     server_state: ({ server, source, state }) =>
       this.#state.servers.applyReport(server, source, state),
@@ -177,11 +171,7 @@
     const turn: Turn = { nowMs, actions: [] };
     this.#nowMs = nowMs;
     this.#expireSlots(turn);
-    const handler = this.#handlers[event.type] as (
-      event: DispatchEvent,
-      turn: Turn,
-    ) => void;
-    handler(event, turn);
+    applyEvent(this.#handlers, event, turn);
     removeLost(this.#state, turn);
     sendQueue(this.#state, turn);
     if (event.type !== "finish") {
--- a/packages/core/membership/src/membership.ts
+++ b/packages/core/membership/src/membership.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { applyEvent } from "@dotterelmoor/core.types";
+import type { EventHandlers } from "@dotterelmoor/core.types";
 import { Contacts } from "./contacting.ts";
 import { Knowledge } from "./knowledge.ts";
 import { Messenger } from "./messaging.ts";
@@ -30,13 +32,6 @@
   return new MembershipMachine(options);
 }
 
-type Handlers = {
-  readonly [Type in MembershipEvent["type"]]: (
-    event: Extract<MembershipEvent, { type: Type }>,
-    nowMs: number,
-  ) => MembershipAction[];
-};
-
 class MembershipMachine implements Membership {
   readonly #options: MembershipOptions;
   readonly #timings: MembershipTimings;
@@ -72,7 +67,7 @@
     });
   }
 
-  readonly #handlers: Handlers = {
+  readonly #handlers: EventHandlers<MembershipEvent, MembershipAction[]> = {
     start: (_event, nowMs) => this.#start(nowMs),
     tick: (_event, nowMs) => this.#tick(nowMs),
     message: (event, nowMs) => this.#messenger.receive(event.message, nowMs),
@@ -94,11 +89,7 @@
     this.#nowMs = nowMs;
     this.#live = undefined;
     this.#all = undefined;
-    const handler = this.#handlers[event.type] as (
-      event: MembershipEvent,
-      nowMs: number,
-    ) => MembershipAction[];
-    return handler(event, nowMs);
+    return applyEvent(this.#handlers, event, nowMs);
   }
 
   members(): readonly MemberUpdate[] {
--- a/packages/core/quarantine/src/quarantine.ts
+++ b/packages/core/quarantine/src/quarantine.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { applyEvent } from "@dotterelmoor/core.types";
+import type { EventHandlers } from "@dotterelmoor/core.types";
 import { Admissions } from "./admissions.ts";
 import type { Admission } from "./admissions.ts";
 import { ServerRuns } from "./server_runs.ts";
@@ -18,13 +20,6 @@
   Standing,
 } from "./types.ts";
 
-type Handlers = {
-  readonly [Type in QuarantineEvent["type"]]: (
-    event: Extract<QuarantineEvent, { type: Type }>,
-    turn: Turn,
-  ) => void;
-};
-
 interface Turn {
   readonly nowMs: number;
   readonly actions: QuarantineAction[];
@@ -49,7 +44,7 @@
   readonly #servers = new ServerRuns();
   #sweepAtMs = -Infinity;
 
-  readonly #handlers: Handlers = {
+  readonly #handlers: EventHandlers<QuarantineEvent, void, Turn> = {
     admit: ({ id, fingerprint }, turn) => this.#admit(id, fingerprint, turn),
     start: ({ id, server }) => {
       const admission = this.#admissions.get(id);
@@ -155,11 +150,7 @@
   handle(event: QuarantineEvent, nowMs: number): QuarantineAction[] {
     const turn: Turn = { nowMs, actions: [] };
     this.#sweep(turn);
-    const handler = this.#handlers[event.type] as (
-      event: QuarantineEvent,
-      turn: Turn,
-    ) => void;
-    handler(event, turn);
+    applyEvent(this.#handlers, event, turn);
     return turn.actions;
   }
 
--- a/packages/core/retrying/src/retry_budget.ts
+++ b/packages/core/retrying/src/retry_budget.ts
@@ -4,7 +4,12 @@
  * @module
  */
 
-import type { RetryLimits, StateMachine } from "@dotterelmoor/core.types";
+import { applyEvent } from "@dotterelmoor/core.types";
+import type {
+  EventHandlers,
+  RetryLimits,
+  StateMachine,
+} from "@dotterelmoor/core.types";
 
 /** Input of the retry budget. */
 export type RetryEvent =
@@ -49,18 +54,11 @@
   retries: number;
 }
 
-type Handlers = {
-  readonly [Type in RetryEvent["type"]]: (
-    event: Extract<RetryEvent, { type: Type }>,
-    nowMs: number,
-  ) => RetryAction[];
-};
-
 class WindowedBudget implements RetryBudget {
   #limits: RetryLimits;
   #buckets: Bucket[] = [];
 
-  readonly #handlers: Handlers = {
+  readonly #handlers: EventHandlers<RetryEvent, RetryAction[]> = {
     request: (_event, nowMs) => {
       this.#getBucket(nowMs).requests += 1;
       return [];
@@ -81,11 +79,7 @@
   }
 
   handle(event: RetryEvent, nowMs: number): RetryAction[] {
-    const handler = this.#handlers[event.type] as (
-      event: RetryEvent,
-      nowMs: number,
-    ) => RetryAction[];
-    return handler(event, nowMs);
+    return applyEvent(this.#handlers, event, nowMs);
   }
 
   getRoom(nowMs: number): number {
--- a/packages/core/shifting/src/shift_gate.ts
+++ b/packages/core/shifting/src/shift_gate.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import type { ShiftLimits } from "@dotterelmoor/core.types";
+import { applyEvent } from "@dotterelmoor/core.types";
+import type { EventHandlers, ShiftLimits } from "@dotterelmoor/core.types";
 import { Ramp } from "./ramp.ts";
 import { SlidingWindow } from "./sliding_window.ts";
 import type {
@@ -14,13 +15,6 @@
   ShiftGateOptions,
 } from "./types.ts";
 
-type Handlers = {
-  readonly [Type in ShiftEvent["type"]]: (
-    event: Extract<ShiftEvent, { type: Type }>,
-    nowMs: number,
-  ) => ShiftAction[];
-};
-
 /** Wait named when the cap is 0 and no window will free a place. */
 const CLOSED_RETRY_MS = 60_000;
 
@@ -37,7 +31,7 @@
   /** The clock of a caller may step back; the window must not. */
   #latestMs: number;
 
-  readonly #handlers: Handlers = {
+  readonly #handlers: EventHandlers<ShiftEvent, ShiftAction[]> = {
     admit: ({ id }, nowMs) => this.#admit(id, nowMs),
     withdraw: ({ admittedAtMs }) => {
       this.#window.remove(admittedAtMs);
@@ -79,11 +73,7 @@
 
   handle(event: ShiftEvent, nowMs: number): ShiftAction[] {
     this.#latestMs = Math.max(nowMs, this.#latestMs);
-    const handler = this.#handlers[event.type] as (
-      event: ShiftEvent,
-      nowMs: number,
-    ) => ShiftAction[];
-    return handler(event, this.#latestMs);
+    return applyEvent(this.#handlers, event, this.#latestMs);
   }
 
   #admit(id: string, nowMs: number): ShiftAction[] {
--- a/packages/core/types/src/event_handlers.ts
+++ b/packages/core/types/src/event_handlers.ts
@@ -4,23 +4,34 @@
  * @module
  */
 
-/** One handler for each type of event. */
-export type EventHandlers<Event extends { readonly type: string }, Result> = {
+/**
+ * One handler for each type of event. The context is the time, or what a
+ * machine gathers while it handles one event.
+ */
+export type EventHandlers<
+  Event extends { readonly type: string },
+  Result,
+  Context = number,
+> = {
   readonly [Type in Event["type"]]: (
     event: Extract<Event, { readonly type: Type }>,
-    nowMs: number,
+    context: Context,
   ) => Result;
 };
 
 /** Calls the handler of an event. */
-export function applyEvent<Event extends { readonly type: string }, Result>(
-  handlers: EventHandlers<Event, Result>,
+export function applyEvent<
+  Event extends { readonly type: string },
+  Result,
+  Context,
+>(
+  handlers: EventHandlers<Event, Result, Context>,
   event: Event,
-  nowMs: number,
+  context: Context,
 ): Result {
   const handler = handlers[event.type as Event["type"]] as (
     event: Event,
-    nowMs: number,
+    context: Context,
   ) => Result;
-  return handler(event, nowMs);
+  return handler(event, context);
 }
