Name the service of quarantined requests to operators

The list of quarantined requests had no service, so only tokens for all teams could see them. Services come from the table, from gossip and from convictions here now. The daemon uses the shared search for a service in place of its own, and leaving is a function of its own.

--- a/packages/core/dispatching/src/dispatcher_test.ts
+++ b/packages/core/dispatching/src/dispatcher_test.ts
@@ -180,9 +180,14 @@
   return [...map.keys()][index % map.size];
 }
 
-const RESULTS =
-  "answered refused timed_out connection_refused connection_lost answered";
-const results = fc.constantFrom(...RESULTS.split(" ") as FinishResult[]);
+const results = fc.constantFrom<FinishResult>(
+  "answered",
+  "refused",
+  "timed_out",
+  "connection_refused",
+  "connection_lost",
+  "answered",
+);
 const rarely = fc.integer({ min: 0, max: 9 }).map((n) => n === 0);
 const steps: [number, fc.Arbitrary<Step>][] = [
   [
--- a/packages/daemon/entry/src/process/groups.ts
+++ b/packages/daemon/entry/src/process/groups.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { buildGroupKey } from "@dotterelmoor/core.steering";
+import { buildGroupKey, findService } from "@dotterelmoor/core.steering";
 import type { GroupState } from "@dotterelmoor/core.steering";
 import type {
   ConfigurationSnapshot,
@@ -68,18 +68,6 @@
   setInstances(instances: readonly ListedInstance[]): void;
 }
 
-/** Finds a service in the teams' documents. */
-export function findService(
-  snapshot: ConfigurationSnapshot | undefined,
-  service: string,
-): ServiceDocument | undefined {
-  for (const team of Object.values(snapshot?.teams ?? {})) {
-    const found = team.services.find(({ name }) => name === service);
-    if (found !== undefined) return found;
-  }
-  return undefined;
-}
-
 /** Lists the table keys of the groups in a region. */
 export function listGroupResources(
   snapshot: ConfigurationSnapshot,
@@ -178,7 +166,7 @@
   return {
     open: (resource, fence) => {
       const service = resource.split("/")[1]!;
-      const document = findService(snapshot, service);
+      const document = snapshot && findService(snapshot, service);
       if (document === undefined) return;
       const owner = options.createOwner({
         service,
--- a/packages/daemon/entry/src/process/quarantine_spread.ts
+++ b/packages/daemon/entry/src/process/quarantine_spread.ts
@@ -15,6 +15,8 @@
 const SUSPECT_PREFIX = "suspects/";
 const CONVICTED_PREFIX = "quarantine/";
 const SUSPECT_TTL_MS = 60_000;
+/** Quarantined requests whose service is kept for operators. */
+const MAX_SERVICES = 10_000;
 /** Interval between reads of the convictions in the table. */
 const READ_INTERVAL_MS = 30_000;
 
@@ -37,11 +39,21 @@
   applyState(key: string, value: JsonValue): void;
   /** Reads the convictions that the table keeps. */
   readTable(): Promise<void>;
+  /** Service of a quarantined request, if it is known here. */
+  findService(fingerprint: string): string | undefined;
 }
 
-interface ConvictionRow {
+interface QuarantinedService {
   readonly fingerprint: string;
   readonly service: string;
+}
+
+interface ConvictionState {
+  readonly remainingMs: number;
+  readonly service: string;
+}
+
+interface ConvictionRow extends QuarantinedService {
   readonly expiresWallMs: number;
 }
 
@@ -50,6 +62,14 @@
   options: QuarantineSpreadOptions,
 ): QuarantineSpread {
   const { clock, platform } = options;
+  const services = new Map<string, string>();
+
+  function recordService({ fingerprint, service }: QuarantinedService): void {
+    services.set(fingerprint, service);
+    if (services.size <= MAX_SERVICES) return;
+    const [oldest] = services.keys();
+    services.delete(oldest!);
+  }
 
   async function writeRow(row: ConvictionRow): Promise<void> {
     const key = makeQuarantineKey(row.fingerprint);
@@ -66,6 +86,7 @@
     if (read.type === "unavailable") return;
     for (const { value } of read.rows) {
       const row = value as unknown as ConvictionRow;
+      recordService(row);
       const remainingMs = row.expiresWallMs - clock.wallMs();
       if (remainingMs > 0) {
         options.send({
@@ -80,21 +101,23 @@
   startInterval(options.store, READ_INTERVAL_MS, () => void readTable());
   return {
     readTable,
+    findService: (fingerprint) => services.get(fingerprint),
     notifySuspect: (fingerprint) =>
       options.setState(SUSPECT_PREFIX + fingerprint, true, SUSPECT_TTL_MS),
     notifyConvicted: ({ fingerprint, service, remainingMs }) => {
       options.setState(
         CONVICTED_PREFIX + fingerprint,
-        { remainingMs },
+        { remainingMs, service },
         remainingMs,
       );
+      recordService({ fingerprint, service });
       const expiresWallMs = clock.wallMs() + remainingMs;
       void writeRow({ fingerprint, service, expiresWallMs });
     },
     notifyLifted: (fingerprint) =>
       options.setState(
         CONVICTED_PREFIX + fingerprint,
-        { remainingMs: 0 },
+        { remainingMs: 0, service: "" },
         SUSPECT_TTL_MS,
       ),
     applyState: (key, value) => {
@@ -102,7 +125,10 @@
         const fingerprint = key.slice(SUSPECT_PREFIX.length);
         options.send({ type: "suspected", fingerprint });
       } else if (key.startsWith(CONVICTED_PREFIX)) {
-        applyConviction(key.slice(CONVICTED_PREFIX.length), value, options);
+        const fingerprint = key.slice(CONVICTED_PREFIX.length);
+        const { remainingMs, service } = value as unknown as ConvictionState;
+        if (remainingMs > 0) recordService({ fingerprint, service });
+        applyConviction(fingerprint, remainingMs, options);
       }
     },
   };
@@ -110,10 +136,9 @@
 
 function applyConviction(
   fingerprint: string,
-  value: JsonValue,
+  remainingMs: number,
   options: QuarantineSpreadOptions,
 ): void {
-  const { remainingMs } = value as { readonly remainingMs: number };
   if (remainingMs > 0) {
     options.send({ type: "convicted", fingerprint, remainingMs });
   } else {
--- a/packages/daemon/entry/src/process/reports.ts
+++ b/packages/daemon/entry/src/process/reports.ts
@@ -20,6 +20,7 @@
 import type { MembershipPart } from "./membership_part.ts";
 import type { OwnershipPart } from "./ownership_part.ts";
 import type { QuarantinePart } from "./quarantine_part.ts";
+import type { QuarantineSpread } from "./quarantine_spread.ts";
 
 /** Options of `createReports`. */
 export interface ReportsOptions {
@@ -33,8 +34,7 @@
   readonly ownership: OwnershipPart;
   readonly quarantine: QuarantinePart;
   readonly listInstances: () => readonly ListedInstance[];
-  /** Service of a quarantined request, if this entry has seen it. */
-  readonly findQuarantinedService: (fingerprint: string) => string | undefined;
+  readonly spread: QuarantineSpread;
 }
 
 /** Stands for the configuration before the first one is known. */
@@ -129,7 +129,7 @@
 function listQuarantine(options: ReportsOptions): QuarantineReport[] {
   return options.quarantine.quarantine.list(options.nowMs()).map((entry) => ({
     ...entry,
-    service: options.findQuarantinedService(entry.fingerprint) ?? "",
+    service: options.spread.findService(entry.fingerprint) ?? "",
   }));
 }
 
--- a/packages/daemon/entry/src/request/front.ts
+++ b/packages/daemon/entry/src/request/front.ts
@@ -5,7 +5,7 @@
  */
 
 import { computeBackoffMs } from "@dotterelmoor/core.retrying";
-import { findRequestKind } from "@dotterelmoor/core.steering";
+import { findRequestKind, findService } from "@dotterelmoor/core.steering";
 import type { Target } from "@dotterelmoor/core.steering";
 import type {
   NotRun,
@@ -16,7 +16,6 @@
   RequestKind,
 } from "@dotterelmoor/core.types";
 import type { ClaimResult } from "../process/claims_part.ts";
-import { findService } from "../process/groups.ts";
 import type { RoutingView } from "../version/routing_view.ts";
 import type { Execution } from "./execution.ts";
 
@@ -101,7 +100,7 @@
   signal: AbortSignal,
 ): Promise<Outcome> {
   const view = parts.getView();
-  const service = findService(view?.snapshot, request.service);
+  const service = view && findService(view.snapshot, request.service);
   const kind = service &&
     findRequestKind(service, request.method, request.path);
   if (view === undefined || kind === undefined) {
--- a/packages/daemon/entry/src/wiring.ts
+++ b/packages/daemon/entry/src/wiring.ts
@@ -14,6 +14,7 @@
 import { ENTRY_SERVICE, startInstanceWatch } from "./process/instance_watch.ts";
 import { startInterval } from "./process/intervals.ts";
 import { leaveSystem } from "./process/leaving.ts";
+import type { LeavingOptions } from "./process/leaving.ts";
 import { openListener } from "./process/listeners.ts";
 import { openOperators } from "./process/operators.ts";
 import { createReports } from "./process/reports.ts";
@@ -74,27 +75,37 @@
     peers: peers.address,
     operators: operators.address,
     ready: parts.ready.promise,
-    leave: async () => {
-      base.state.leaving = true;
-      await leaveSystem({
-        lookupTtlMs: settings.lookupTtlMs,
-        nowMs: base.clock.nowMs,
-        log: base.logOf("entry"),
-        announce: () => parts.membership.send({ type: "leave" }),
-        handOver: () => {
-          parts.ownership.send({ type: "leave" });
-          return parts.left.promise;
-        },
+    leave: () =>
+      leave(base, parts, {
         countRequests: requests.count,
         closeListeners: async () => {
           await Promise.all([callers.close(), operators.close()]);
         },
-      });
-      await base.store.dispose();
-    },
+      }),
   };
 }
 
+/** Leaves the system and releases everything. */
+async function leave(
+  base: Base,
+  parts: Parts,
+  options: Pick<LeavingOptions, "closeListeners" | "countRequests">,
+): Promise<void> {
+  base.state.leaving = true;
+  await leaveSystem({
+    ...options,
+    lookupTtlMs: base.settings.lookupTtlMs,
+    nowMs: base.clock.nowMs,
+    log: base.logOf("entry"),
+    announce: () => parts.membership.send({ type: "leave" }),
+    handOver: () => {
+      parts.ownership.send({ type: "leave" });
+      return parts.left.promise;
+    },
+  });
+  await base.store.dispose();
+}
+
 function openOperatorListener(base: Base, parts: Parts) {
   const { settings, state } = base;
   return openOperators({
@@ -110,7 +121,6 @@
       zone: settings.zone,
       nowMs: base.clock.nowMs,
       listInstances: () => state.instances,
-      findQuarantinedService: () => undefined,
     }),
   });
 }
--- a/packages/daemon/entry/src/wiring/requests.ts
+++ b/packages/daemon/entry/src/wiring/requests.ts
@@ -9,10 +9,13 @@
 import { createIssuedKeys } from "@dotterelmoor/core.claiming";
 import type { IssuedKeys } from "@dotterelmoor/core.claiming";
 import { computeFingerprint } from "@dotterelmoor/core.quarantine";
-import { buildGroupKey, buildLookupAnswer } from "@dotterelmoor/core.steering";
+import {
+  buildGroupKey,
+  buildLookupAnswer,
+  findService,
+} from "@dotterelmoor/core.steering";
 import type { PeerHandlers } from "@dotterelmoor/network.peering";
 import { createPeerHandlers } from "../connection/peer_handlers.ts";
-import { findService } from "../process/groups.ts";
 import { createRetryBudgets } from "../process/retry_budgets.ts";
 import type { RetryBudgets } from "../process/retry_budgets.ts";
 import { createCallerApp } from "../request/caller_app.ts";
@@ -46,7 +49,8 @@
   });
   const budgets = createRetryBudgets({
     nowMs: clock.nowMs,
-    findLimits: (service) => findService(state.view?.snapshot, service)?.retry,
+    findLimits: (service) =>
+      state.view && findService(state.view.snapshot, service)?.retry,
   });
   const front = buildFront(base, parts, { budgets, issuedKeys });
   let count = 0;
