Define table operations and refusals once

The events and actions of table operations stood in claiming, in ownership and in the daemon's handlers, and four modules of the daemon built the same not-run outcome. Both have one definition now, in core/types and request/ not_run; reasons, waits and messages are unchanged. Format, lint and build are clean; the unit tests and the system tests of the request path, two groups, leaving issuer, live replay, crashing requests and shifts pass.

--- a/packages/core/claiming/src/types.ts
+++ b/packages/core/claiming/src/types.ts
@@ -7,10 +7,9 @@
 import type {
   NotRunReason,
   Random,
-  ReadResult,
   StateMachine,
-  TableTransaction,
-  TransactResult,
+  TableAction,
+  TableEvent,
   UnknownReason,
 } from "@dotterelmoor/core.types";
 
@@ -50,30 +49,12 @@
     readonly type: "finish";
     readonly requestId: string;
   }
-  | {
-    readonly type: "transacted";
-    readonly operationId: number;
-    readonly result: TransactResult;
-  }
-  | {
-    readonly type: "rows_read";
-    readonly operationId: number;
-    readonly result: ReadResult;
-  }
+  | TableEvent
   | { readonly type: "tick" };
 
 /** What the daemon shall do. */
 export type ClaimsAction =
-  | {
-    readonly type: "transact";
-    readonly operationId: number;
-    readonly transaction: TableTransaction;
-  }
-  | {
-    readonly type: "read";
-    readonly operationId: number;
-    readonly key: string;
-  }
+  | TableAction
   | { readonly type: "claimed"; readonly requestId: string }
   | {
     readonly type: "refused";
--- a/packages/core/ownership/src/types.ts
+++ b/packages/core/ownership/src/types.ts
@@ -6,10 +6,9 @@
 
 import type {
   Random,
-  ReadResult,
   StateMachine,
-  TableTransaction,
-  TransactResult,
+  TableAction,
+  TableEvent,
 } from "@dotterelmoor/core.types";
 
 /** Who this process is. */
@@ -68,16 +67,7 @@
   }
   | { readonly type: "members"; readonly members: readonly OwnershipMember[] }
   | { readonly type: "instances"; readonly ids: readonly string[] }
-  | {
-    readonly type: "transacted";
-    readonly operationId: number;
-    readonly result: TransactResult;
-  }
-  | {
-    readonly type: "rows_read";
-    readonly operationId: number;
-    readonly result: ReadResult;
-  }
+  | TableEvent
   | {
     readonly type: "promise_requested";
     /** Incarnation of the owner that asks. */
@@ -113,16 +103,7 @@
 
 /** What the daemon shall do. */
 export type OwnershipAction =
-  | {
-    readonly type: "transact";
-    readonly operationId: number;
-    readonly transaction: TableTransaction;
-  }
-  | {
-    readonly type: "read";
-    readonly operationId: number;
-    readonly key: string;
-  }
+  | TableAction
   | {
     readonly type: "request_promise";
     readonly to: number;
--- a/packages/core/types/src/table.ts
+++ b/packages/core/types/src/table.ts
@@ -64,3 +64,29 @@
   readonly slots: number;
   readonly connections: number;
 }
+
+/** Result of a table operation, as an event of a state machine. */
+export type TableEvent =
+  | {
+    readonly type: "transacted";
+    readonly operationId: number;
+    readonly result: TransactResult;
+  }
+  | {
+    readonly type: "rows_read";
+    readonly operationId: number;
+    readonly result: ReadResult;
+  };
+
+/** Table operation that a state machine asks for. */
+export type TableAction =
+  | {
+    readonly type: "transact";
+    readonly operationId: number;
+    readonly transaction: TableTransaction;
+  }
+  | {
+    readonly type: "read";
+    readonly operationId: number;
+    readonly key: string;
+  };
--- a/packages/daemon/entry/src/process/group_owner.ts
+++ b/packages/daemon/entry/src/process/group_owner.ts
@@ -22,12 +22,13 @@
 import type { Execution } from "../request/execution.ts";
 import { createGroupRun } from "../request/group_run.ts";
 import type { GroupRun } from "../request/group_run.ts";
+import { makeNotRun } from "../request/not_run.ts";
 import { createGroupMachines } from "./group_machines.ts";
 import type { GroupLimits } from "./group_machines.ts";
 import type { GroupOwner, GroupOwnerOptions } from "./group_owner_types.ts";
 import { createMachineDriver } from "./machine_driver.ts";
 import type { MachineDriver } from "./machine_driver.ts";
-import { makeNotRun, toFinishResult, toOutcome } from "./send_results.ts";
+import { toFinishResult, toOutcome } from "./send_results.ts";
 import type { SendResult } from "./send_results.ts";
 import { computeShiftWaitMs, ShiftAdmission } from "./shift_admission.ts";
 
--- a/packages/daemon/entry/src/process/send_results.ts
+++ b/packages/daemon/entry/src/process/send_results.ts
@@ -5,7 +5,7 @@
  */
 
 import type { FinishResult } from "@dotterelmoor/core.dispatching";
-import type { NotRun, NotRunReason, Outcome } from "@dotterelmoor/core.types";
+import type { Outcome } from "@dotterelmoor/core.types";
 import type { BackendResult } from "@dotterelmoor/network.backend";
 
 /** A result of a send that was not cancelled. */
@@ -45,8 +45,3 @@
       return undefined;
   }
 }
-
-/** Builds the outcome of a request that certainly did not run. */
-export function makeNotRun(reason: NotRunReason, retryAfterMs: number): NotRun {
-  return { type: "not-run", reason, retryAfterMs };
-}
--- a/packages/daemon/entry/src/process/shift_admission.ts
+++ b/packages/daemon/entry/src/process/shift_admission.ts
@@ -9,7 +9,7 @@
 import type { NotRun, ShiftLimits } from "@dotterelmoor/core.types";
 import type { Execution } from "../request/execution.ts";
 import type { GroupRun } from "../request/group_run.ts";
-import { makeNotRun } from "./send_results.ts";
+import { makeNotRun } from "../request/not_run.ts";
 import { createShiftMonitor } from "./shift_monitor.ts";
 
 /**
--- a/packages/daemon/entry/src/process/table_handlers.ts
+++ b/packages/daemon/entry/src/process/table_handlers.ts
@@ -4,37 +4,12 @@
  * @module
  */
 
-import type {
-  ReadResult,
-  TableTransaction,
-  TransactResult,
-} from "@dotterelmoor/core.types";
+import type { TableAction, TableEvent } from "@dotterelmoor/core.types";
 import type { PlatformClient } from "@dotterelmoor/network.platform";
-
-/** Result of an operation, as the machine takes it. */
-export type TableEvent =
-  | {
-    readonly type: "transacted";
-    readonly operationId: number;
-    readonly result: TransactResult;
-  }
-  | {
-    readonly type: "rows_read";
-    readonly operationId: number;
-    readonly result: ReadResult;
-  };
+import type { ActionHandlers } from "./machine_driver.ts";
 
 /** Handlers of the actions `transact` and `read`. */
-export interface TableHandlers {
-  readonly transact: (action: {
-    readonly operationId: number;
-    readonly transaction: TableTransaction;
-  }) => void;
-  readonly read: (action: {
-    readonly operationId: number;
-    readonly key: string;
-  }) => void;
-}
+export type TableHandlers = ActionHandlers<TableAction>;
 
 /** Creates the handlers; each result goes back as an event. */
 export function createTableHandlers(
--- a/packages/daemon/entry/src/request/caller_app.ts
+++ b/packages/daemon/entry/src/request/caller_app.ts
@@ -10,7 +10,10 @@
 import type { Context } from "koa";
 import type { NotRunReason, Outcome } from "@dotterelmoor/core.types";
 import type { CallerRequest } from "./front.ts";
+import { makeNotRun } from "./not_run.ts";
 
+/** Wait in milliseconds that refusals here suggest to the caller. */
+const RETRY_AFTER_MS = 1_000;
 const SERVICE_PREFIX = "/services/";
 /** Reasons that stand for a quota of the team's own document. */
 const QUOTA_REASONS: ReadonlySet<NotRunReason> = new Set([
@@ -67,7 +70,7 @@
   app.use(async (context) => {
     if (options.isLeaving()) context.set("connection", "close");
     if (!options.isReady()) {
-      answerOutcome(context, makeNotRun("not-configured"));
+      answerOutcome(context, makeNotRun("not-configured", RETRY_AFTER_MS));
     } else if (context.path === "/v1/lookup") {
       answerLookup(context, options);
     } else if (context.path.startsWith(SERVICE_PREFIX)) {
@@ -104,7 +107,7 @@
   const startedMs = options.nowMs();
   const body = await readBody(context.req);
   if (body === undefined) {
-    answerOutcome(context, makeNotRun("too-large"));
+    answerOutcome(context, makeNotRun("too-large", RETRY_AFTER_MS));
     return;
   }
   const request = buildRequest(context, body);
@@ -205,7 +208,3 @@
     context.body = { outcome: "unknown", reason: outcome.reason };
   },
 };
-
-function makeNotRun(reason: NotRunReason): Outcome {
-  return { type: "not-run", reason, retryAfterMs: 1_000 };
-}
--- a/packages/daemon/entry/src/request/front.ts
+++ b/packages/daemon/entry/src/request/front.ts
@@ -18,7 +18,10 @@
 import type { ClaimResult } from "../process/claims_part.ts";
 import type { RoutingView } from "../version/routing_view.ts";
 import type { Execution } from "./execution.ts";
+import { makeNotRun } from "./not_run.ts";
 
+/** Wait in milliseconds that refusals here suggest to the caller. */
+const RETRY_AFTER_MS = 1_000;
 /** Attempts over all targets; a certain not-run makes each one safe. */
 const MAX_ROUNDS = 20;
 const ROUND_PAUSE_MS = 25;
@@ -104,12 +107,14 @@
   const kind = service &&
     findRequestKind(service, request.method, request.path);
   if (view === undefined || kind === undefined) {
-    return makeNotRun("not-configured");
+    return makeNotRun("not-configured", RETRY_AFTER_MS);
   }
   const key = kind.keyHeader === undefined
     ? undefined
     : request.headers[kind.keyHeader];
-  if (!kind.repeatable && !key) return makeNotRun("key-missing");
+  if (!kind.repeatable && !key) {
+    return makeNotRun("key-missing", RETRY_AFTER_MS);
+  }
   const execution = buildExecution(parts, { request, kind, key, view });
   if (kind.repeatable || key === undefined) {
     return runRounds(parts, execution, signal);
@@ -163,7 +168,9 @@
     expiresAtMs: execution.deadlineAtMs,
   });
   if (claim.result.type === "forwarded") return claim.result.outcome;
-  if (claim.result.type === "not-run") return makeNotRun(claim.result.reason);
+  if (claim.result.type === "not-run") {
+    return makeNotRun(claim.result.reason, RETRY_AFTER_MS);
+  }
   if (claim.result.type === "unknown") return claim.result;
   const outcome = await runRounds(parts, execution, input.signal);
   if (outcome.type === "not-run") claim.release();
@@ -177,7 +184,7 @@
   execution: Execution,
   signal: AbortSignal,
 ): Promise<Outcome> {
-  let last: NotRun = makeNotRun("group-closed");
+  let last: NotRun = makeNotRun("group-closed", RETRY_AFTER_MS);
   for (let round = 1; round <= MAX_ROUNDS; round += 1) {
     const outcome = await runRound(parts, execution, signal);
     if (outcome.type !== "not-run") return outcome;
@@ -226,7 +233,7 @@
   }
   // A lost attempt may have taken effect, whatever the later ones said. Else
   // the best target's reason counts: another round helps only if that passes.
-  return lost ?? first ?? makeNotRun("deadline-too-short");
+  return lost ?? first ?? makeNotRun("deadline-too-short", RETRY_AFTER_MS);
 }
 
 /** A repeatable request may go on when the owner was lost on the way. */
@@ -238,7 +245,3 @@
   return outcome.reason === "peer-lost" && execution.repeatable &&
     parts.takeRetry(execution.service);
 }
-
-function makeNotRun(reason: NotRunReason): NotRun {
-  return { type: "not-run", reason, retryAfterMs: 1_000 };
-}
--- a/packages/daemon/entry/src/request/target_runner.ts
+++ b/packages/daemon/entry/src/request/target_runner.ts
@@ -6,13 +6,16 @@
 
 import { buildGroupKey } from "@dotterelmoor/core.steering";
 import type { Target } from "@dotterelmoor/core.steering";
-import type { NotRun, NotRunReason, Outcome } from "@dotterelmoor/core.types";
+import type { Outcome } from "@dotterelmoor/core.types";
 import type { CallResult, PeerPool } from "@dotterelmoor/network.peering";
 import type { Groups } from "../process/groups.ts";
 import type { LinkPart } from "../process/link_part.ts";
 import type { Execution } from "./execution.ts";
 import { computeFrameBytes, LINK_WAIT_MS } from "./link_limits.ts";
+import { makeNotRun } from "./not_run.ts";
 
+/** Wait in milliseconds that refusals here suggest to the caller. */
+const RETRY_AFTER_MS = 200;
 /** Time by which the deadline shrinks on the way to a peer. */
 const HOP_MS = 20;
 
@@ -42,7 +45,9 @@
     signal: AbortSignal,
   ): Promise<Outcome> {
     const deadlineMs = execution.deadlineAtMs - options.nowMs() - HOP_MS;
-    if (deadlineMs <= 0) return makeNotRun("deadline-too-short");
+    if (deadlineMs <= 0) {
+      return makeNotRun("deadline-too-short", RETRY_AFTER_MS);
+    }
     const { deadlineAtMs: _, ...rest } = execution;
     const result = await options.peers.call(
       address,
@@ -59,7 +64,9 @@
     if (group !== undefined) return group.execute(execution, signal);
     const address = target.address ??
       options.findOwnerAddress(buildGroupKey(execution.service, target.region));
-    if (address === undefined) return makeNotRun("group-closed");
+    if (address === undefined) {
+      return makeNotRun("group-closed", RETRY_AFTER_MS);
+    }
     if (target.region !== options.region) {
       const isFree = await options.links.takeBytes({
         to: target.region,
@@ -67,7 +74,7 @@
         bytes: computeFrameBytes(execution),
         untilMs: options.nowMs() + LINK_WAIT_MS,
       });
-      if (!isFree) return makeNotRun("link-budget");
+      if (!isFree) return makeNotRun("link-budget", RETRY_AFTER_MS);
     }
     const outcome = await callOwner(address, execution, signal);
     if (outcome.type !== "not-run" || outcome.ownerHint === undefined) {
@@ -84,14 +91,10 @@
         ? result.message.outcome
         : { type: "unknown", reason: "peer-lost" };
     case "not_sent":
-      return makeNotRun("peer-unreachable");
+      return makeNotRun("peer-unreachable", RETRY_AFTER_MS);
     case "lost":
       return { type: "unknown", reason: "peer-lost" };
     case "cancelled":
       return { type: "unknown", reason: "caller-left" };
   }
 }
-
-function makeNotRun(reason: NotRunReason): NotRun {
-  return { type: "not-run", reason, retryAfterMs: 200 };
-}
