Let large and old entries read for their region, and others register nothing

Cause: the entry with the lowest process id read for its region, on grown sites one with 0.19 cores and 7 Mbit/s that 46 others ask; it did not answer in time, was passed over, and others read. Change: capacity is told with membership; the order is by capacity, then age. Only entries that read the store register; only those and entries that know no other list them. Small instances look for others for 300 ms before they read. Plans are read from the store by the reading entry only.

--- a/packages/core/membership/src/messages.ts
+++ b/packages/core/membership/src/messages.ts
@@ -26,6 +26,8 @@
   readonly callerAddress: string;
   readonly region: string;
   readonly zone: string;
+  /** Processor time per second in thousandths of a core that it may use. */
+  readonly capacity: number;
 }
 
 /** What the sender knows of a member; the highest counter wins. */
--- a/packages/core/membership/src/packing.ts
+++ b/packages/core/membership/src/packing.ts
@@ -70,9 +70,9 @@
   // deno-lint-ignore no-explicit-any -- peers of one version share this format
   const fields = item as readonly any[];
   if (fields[0] === "m") {
-    const record = unpackRecord(fields.slice(1, 8));
-    const state = STATES[fields[9]]!;
-    return { type: "member", ...record, counter: fields[8], state };
+    const record = unpackRecord(fields.slice(1, 9));
+    const state = STATES[fields[10]]!;
+    return { type: "member", ...record, counter: fields[9], state };
   }
   if (fields[0] === "r") {
     const [, region, origin, sequence, size, gone, ageMs, packed] = fields;
@@ -110,6 +110,7 @@
     record.callerAddress,
     record.region,
     record.zone,
+    record.capacity,
   ];
 }
 
@@ -123,6 +124,7 @@
     callerAddress,
     region,
     zone,
+    capacity,
   ] = fields;
   return {
     instance,
@@ -132,6 +134,7 @@
     callerAddress,
     region,
     zone,
+    capacity,
   };
 }
 
--- a/packages/core/membership/src/simulated_network.ts
+++ b/packages/core/membership/src/simulated_network.ts
@@ -68,6 +68,7 @@
         callerAddress: `caller-${address}`,
         region,
         zone: `${region}${id.length % 2}`,
+        capacity: 1_000,
       },
       seeds: this.#options.seeds ?? ["r0n0", "r0n1", "r1n0", "r2n0"],
       random: this.random,
--- a/packages/daemon/edge/src/edge_fixture.ts
+++ b/packages/daemon/edge/src/edge_fixture.ts
@@ -262,6 +262,7 @@
     region: "a",
     zone: "a-1",
     zones: { "a-1": "a", "b-1": "b" },
+    capacity: 1_000,
     callers: await listen(),
     lookups: await listen(),
     readiness: await listen(),
--- a/packages/daemon/edge/src/ports.ts
+++ b/packages/daemon/edge/src/ports.ts
@@ -101,6 +101,8 @@
   readonly zone: string;
   /** Region of each availability zone. */
   readonly zones: Readonly<Record<string, string>>;
+  /** Processor time per second, in thousandths of a core. */
+  readonly capacity: number;
   readonly callers: ListenAddress;
   readonly lookups: ListenAddress;
   readonly readiness: ListenAddress;
--- a/packages/daemon/edge/src/process/catalog_watch.ts
+++ b/packages/daemon/edge/src/process/catalog_watch.ts
@@ -27,6 +27,14 @@
  * here: entries round and delay their ages differently. */
 const AGE_SLACK_MS = 300;
 
+/** Interval in milliseconds of the same while nothing is known after a start;
+ * callers are refused until then. */
+const START_INTERVAL_MS = 50;
+
+/** Time in milliseconds after a start for which an entry that knows nothing
+ * itself is asked again: entries that start together read at that moment. */
+const STARTING_MS = 1_000;
+
 /** Interval in milliseconds between the plain lines of a long fault. */
 const WARN_INTERVAL_MS = 5_000;
 
@@ -39,8 +47,12 @@
   readonly metrics: EdgeMetrics;
   readonly log: Logger;
   readonly onChanged: () => void;
-  /** Process ids of the live entries of the region, this one included. */
+  /** Process ids of the live entries of the region, this one included, in
+   * the order in which they are to read. */
   readonly listRegion: () => readonly string[];
+  /** Time in milliseconds after a start in which others are looked for before
+   * this entry reads the store. */
+  readonly joinMs: number;
   /** Asks an entry, or a random one, for what has changed in its catalog. */
   readonly pull: (
     processId: string | undefined,
@@ -67,6 +79,7 @@
 
 class Watch implements CatalogWatch {
   readonly #options: CatalogWatchOptions;
+  readonly #startedAtMs = performance.now();
   readonly #choice = createReaderChoice();
   readonly #readers: Readonly<Record<CatalogTable, TableReader>>;
   /** Latest time at which the catalog was current, as far as others told. */
@@ -126,15 +139,17 @@
   async #run(): Promise<void> {
     while (!this.#stopped) {
       await this.#step();
-      await wait(FOLLOW_INTERVAL_MS);
+      await wait(this.isLoaded ? FOLLOW_INTERVAL_MS : START_INTERVAL_MS);
     }
   }
 
   async #step(): Promise<void> {
-    const { processId, listRegion } = this.#options;
+    const { processId, listRegion, joinMs } = this.#options;
     const nowMs = performance.now();
+    const sinceStartMs = nowMs - this.#startedAtMs;
     const chosen = this.#choice.choose(listRegion(), nowMs);
     if (chosen === processId) {
+      if (!this.isLoaded && sinceStartMs < joinMs) return;
       this.#setReading(true);
       const { servers, orders } = this.#readers;
       const isFailing = servers.isFailing || orders.isFailing;
@@ -146,7 +161,8 @@
     }
     this.#setReading(false);
     const isFollowed = await this.#follow(chosen);
-    if (!isFollowed && chosen !== undefined) {
+    const isStarting = !this.isLoaded && sinceStartMs < STARTING_MS;
+    if (!isFollowed && !isStarting && chosen !== undefined) {
       this.#choice.passOver(chosen, performance.now());
     }
   }
--- a/packages/daemon/edge/src/process/catalog_watch_test.ts
+++ b/packages/daemon/edge/src/process/catalog_watch_test.ts
@@ -37,7 +37,8 @@
     metrics: createEdgeMetrics({ address: undefined, store }),
     log: pino({ level: "silent" }),
     onChanged: () => {},
-    listRegion: () => members,
+    listRegion: () => [...members].sort(),
+    joinMs: 0,
     pull: () => Promise.resolve(answer),
   });
   while (!watch.isLoaded) await wait(20);
--- a/packages/daemon/edge/src/process/lookups_test.ts
+++ b/packages/daemon/edge/src/process/lookups_test.ts
@@ -16,6 +16,7 @@
     callerAddress,
     region,
     zone: `${region}-1`,
+    capacity: 378,
     counter: 0,
     state,
   };
--- a/packages/daemon/edge/src/process/plan_keeping.ts
+++ b/packages/daemon/edge/src/process/plan_keeping.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps what entries learnt of services over starts: a starting entry asks
- * another one of its region, or, if all ended together, reads what the region
- * kept in the store.
+ * another one of its region. If all ended together, the one that reads the
+ * store reads what the region kept there, and the others ask it.
  *
  * @module
  */
@@ -36,8 +36,8 @@
   readonly source: CatalogStore;
   readonly store: DisposableStore;
   readonly log: Logger;
-  /** True while this entry keeps the plans of its region. */
-  readonly isWriter: () => boolean;
+  /** True while this entry keeps the plans of its region in the store. */
+  readonly isKeeper: () => boolean;
 }
 
 /** Starts both; the result tells whether taking over has ended. */
@@ -51,6 +51,7 @@
   isTakenOver = false;
   readonly #options: PlanKeepingOptions;
   readonly #startedAtMs = performance.now();
+  #hasRead = false;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: PlanKeepingOptions) {
@@ -85,22 +86,25 @@
   }
 
   async #readKept(): Promise<PlacingPlans | undefined> {
-    const { source, region, log } = this.#options;
+    const { source, region, log, isKeeper } = this.#options;
     const ageMs = performance.now() - this.#startedAtMs;
-    if (ageMs < PEERS_FIRST_MS) return undefined;
+    if (this.#hasRead || !isKeeper() || ageMs < PEERS_FIRST_MS) {
+      return undefined;
+    }
     const read = await source.readPlans(region);
     if (read.isErr()) {
       log.warn({ code: read.error.code }, "Kept plans not read.");
       return undefined;
     }
+    this.#hasRead = true;
     if (read.value === undefined || isPlans(read.value)) return read.value;
     log.warn("Kept plans have a wrong shape.");
     return undefined;
   }
 
   async #keep(): Promise<void> {
-    const { isWriter, placer, source, region, log } = this.#options;
-    const plans = isWriter()
+    const { isKeeper, placer, source, region, log } = this.#options;
+    const plans = isKeeper()
       ? placer.exportPlans(performance.now())
       : undefined;
     if (plans === undefined) return;
--- a/packages/daemon/edge/src/process/reader_choice.ts
+++ b/packages/daemon/edge/src/process/reader_choice.ts
@@ -14,13 +14,13 @@
 
 /** The entry that this one learns from. */
 export interface ReaderChoice {
-  /** Process id of the first entry that is not passed over; undefined if all
-   * are. */
+  /** First of the process ids, in the order of the entries, that is not passed
+   * over; undefined if all are. */
   choose(processIds: readonly string[], nowMs: number): string | undefined;
   passOver(processId: string, nowMs: number): void;
 }
 
-/** Creates a choice; all entries of a region have the same order. */
+/** Creates a choice. */
 export function createReaderChoice(): ReaderChoice {
   const passedOver = new Map<string, number>();
   return {
@@ -28,7 +28,7 @@
       for (const [id, untilMs] of passedOver) {
         if (untilMs <= nowMs) passedOver.delete(id);
       }
-      return [...processIds].sort().find((id) => !passedOver.has(id));
+      return processIds.find((id) => !passedOver.has(id));
     },
     passOver: (processId, nowMs) => {
       passedOver.set(processId, nowMs + PASS_OVER_MS);
--- a/packages/daemon/edge/src/process/reader_choice_test.ts
+++ b/packages/daemon/edge/src/process/reader_choice_test.ts
@@ -1,13 +1,28 @@
 import test from "ava";
+import { sortEntries } from "./entry_order.ts";
 import { createReaderChoice } from "./reader_choice.ts";
 
+function makeEntry(processId: string) {
+  return {
+    instance: processId,
+    processId,
+    incarnation: 1,
+    peerAddress: "",
+    callerAddress: "",
+    region: "a",
+    zone: "a-1",
+    capacity: 378,
+  };
+}
+
 test("guards against entries of a region that choose different readers", (t) => {
   const choices = [createReaderChoice(), createReaderChoice()];
-  const orders = [["p2", "p1", "p3"], ["p3", "p2", "p1"]];
-  t.deepEqual(
-    choices.map((choice, index) => choice.choose(orders[index]!, 0)),
-    ["p1", "p1"],
-  );
+  const known = [["p2", "p1", "p3"], ["p3", "p2", "p1"]];
+  const chosen = choices.map((choice, index) => {
+    const entries = sortEntries(known[index]!.map((id) => makeEntry(id)));
+    return choice.choose(entries.map(({ processId }) => processId), 0);
+  });
+  t.deepEqual(chosen, ["p1", "p1"]);
 });
 
 test("guards against a reader that failed and is asked again at once", (t) => {
--- a/packages/daemon/edge/src/process/registration.ts
+++ b/packages/daemon/edge/src/process/registration.ts
@@ -1,5 +1,8 @@
 /**
- * Registers this entry in the store and reads the others from it.
+ * Finds entries through the store when seeds lead to none.
+ *
+ * Calls to the store are paid for, so only the entries that read it register,
+ * and only those and entries that know no other one look for others there.
  *
  * @module
  */
@@ -8,10 +11,9 @@
 import type { Logger } from "pino";
 import type { CatalogStore } from "../ports.ts";
 
-/** Pauses in milliseconds between reads of the list: entries that start with
- * this one register within the first second, and the list is a fallback for
- * seeds that are out of date later. */
-const READ_PAUSES_MS = [700, 2_000, 15_000];
+/** Pauses in milliseconds before looks: seeds answer within the first few
+ * hundred; later looks join entries that know only some of the others. */
+const PAUSES_MS = [300, 700, 2_000, 5_000, 15_000];
 
 /** Options of `startRegistration`. */
 export interface RegistrationOptions {
@@ -19,30 +21,48 @@
   readonly instance: string;
   readonly peerAddress: string;
   readonly addSeeds: (addresses: readonly string[]) => void;
+  /** True while this entry reads the store for its region. */
+  readonly isReading: () => boolean;
+  /** True while no other live entry is known. */
+  readonly isAlone: () => boolean;
   readonly store: DisposableStore;
   readonly log: Logger;
 }
 
-/** Starts to register and to read. */
+/** Starts to register and to look for others. */
 export function startRegistration(options: RegistrationOptions): void {
-  const { source, instance, peerAddress, store, log } = options;
+  const { store } = options;
   let timer: NodeJS.Timeout | undefined;
-  let registered = false;
-  let reads = 0;
-  const step = async () => {
-    if (!registered) {
-      const written = await source.registerEntry(instance, peerAddress);
-      registered = written.isOk();
-      if (written.isErr()) {
-        log.warn({ code: written.error.code }, "Entry not registered.");
-      }
+  let looks = 0;
+  let isRegistered = false;
+  const look = async () => {
+    if (options.isReading() && !isRegistered) {
+      isRegistered = await register(options);
     }
-    const listed = await source.listEntries();
-    if (listed.isOk()) options.addSeeds(listed.value);
-    const last = READ_PAUSES_MS.length - 1;
-    timer = setTimeout(step, READ_PAUSES_MS[Math.min(reads, last)]);
-    reads += 1;
+    if (options.isReading() || options.isAlone()) await findOthers(options);
+    schedule();
+  };
+  const schedule = () => {
+    const pauseMs = PAUSES_MS[Math.min(looks, PAUSES_MS.length - 1)]!;
+    looks += 1;
+    timer = setTimeout(() => void look(), pauseMs);
   };
-  void step();
+  schedule();
   store.add(() => clearTimeout(timer));
 }
+
+async function register(options: RegistrationOptions): Promise<boolean> {
+  const { source, instance, peerAddress, log } = options;
+  const written = await source.registerEntry(instance, peerAddress);
+  if (written.isErr()) {
+    log.warn({ code: written.error.code }, "Entry not registered.");
+  }
+  return written.isOk();
+}
+
+async function findOthers(options: RegistrationOptions): Promise<void> {
+  const { source, addSeeds, log } = options;
+  const listed = await source.listEntries();
+  if (listed.isOk()) addSeeds(listed.value);
+  else log.warn({ code: listed.error.code }, "Entries not listed.");
+}
--- /dev/null
+++ b/packages/daemon/edge/src/process/registration_test.ts
@@ -0,0 +1,48 @@
+import test from "ava";
+import { DisposableStore } from "@dotterelmoor/core.types";
+import { pino } from "pino";
+import { createMemoryStore } from "../edge_fixture.ts";
+import { startRegistration } from "./registration.ts";
+
+/** Covers the first two looks, at 300 and 1,000 ms. */
+const TWO_LOOKS_MS = 1_200;
+
+async function runLooks(state: {
+  readonly isReading: boolean;
+  readonly isAlone: boolean;
+}) {
+  const memory = createMemoryStore();
+  await memory.createClient("other").registerEntry("n9", "10.0.0.9:7620");
+  const store = new DisposableStore();
+  const seeds = new Set<string>();
+  startRegistration({
+    source: memory.createClient("n1"),
+    instance: "n1",
+    peerAddress: "10.0.0.1:7620",
+    addSeeds: (addresses) => addresses.forEach((one) => seeds.add(one)),
+    isReading: () => state.isReading,
+    isAlone: () => state.isAlone,
+    store,
+    log: pino({ level: "silent" }),
+  });
+  await new Promise((resolve) => setTimeout(resolve, TWO_LOOKS_MS));
+  await store.dispose();
+  return { calls: memory.countCalls("n1"), seeds: [...seeds] };
+}
+
+test("guards against calls to the store by entries that know others", async (t) => {
+  const { calls } = await runLooks({ isReading: false, isAlone: false });
+  t.is(calls, 0);
+});
+
+test("guards against an entry without reachable seeds that stays alone", async (t) => {
+  const { seeds } = await runLooks({ isReading: false, isAlone: true });
+  t.deepEqual(seeds, ["10.0.0.9:7620"]);
+});
+
+test("guards against groups of entries that do not find each other", async (t) => {
+  const { calls, seeds } = await runLooks({ isReading: true, isAlone: false });
+  t.deepEqual(seeds, ["10.0.0.9:7620", "10.0.0.1:7620"]);
+  // One registration and two looks.
+  t.is(calls, 3);
+});
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -16,6 +16,7 @@
 import type { EdgePlatform, EdgeSettings, ListenAddress } from "./ports.ts";
 import { startCatalogWatch } from "./process/catalog_watch.ts";
 import type { CatalogWatch } from "./process/catalog_watch.ts";
+import { sortEntries } from "./process/entry_order.ts";
 import { createEdgeLog } from "./process/logging.ts";
 import type { EdgeLog } from "./process/logging.ts";
 import {
@@ -55,6 +56,14 @@
  * configuration is known; longer than any that an installation states. */
 const STARTING_IDLE_MS = 60_000;
 
+/** Capacity, in thousandths of a core, below which an instance starts so
+ * slowly that larger ones have read the store before it. */
+const SMALL_CAPACITY = 250;
+
+/** Time in milliseconds in which such an instance finds the others: two round
+ * trips to a seed in another region. */
+const JOIN_MS = 300;
+
 /** A running edge. */
 export interface Edge {
   /** Ends gracefully, within the platform's grace. */
@@ -129,6 +138,8 @@
     instance: settings.instance,
     peerAddress: formatAddress(settings.peers),
     addSeeds: (addresses) => peers.addSeeds(addresses),
+    isReading: () => watch.isReading,
+    isAlone: () => peers.membership.liveMembers().length <= 1,
     store,
     log: log.part("member"),
   });
@@ -137,7 +148,7 @@
     placer,
     region: settings.region,
     source: platform.store,
-    isWriter: () => watch.isReading,
+    isKeeper: () => watch.isReading,
     store,
     log: log.part("plan"),
   });
@@ -170,6 +181,7 @@
       callerAddress: formatAddress(settings.callers),
       region,
       zone,
+      capacity: settings.capacity,
     },
     listen: settings.peers,
     token: settings.peerToken,
@@ -240,9 +252,9 @@
     metrics,
     log: log.part("catalog"),
     listRegion: () =>
-      peers.membership.liveMembers(settings.region).map((member) =>
-        member.processId
-      ),
+      sortEntries(peers.membership.liveMembers(settings.region))
+        .map((member) => member.processId),
+    joinMs: settings.capacity < SMALL_CAPACITY ? JOIN_MS : 0,
     pull: (id) => peers.pullCatalog(id),
     onChanged: () => {
       const { document } = catalog;
--- a/packages/daemon/entry/src/wiring/parts.ts
+++ b/packages/daemon/entry/src/wiring/parts.ts
@@ -35,6 +35,10 @@
 
 const LINK_PREFIX = "links/";
 
+/** Capacity told to peers, in thousandths of a core. Entries of documents are
+ * of one size, so only that it is the same for all matters. */
+const ENTRY_CAPACITY = 1_000;
+
 /** Addresses that other processes use to reach this one. */
 export interface Addresses {
   readonly callers: string;
@@ -102,6 +106,7 @@
       ...base.identity(),
       peerAddress: parts.addresses.peers,
       callerAddress: parts.addresses.callers,
+      capacity: ENTRY_CAPACITY,
     },
     seeds: settings.seeds,
     random,
--- a/packages/testing/bench/src/slopes/fleet.ts
+++ b/packages/testing/bench/src/slopes/fleet.ts
@@ -126,6 +126,7 @@
         callerAddress: `10.0.${id >> 8}.${id & 255}:8080`,
         region,
         zone: `${region}-${Math.floor(id / regions) % 4}`,
+        capacity: 1_000,
       },
       seeds,
       random,
