Take objects home where far answers are early only without waits

Change: objects stay shared only if a far answer needs less than 0.8 of the target; between that and the target they start shared and go home at the usual speed; above it they start at home.

--- a/packages/core/placing/src/rank_warmth.ts
+++ b/packages/core/placing/src/rank_warmth.ts
@@ -10,7 +10,7 @@
 
 /** Warm share of each place in the order before anything is learnt. Places
  * beyond these are taken to be cold: requests reach them too rarely. */
-const INITIAL_SHARES: readonly number[] = [1, 0.7, 0.4];
+const INITIAL_SHARES: readonly number[] = [1, 0.6, 0.3];
 
 /** Weight of a run; about 50 runs of the region count, less than a second's. */
 const RUN_WEIGHT = 0.02;
--- a/packages/core/placing/src/service_state.ts
+++ b/packages/core/placing/src/service_state.ts
@@ -22,9 +22,11 @@
  * new connection, one for the request, and 20 ms to and from the caller. */
 const FAR_MS = 160;
 
-/** Margin within which a service stays shared or at home, as a share of its
- * target latency: run times vary, and a change moves many objects. */
-const FAR_MARGIN = 0.1;
+/** Part of the target latency within which far answers are early enough that
+ * objects stay shared: the rest is for waiting at servers and entries. Between
+ * the two, nothing changes, since each change moves many objects. */
+const FAR_SHARE = 0.8;
+const NOT_FAR_SHARE = 0.88;
 
 /** Updates before shares move: the rate of arrivals is not known earlier. */
 const SETTLING_UPDATES = 4;
@@ -171,9 +173,12 @@
   update({ rooms, entries, nowMs }: ServiceUpdate): void {
     const elapsedS = (nowMs - (this.#updatedAtMs ?? nowMs)) / 1_000;
     this.#updatedAtMs = nowMs;
-    this.#updateFarInTime();
-    if (this.#isStarting && !this.#isFarInTime) this.plan.setHomeShare(1);
+    const farMs = (this.#all?.warmMs ?? 0) + FAR_MS;
+    // Shared at first, as every server is cold, unless that would be too late.
+    if (this.#isStarting && farMs >= this.#targetMs) this.plan.setHomeShare(1);
     this.#isStarting = false;
+    const share = this.#isFarInTime ? NOT_FAR_SHARE : FAR_SHARE;
+    this.#isFarInTime = farMs < share * this.#targetMs;
     // Without reports, callers are taken to spread evenly over the entries.
     const arrivals = this.#reported > 0
       ? this.#arrivals + this.#reported
@@ -195,11 +200,4 @@
     });
     this.#updates += 1;
   }
-
-  #updateFarInTime(): void {
-    if (this.#all === undefined) return;
-    const farMs = this.#all.warmMs + FAR_MS;
-    const margin = this.#isFarInTime ? FAR_MARGIN : 0;
-    this.#isFarInTime = farMs < (1 + margin) * this.#targetMs;
-  }
 }
