Assign objects to servers evenly, by one entry for all

Cause: the first server of each object's own order holds none to five objects, so some servers queue and spill while others idle; spilled runs are cold and take 3.3 times the slots. Change: the first entry of a region assigns the objects that went home, that of the first region those that all share: the best server of the object's order among those with fewest objects, kept while the server lasts; tables travel as changes with the exchange of loads. Only the first eight servers of an order are considered, kept for each object.

--- /dev/null
+++ b/packages/core/placing/src/assigner_test.ts
@@ -0,0 +1,126 @@
+import test from "ava";
+import type { TrackedServer } from "@dotterelmoor/core.catalog";
+import { Assigner, AssignmentTable } from "./mod.ts";
+
+function makeServer(id: string, coldUntilMs = -Infinity): TrackedServer {
+  return {
+    record: {
+      id,
+      service: "desk",
+      address: "10.0.0.1:80",
+      zone: "a-1",
+      slots: 4,
+      state: "ready",
+      coldMs: 0,
+      bornMs: 1,
+      sequence: 1,
+    },
+    region: "a",
+    coldUntilMs,
+    missingSinceMs: undefined,
+  };
+}
+
+const SERVERS = [...Array(10).keys()].map((index) => makeServer(`s${index}`));
+const KEYS = [...Array(25).keys()].map((index) => `desk\nr1 ${index}`);
+
+function createAssigner(keys = KEYS, servers = SERVERS) {
+  const assigner = new Assigner(new AssignmentTable("p1"), 0);
+  const update = (nowMs: number, current = servers) => {
+    assigner.addUses(keys, nowMs);
+    assigner.update({ findServers: () => current, nowMs });
+  };
+  return { assigner, update };
+}
+
+function countHeld({ table }: Assigner): Map<string, number> {
+  const held = new Map<string, number>();
+  for (const key of KEYS) {
+    const id = table.find(key) ?? "none";
+    held.set(id, (held.get(id) ?? 0) + 1);
+  }
+  return held;
+}
+
+test("guards against objects that pile up at some servers", (t) => {
+  const { assigner, update } = createAssigner();
+  update(0);
+  const held = [...countHeld(assigner).values()];
+  t.is(held.length, 10);
+  t.true(Math.min(...held) >= 2);
+  t.true(Math.max(...held) <= 3);
+});
+
+test("guards against a lost server that moves the objects of others", (t) => {
+  const { assigner, update } = createAssigner();
+  update(0);
+  const before = new Map(KEYS.map((key) => [key, assigner.table.find(key)]));
+  update(100, SERVERS.slice(1));
+  for (const key of KEYS) {
+    const after = assigner.table.find(key);
+    if (before.get(key) === "s0") t.not(after, "s0");
+    else t.is(after, before.get(key));
+  }
+});
+
+test("guards against servers that join and get no object, and cold ones that do", (t) => {
+  const { assigner, update } = createAssigner();
+  update(0, SERVERS.slice(0, 5));
+  const joined = [...SERVERS.slice(0, 5), makeServer("s9", 5_000)];
+  for (let nowMs = 1_000; nowMs < 5_000; nowMs += 500) update(nowMs, joined);
+  t.is(countHeld(assigner).get("s9"), undefined);
+  let moved = 0;
+  for (let nowMs = 5_000; nowMs < 10_000; nowMs += 500) {
+    const before = countHeld(assigner).get("s9") ?? 0;
+    update(nowMs, joined);
+    const after = countHeld(assigner).get("s9") ?? 0;
+    moved = Math.max(moved, after - before);
+  }
+  t.is(moved, 1);
+  t.true(countHeld(assigner).get("s9")! >= 3);
+});
+
+test("guards against objects that no caller asks for and that take places", (t) => {
+  const { assigner, update } = createAssigner();
+  update(0);
+  assigner.addUses([KEYS[0]!], 15_000);
+  assigner.update({ findServers: () => SERVERS, nowMs: 21_000 });
+  t.truthy(assigner.table.find(KEYS[0]!));
+  t.is(assigner.table.find(KEYS[1]!), undefined);
+});
+
+test("guards against objects that move when another entry assigns them", (t) => {
+  const { assigner, update } = createAssigner();
+  update(0);
+  const copy = new AssignmentTable();
+  copy.apply(assigner.table.changesSince(copy.position));
+  const next = new Assigner(copy.fork("p2"), 100);
+  next.update({ findServers: () => SERVERS, nowMs: 100 });
+  for (const key of KEYS) t.is(next.table.find(key), assigner.table.find(key));
+  // A copy of the first one gets the whole table of the second one.
+  const changes = next.table.changesSince(copy.position);
+  t.true(changes.isComplete);
+});
+
+test("guards against changes that a copy of a table misses", (t) => {
+  const original = new AssignmentTable("p1");
+  const copy = new AssignmentTable();
+  const second = new AssignmentTable();
+  const follow = () => {
+    copy.apply(original.changesSince(copy.position));
+    second.apply(copy.changesSince(second.position));
+  };
+  original.set("a", "s1");
+  original.set("b", "s2");
+  follow();
+  original.set("a", "s3");
+  original.remove("b");
+  const changes = original.changesSince(copy.position);
+  t.false(changes.isComplete);
+  t.is(changes.assignments.length, 2);
+  follow();
+  for (const table of [copy, second]) {
+    t.is(table.find("a"), "s3");
+    t.is(table.find("b"), undefined);
+  }
+});
--- a/packages/core/placing/src/candidates.ts
+++ b/packages/core/placing/src/candidates.ts
@@ -5,6 +5,7 @@
  */
 
 import type { TrackedServer } from "@dotterelmoor/core.catalog";
+import { getObjectKey } from "./object_key.ts";
 import type { ServerLoad } from "./server_load.ts";
 import type { PlaceRequest } from "./types.ts";
 import type { WorkModel } from "./work_model.ts";
@@ -102,22 +103,3 @@
 ): boolean {
   return nowMs < place.server.coldUntilMs || place.load.mayHaveRestarted(nowMs);
 }
-
-/** Names the object of a request; objects of two routes differ. */
-export function getObjectKey(request: PlaceRequest): string | undefined {
-  if (request.object === undefined) return undefined;
-  return `${request.route} ${request.object}`;
-}
-
-/** Groups servers by region. */
-export function splitByRegion(
-  servers: readonly TrackedServer[],
-): Map<string, TrackedServer[]> {
-  const groups = new Map<string, TrackedServer[]>();
-  for (const server of servers) {
-    const group = groups.get(server.region);
-    if (group === undefined) groups.set(server.region, [server]);
-    else group.push(server);
-  }
-  return groups;
-}
--- a/packages/core/placing/src/mod.ts
+++ b/packages/core/placing/src/mod.ts
@@ -4,12 +4,21 @@
  * @module
  */
 
+export { Assigner } from "./assigner.ts";
+export type { AssignOptions } from "./assigner.ts";
+export { AssignmentTable } from "./assignment_table.ts";
+export type {
+  Assignment,
+  TableChanges,
+  TablePosition,
+} from "./assignment_table.ts";
 export { createPlacer } from "./placer.ts";
 export type { Placer, PlacerOptions } from "./placer.ts";
 export type { PlacingPlans, PlanDescription } from "./service_states.ts";
 export type { ServicePlan } from "./service_state.ts";
 export type { RunTimes } from "./work_model.ts";
 export type {
+  AssignmentScope,
   Observations,
   Placement,
   PlaceRequest,
--- a/packages/core/placing/src/observing.ts
+++ b/packages/core/placing/src/observing.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Observations, RunObservation } from "./types.ts";
+import type { AssignmentScope, Observations, RunObservation } from "./types.ts";
 
 /** Runs kept between two reports, which are 200 ms apart; further ones would
  * change the averages of the region little. */
@@ -14,6 +14,11 @@
 export class ObservationLog {
   #arrivals = new Map<string, number>();
   #runs: RunObservation[] = [];
+  #uses = createUses();
+
+  addUse(scope: AssignmentScope, key: string): void {
+    this.#uses[scope].add(key);
+  }
 
   addArrival(service: string): void {
     this.#arrivals.set(service, (this.#arrivals.get(service) ?? 0) + 1);
@@ -24,9 +29,15 @@
   }
 
   take(): Observations {
-    const taken = { arrivals: this.#arrivals, runs: this.#runs };
+    const uses = { all: [...this.#uses.all], home: [...this.#uses.home] };
+    const taken = { uses, arrivals: this.#arrivals, runs: this.#runs };
     this.#arrivals = new Map();
     this.#runs = [];
+    this.#uses = createUses();
     return taken;
   }
 }
+
+function createUses(): Record<AssignmentScope, Set<string>> {
+  return { all: new Set(), home: new Set() };
+}
--- a/packages/core/placing/src/placer.ts
+++ b/packages/core/placing/src/placer.ts
@@ -12,20 +12,17 @@
 
 import type { TrackedServer } from "@dotterelmoor/core.catalog";
 import type { Random } from "@dotterelmoor/core.types";
-import {
-  computeCandidate,
-  getObjectKey,
-  getRttMs,
-  isCold,
-  splitByRegion,
-} from "./candidates.ts";
+import { computeCandidate, getRttMs, isCold } from "./candidates.ts";
 import type { Candidate } from "./candidates.ts";
+import { getObjectKey } from "./object_key.ts";
 import { ObservationLog } from "./observing.ts";
 import { ServerLoads } from "./server_loads.ts";
 import { ServerOrder } from "./server_order.ts";
+import type { RegionOrders } from "./server_order.ts";
 import { ServiceStates } from "./service_states.ts";
 import type { PlacingPlans, PlanDescription } from "./service_states.ts";
 import type {
+  AssignmentScope,
   Observations,
   Placement,
   PlaceRequest,
@@ -59,6 +56,11 @@
   readonly random: Random;
   /** Live entries of the home region, this one included. */
   readonly countEntries: () => number;
+  /** Id of the server that an object is assigned to. */
+  readonly findAssigned: (
+    scope: AssignmentScope,
+    key: string,
+  ) => string | undefined;
 }
 
 /** Places the requests of one entry. */
@@ -106,6 +108,12 @@
   return new AffinityPlacer(options);
 }
 
+/** Where a request is to run if nothing speaks against it. */
+interface PlannedPlace {
+  readonly region: string;
+  readonly assigned: TrackedServer | undefined;
+}
+
 class AffinityPlacer implements Placer {
   readonly #options: PlacerOptions;
   readonly #services: ServiceStates;
@@ -132,11 +140,9 @@
     servers: readonly TrackedServer[],
     nowMs: number,
   ): Placement {
-    const allowed = servers.filter((server) =>
-      this.#isUsable(server, request, nowMs)
-    );
     const planned = this.#choosePlanned(request, servers, nowMs);
-    const chosen = this.#choose(allowed, { request, planned, nowMs });
+    const orders = this.#findOrders(request, { servers, planned, nowMs });
+    const chosen = this.#choose(orders, { request, planned, nowMs });
     if (chosen === undefined) {
       return this.#refuse("no-server", NO_SERVER_RETRY_MS, { servers: 0 });
     }
@@ -144,7 +150,7 @@
     const busy = load.estimateLoad(nowMs);
     const latestMs = computeLatest(request);
     const inputs: RefusalInputs = {
-      servers: allowed.length,
+      servers: servers.length,
       server: server.record.id,
       busy: Math.round(busy),
       expectedMs: Math.round(expectedMs),
@@ -246,38 +252,78 @@
     request: PlaceRequest,
     servers: readonly TrackedServer[],
     nowMs: number,
-  ): string {
-    const { homeRegion, random, countEntries } = this.#options;
+  ): PlannedPlace {
+    const { homeRegion, random, countEntries, findAssigned } = this.#options;
+    const { allowedRegions } = request;
     const service = this.#services.get(request.service);
     service.getWork(request.route, request.targetLatencyMs);
     if (!service.isPlanned) {
       const entries = countEntries();
       this.#services.update(service, { servers, entries, nowMs });
     }
-    const object = getObjectKey(request) ?? String(random());
-    return service.plan.choose(object, request.allowedRegions) ?? homeRegion;
+    const key = getObjectKey(request);
+    const object = key ?? String(random());
+    const isHome = service.plan.isHome(object, allowedRegions);
+    const scope = isHome ? "home" : "all";
+    if (key !== undefined) this.#observations.addUse(scope, key);
+    const id = key === undefined ? undefined : findAssigned(scope, key);
+    const assigned = id === undefined
+      ? undefined
+      : servers.find(({ record }) => record.id === id);
+    if (assigned !== undefined && isAllowed(assigned.region, request)) {
+      return { region: assigned.region, assigned };
+    }
+    const region = isHome
+      ? homeRegion
+      : service.plan.chooseShared(object, allowedRegions) ?? homeRegion;
+    return { region, assigned: undefined };
+  }
+
+  /** Usable servers by region, the assigned one first. */
+  #findOrders(
+    request: PlaceRequest,
+    context: {
+      readonly servers: readonly TrackedServer[];
+      readonly planned: PlannedPlace;
+      readonly nowMs: number;
+    },
+  ): RegionOrders {
+    const { servers, planned, nowMs } = context;
+    const { region, assigned } = planned;
+    const usable = new Map<string, readonly TrackedServer[]>();
+    const orders = this.#order.get(servers, getObjectKey(request));
+    for (const [name, order] of orders) {
+      if (!isAllowed(name, request)) continue;
+      const all = assigned === undefined || name !== region
+        ? order
+        : [assigned, ...order.filter((server) => server !== assigned)];
+      const left = all.filter((server) =>
+        this.#isUsable(server, request, nowMs)
+      );
+      if (left.length > 0) usable.set(name, left);
+    }
+    return usable;
   }
 
   /** Leaves the planned region if it has no server or would be late. */
   #choose(
-    servers: readonly TrackedServer[],
+    orders: RegionOrders,
     context: {
       readonly request: PlaceRequest;
-      readonly planned: string;
+      readonly planned: PlannedPlace;
       readonly nowMs: number;
     },
   ): Candidate | undefined {
     const { request, planned, nowMs } = context;
-    const groups = splitByRegion(servers);
-    const first = this.#chooseIn(groups.get(planned), request, nowMs);
+    const first = this.#chooseIn(orders.get(planned.region), request, nowMs);
     const isLate = first !== undefined &&
       first.expectedMs + request.ageMs > request.targetLatencyMs &&
       first.load.estimateLoad(nowMs) >= first.server.record.slots;
     if (first !== undefined && !(isLate && this.#escapes >= 1)) return first;
     let best = first;
-    for (const [region, group] of groups) {
-      if (region === planned) continue;
-      const other = this.#chooseIn(group, request, nowMs);
+    for (const [region, order] of orders) {
+      if (region === planned.region) continue;
+      const other = this.#chooseIn(order, request, nowMs);
       if (other === undefined) continue;
       if (best === undefined || other.costMs < best.costMs) best = other;
     }
@@ -286,7 +332,7 @@
   }
 
   #chooseIn(
-    servers: readonly TrackedServer[] = [],
+    order: readonly TrackedServer[] = [],
     request: PlaceRequest,
     nowMs: number,
   ): Candidate | undefined {
@@ -296,8 +342,7 @@
     const work = service.getWork(route, targetLatencyMs);
     const { meanRunMs } = service;
     let best: Candidate | undefined;
-    const ordered = this.#order.sort(servers, getObjectKey(request));
-    for (const [rank, server] of ordered.entries()) {
+    for (const [rank, server] of order.entries()) {
       const load = this.#loads.get(server, nowMs);
       const inputs = {
         server,
@@ -333,11 +378,7 @@
     request: PlaceRequest,
     nowMs: number,
   ): boolean {
-    const { allowedRegions, excluded } = request;
-    if (excluded.has(server.record.id)) return false;
-    if (allowedRegions.length > 0 && !allowedRegions.includes(server.region)) {
-      return false;
-    }
+    if (request.excluded.has(server.record.id)) return false;
     const load = this.#loads.get(server, nowMs);
     if (load.isPaused(nowMs)) return false;
     if (!isCold({ server, load }, nowMs)) return true;
@@ -361,6 +402,10 @@
   }
 }
 
+function isAllowed(region: string, { allowedRegions }: PlaceRequest): boolean {
+  return allowedRegions.length === 0 || allowedRegions.includes(region);
+}
+
 /** The longest time in milliseconds that is accepted. What was sent before
  * would be lost with a refusal, so a second send may take until the deadline. */
 function computeLatest(request: PlaceRequest): number {
--- a/packages/core/placing/src/placer_test.ts
+++ b/packages/core/placing/src/placer_test.ts
@@ -54,6 +54,7 @@
     homeRegion: "home",
     random,
     countEntries: () => countEntries,
+    findAssigned: () => undefined,
   });
 }
 
--- a/packages/core/placing/src/region_plan.ts
+++ b/packages/core/placing/src/region_plan.ts
@@ -66,21 +66,26 @@
     this.#homeShare = Math.max(0, Math.min(1, homeShare));
   }
 
-  /** Region of an object; undefined if no allowed region has servers. */
-  choose(
+  /** Tells whether the home region took an object over. */
+  isHome(object: string, allowedRegions: readonly string[]): boolean {
+    const hasHome = this.#findAllowed(allowedRegions).some(
+      ({ region, slots }) => region === this.#home && slots > 0,
+    );
+    return hasHome && computePosition(`\0${object}`) < this.#homeShare;
+  }
+
+  /** Region of an object that is shared by all regions and not assigned to a
+   * server; undefined if no allowed region has servers. */
+  chooseShared(
     object: string,
     allowedRegions: readonly string[],
   ): string | undefined {
-    const rooms = allowedRegions.length === 0
-      ? this.#rooms
-      : this.#rooms.filter(({ region }) => allowedRegions.includes(region));
-    const hasHome = rooms.some(({ region, slots }) =>
-      region === this.#home && slots > 0
-    );
-    if (hasHome && computePosition(`\0${object}`) < this.#homeShare) {
-      return this.#home;
-    }
-    return chooseShared(rooms, object);
+    return chooseShared(this.#findAllowed(allowedRegions), object);
+  }
+
+  #findAllowed(allowedRegions: readonly string[]): readonly RegionRoom[] {
+    if (allowedRegions.length === 0) return this.#rooms;
+    return this.#rooms.filter(({ region }) => allowedRegions.includes(region));
   }
 
   /** Takes over the slots of the regions, and moves towards the demand. */
--- a/packages/core/placing/src/region_plan_test.ts
+++ b/packages/core/placing/src/region_plan_test.ts
@@ -12,8 +12,18 @@
 
 const OBJECTS = [...Array(2_000).keys()].map((index) => `object ${index}`);
 
+function choose(
+  plan: RegionPlan,
+  object: string,
+  allowedRegions: readonly string[] = [],
+): string | undefined {
+  return plan.isHome(object, allowedRegions)
+    ? "home"
+    : plan.chooseShared(object, allowedRegions);
+}
+
 function chooseAll(plan: RegionPlan): (string | undefined)[] {
-  return OBJECTS.map((object) => plan.choose(object, []));
+  return OBJECTS.map((object) => choose(plan, object));
 }
 
 function measureShare(plan: RegionPlan, region: string): number {
@@ -94,6 +104,6 @@
   const plan = new RegionPlan("home", 1);
   const rooms = [{ region: "home", slots: 0 }, { region: "far", slots: 3 }];
   plan.update({ ...AT_HOME, demandSlots: 1, rooms, maxStep: 0.02 });
-  t.is(plan.choose("x", []), "far");
-  t.is(plan.choose("x", ["home"]), undefined);
+  t.is(choose(plan, "x"), "far");
+  t.is(choose(plan, "x", ["home"]), undefined);
 });
--- a/packages/core/placing/src/server_order.ts
+++ b/packages/core/placing/src/server_order.ts
@@ -8,46 +8,85 @@
 import type { Random } from "@dotterelmoor/core.types";
 import { computeDistance } from "./hashing.ts";
 
-/** Pairs of objects and servers whose distance is kept. */
-const MAX_DISTANCES = 20_000;
+/** Servers of a region that are considered for an object. Further ones are
+ * cold, and would take slots from what is warm there. */
+const MAX_SERVERS = 8;
+
+/** Objects whose order is kept. */
+const MAX_OBJECTS = 4_096;
+
+/** The first servers of each region, in order. */
+export type RegionOrders = ReadonlyMap<string, readonly TrackedServer[]>;
+
+interface KeptOrder {
+  /** The list that the order was made of; the catalog makes a new one with
+   * each change. */
+  readonly servers: readonly TrackedServer[];
+  readonly orders: RegionOrders;
+}
 
 /** Orders servers by rendezvous hashing, the same at every entry. */
 export class ServerOrder {
   readonly #random: Random;
-  readonly #distances = new Map<string, number>();
+  readonly #kept = new Map<string, KeptOrder>();
 
   constructor(random: Random) {
     this.#random = random;
   }
 
   /** Without an object, the order starts anywhere. */
-  sort(
+  get(
     servers: readonly TrackedServer[],
     object: string | undefined,
-  ): readonly TrackedServer[] {
-    if (servers.length < 2) return servers;
-    if (object === undefined) {
-      const start = Math.floor(this.#random() * servers.length);
-      return [...servers.slice(start), ...servers.slice(0, start)];
+  ): RegionOrders {
+    if (object === undefined) return this.#rotate(servers);
+    const kept = this.#kept.get(object);
+    if (kept?.servers === servers) return kept.orders;
+    // The cache is rebuilt now and then rather than aged entry by entry.
+    if (this.#kept.size >= MAX_OBJECTS) this.#kept.clear();
+    const orders = sortServers(servers, object);
+    this.#kept.set(object, { servers, orders });
+    return orders;
+  }
+
+  #rotate(servers: readonly TrackedServer[]): RegionOrders {
+    const orders = new Map<string, TrackedServer[]>();
+    for (const [region, group] of splitByRegion(servers)) {
+      const start = Math.floor(this.#random() * group.length);
+      const rotated = [...group.slice(start), ...group.slice(0, start)];
+      orders.set(region, rotated.slice(0, MAX_SERVERS));
     }
-    return servers
+    return orders;
+  }
+}
+
+/** Groups servers by region. */
+export function splitByRegion(
+  servers: readonly TrackedServer[],
+): Map<string, TrackedServer[]> {
+  const groups = new Map<string, TrackedServer[]>();
+  for (const server of servers) {
+    const group = groups.get(server.region);
+    if (group === undefined) groups.set(server.region, [server]);
+    else group.push(server);
+  }
+  return groups;
+}
+
+function sortServers(
+  servers: readonly TrackedServer[],
+  object: string,
+): RegionOrders {
+  const orders = new Map<string, TrackedServer[]>();
+  for (const [region, group] of splitByRegion(servers)) {
+    const sorted = group
       .map((server) => ({
         server,
-        distance: this.#getDistance(object, server.record.id),
+        distance: computeDistance(`${object} ${server.record.id}`),
       }))
       .sort((a, b) => a.distance - b.distance)
-      .map(({ server }) => server);
-  }
-
-  #getDistance(object: string, id: string): number {
-    const text = `${object} ${id}`;
-    let distance = this.#distances.get(text);
-    if (distance === undefined) {
-      // The cache is rebuilt now and then rather than aged entry by entry.
-      if (this.#distances.size > MAX_DISTANCES) this.#distances.clear();
-      distance = computeDistance(text);
-      this.#distances.set(text, distance);
-    }
-    return distance;
+      .slice(0, MAX_SERVERS);
+    orders.set(region, sorted.map(({ server }) => server));
   }
+  return orders;
 }
--- a/packages/core/placing/src/service_states.ts
+++ b/packages/core/placing/src/service_states.ts
@@ -5,7 +5,7 @@
  */
 
 import type { TrackedServer } from "@dotterelmoor/core.catalog";
-import { splitByRegion } from "./candidates.ts";
+import { splitByRegion } from "./server_order.ts";
 import { ServiceState } from "./service_state.ts";
 import type { ServicePlan } from "./service_state.ts";
 
--- a/packages/core/placing/src/types.ts
+++ b/packages/core/placing/src/types.ts
@@ -99,8 +99,14 @@
   readonly runMs: number;
 }
 
+/** Which entry assigns an object: the one for all regions, or the one for the
+ * entry's own region, which took the object over. */
+export type AssignmentScope = "all" | "home";
+
 /** What an entry saw since it told the last time. */
 export interface Observations {
+  /** Objects of requests by who assigns them. */
+  readonly uses: Readonly<Record<AssignmentScope, readonly string[]>>;
   /** Requests by service. */
   readonly arrivals: ReadonlyMap<string, number>;
   readonly runs: readonly RunObservation[];
--- a/packages/core/placing/src/world_fixture.ts
+++ b/packages/core/placing/src/world_fixture.ts
@@ -11,8 +11,13 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { EventQueue } from "./event_queue_fixture.ts";
-import { createPlacer } from "./mod.ts";
-import type { Placer, PlaceRequest, SendPlacement } from "./mod.ts";
+import { Assigner, AssignmentTable, createPlacer } from "./mod.ts";
+import type {
+  Observations,
+  Placer,
+  PlaceRequest,
+  SendPlacement,
+} from "./mod.ts";
 
 /** A region with its servers, entries and callers. */
 export interface WorldRegion {
@@ -115,6 +120,10 @@
   readonly #placers: { region: string; placer: Placer }[] = [];
   readonly #intervals: WorldInterval[] = [];
   readonly #events = new EventQueue();
+  /** Assigners for all regions and for each one. */
+  readonly #assigners = new Map<string, Assigner>();
+  /** What entries know of their tables. */
+  readonly #tables = new Map<string, AssignmentTable>();
   #nowMs = 0;
 
   constructor(options: WorldOptions) {
@@ -122,6 +131,10 @@
     const generator = xoroshiro128plus(options.seed);
     this.#random = () => uniformFloat64(generator);
     for (const region of options.regions) this.#addRegion(region);
+    for (const place of ["all", ...options.regions.map(({ name }) => name)]) {
+      this.#assigners.set(place, new Assigner(new AssignmentTable(place), 0));
+      this.#tables.set(place, new AssignmentTable());
+    }
   }
 
   run(): WorldInterval[] {
@@ -161,6 +174,7 @@
       placer.setOtherLoads(others, this.#nowMs);
     }
     this.#shareLearning();
+    this.#shareAssignments();
     if (this.#nowMs > this.#options.durationMs) return;
     const { sharingMs = SHARING_MS } = this.#options;
     this.#schedule(sharingMs, () => this.#shareLoads());
@@ -172,9 +186,11 @@
       const [first, ...others] = this.#placers
         .filter(({ region }) => region === name)
         .map(({ placer }) => placer);
-      first!.takeObservations();
+      this.#addUses(name, first!.takeObservations());
       for (const other of others) {
-        first!.addObservations(other.takeObservations(), this.#nowMs);
+        const observations = other.takeObservations();
+        first!.addObservations(observations, this.#nowMs);
+        this.#addUses(name, observations);
       }
       const plans = first!.exportPlans(this.#nowMs);
       if (plans === undefined) continue;
@@ -182,6 +198,25 @@
     }
   }
 
+  #addUses(region: string, { uses }: Observations): void {
+    this.#assigners.get("all")!.addUses(uses.all, this.#nowMs);
+    this.#assigners.get(region)!.addUses(uses.home, this.#nowMs);
+  }
+
+  /** Copies of the tables are as old as an exchange takes. */
+  #shareAssignments(): void {
+    for (const [place, { table }] of this.#assigners) {
+      const copy = this.#tables.get(place)!;
+      copy.apply(table.changesSince(copy.position));
+    }
+    for (const [place, assigner] of this.#assigners) {
+      const servers = this.#tracked.filter(({ region }) =>
+        place === "all" || region === place
+      );
+      assigner.update({ findServers: () => servers, nowMs: this.#nowMs });
+    }
+  }
+
   #addRegion(region: WorldRegion): void {
     for (let index = 0; index < region.servers; index++) {
       const id = `${region.name}-${index}`;
@@ -209,6 +244,10 @@
         homeRegion: region.name,
         random: this.#random,
         countEntries: () => region.entries,
+        findAssigned: (scope, key) => {
+          const place = scope === "all" ? "all" : region.name;
+          return this.#tables.get(place)!.find(key);
+        },
       });
       this.#placers.push({ region: region.name, placer });
     }
--- a/packages/daemon/edge/src/process/load_exchange.ts
+++ b/packages/daemon/edge/src/process/load_exchange.ts
@@ -29,6 +29,7 @@
   PeerMessage,
 } from "@dotterelmoor/network.peering";
 import type { Logger } from "pino";
+import type { Assignments, ScopePositions } from "./assignments.ts";
 import { sortEntries } from "./entry_order.ts";
 import { wait } from "./intervals.ts";
 import { createReaderChoice } from "./reader_choice.ts";
@@ -83,6 +84,7 @@
     timeoutMs: number,
   ) => Promise<PeerMessage | undefined>;
   readonly placer: SharingPlacer;
+  readonly assignments: Assignments;
   readonly random: Random;
   readonly store: DisposableStore;
   readonly log: Logger;
@@ -112,6 +114,8 @@
   /** Readers and addresses of the other regions' first entries. */
   readonly #regions = new Map<string, LoadReader>();
   readonly #addresses = new Map<string, string>();
+  /** Objects of the region's requests that another region's entry assigns. */
+  #foreignUses = new Set<string>();
   #sums: { readonly all: LoadCounts; readonly atMs: number } | undefined;
   #first: MemberRecord | undefined;
   #intervalMs = LONGEST_INTERVAL_MS;
@@ -141,22 +145,44 @@
       return { type: "load_redirect", peerAddress: first.peerAddress };
     }
     const nowMs = performance.now();
+    const { placer, assignments } = this.#options;
     if (peer.region !== region) {
+      assignments.addUses("all", report.uses.all);
+      assignments.update();
+      const all = assignments.changesSince("all", report.tables.all);
       const sums = this.#board.sumRegion(nowMs);
-      return { type: "load_sums", loads: this.#board.pack(sums, report.known) };
+      const loads = this.#board.pack(sums, report.known);
+      return { type: "load_sums", loads, tables: { all } };
     }
     this.#board.recordReport(peer.processId, readReport(report), nowMs);
-    const { placer } = this.#options;
-    placer.addObservations(readObservations(report), nowMs);
+    this.#learn(readObservations(report), nowMs);
     const sums = this.#sumAll(nowMs);
     const plans = report.wantsPlans ? placer.exportPlans(nowMs) : undefined;
     return {
       type: "load_sums",
       loads: this.#board.pack(sums, report.known),
+      tables: {
+        all: assignments.changesSince("all", report.tables.all),
+        home: assignments.changesSince("home", report.tables.home),
+      },
       ...(plans === undefined ? {} : { plans }),
     };
   }
 
+  /** Learns from what another entry of the region saw. */
+  #learn(observations: Observations, nowMs: number): void {
+    this.#options.placer.addObservations(observations, nowMs);
+    this.#assign(observations);
+  }
+
+  #assign({ uses }: Observations): void {
+    const { assignments } = this.#options;
+    assignments.addUses("home", uses.home);
+    if (assignments.isAssigning("all")) assignments.addUses("all", uses.all);
+    else for (const key of uses.all) this.#foreignUses.add(key);
+    assignments.update();
+  }
+
   async #run(): Promise<void> {
     while (!this.#stopped) {
       await this.#step();
@@ -166,7 +192,8 @@
   }
 
   async #step(): Promise<void> {
-    const { processId, region, listEntries, placer } = this.#options;
+    const { processId, region, listEntries, placer, assignments } =
+      this.#options;
     const entries = listEntries();
     const order = sortEntries(
       entries.filter((entry) => entry.region === region),
@@ -175,14 +202,20 @@
     const ids = order.map((entry) => entry.processId);
     const chosen = this.#choice.choose(ids, performance.now());
     this.#setFirst(order.find((entry) => entry.processId === chosen));
+    const isFirst = chosen === processId;
+    assignments.setAssigning("home", isFirst);
+    assignments.setAssigning(
+      "all",
+      isFirst && region === chooseAssigningRegion(entries),
+    );
     if (this.#first === undefined) return;
     if (chosen !== processId) return await this.#report(this.#first);
     const nowMs = performance.now();
     const own = placer.countInFlight();
     this.#board.recordReport(processId, own, nowMs);
     placer.setOtherLoads(subtract(this.#board.sumAll(nowMs), own), nowMs);
-    // Its own observations are part of what it learns.
-    placer.takeObservations();
+    // Its own runs and arrivals are part of what it knows.
+    this.#assign(placer.takeObservations());
     if (nowMs - this.#regionsAtMs < REGION_INTERVAL_MS) return;
     this.#regionsAtMs = nowMs;
     void this.#pullRegions(entries);
@@ -201,6 +234,7 @@
     const own = placer.countInFlight();
     const askedAtMs = performance.now();
     const report = writeReport(own, this.#reader, {
+      tables: this.#options.assignments.positions,
       observations: placer.takeObservations(),
       wantsPlans: askedAtMs - this.#plansAtMs >= PLANS_INTERVAL_MS,
     });
@@ -210,6 +244,7 @@
     if (answer?.type !== "load_sums") return;
     const sums = this.#reader.read(answer.loads);
     if (sums !== undefined) placer.setOtherLoads(subtract(sums, own), nowMs);
+    this.#options.assignments.apply(answer.tables);
     if (answer.plans === undefined) return;
     placer.importPlans(answer.plans);
     this.#plansAtMs = nowMs;
@@ -234,8 +269,13 @@
     const { random } = this.#options;
     const any = members[Math.floor(random() * members.length)]!.peerAddress;
     const address = this.#addresses.get(region) ?? any;
+    const isAssigning = region === chooseAssigningRegion(entries);
+    const { assignments } = this.#options;
+    const all = isAssigning ? [...this.#foreignUses] : [];
+    if (isAssigning) this.#foreignUses = new Set();
     const report = writeReport(new Map(), reader, {
-      observations: { arrivals: new Map(), runs: [] },
+      tables: assignments.positions,
+      observations: { uses: { all, home: [] }, arrivals: new Map(), runs: [] },
       wantsPlans: false,
     });
     const answer = await this.#ask(address, report);
@@ -245,6 +285,7 @@
     }
     if (answer?.type !== "load_sums") return;
     this.#addresses.set(region, address);
+    if (isAssigning) assignments.apply({ all: answer.tables.all });
     const sums = reader.read(answer.loads);
     if (sums === undefined) return;
     this.#board.recordRegion(region, sums, performance.now());
@@ -278,11 +319,12 @@
   own: LoadCounts,
   reader: LoadReader,
   extra: {
+    readonly tables: ScopePositions;
     readonly observations: Observations;
     readonly wantsPlans: boolean;
   },
 ): LoadReportMessage {
-  const { observations, wantsPlans } = extra;
+  const { tables, observations, wantsPlans } = extra;
   return {
     type: "load_report",
     known: reader.known,
@@ -291,14 +333,26 @@
       own.values(),
       (count) => Math.min(MAX_COUNT, count),
     ),
+    uses: observations.uses,
+    tables,
     arrivals: Object.fromEntries(observations.arrivals),
     runs: observations.runs,
     wantsPlans,
   };
 }
 
-function readObservations({ arrivals, runs }: LoadReportMessage): Observations {
-  return { arrivals: new Map(Object.entries(arrivals)), runs };
+function readObservations(report: LoadReportMessage): Observations {
+  const { uses, arrivals, runs } = report;
+  return { uses, arrivals: new Map(Object.entries(arrivals)), runs };
+}
+
+/** The region whose first entry assigns the objects that all share; the same
+ * at every entry that knows the same regions. */
+function chooseAssigningRegion(entries: readonly MemberRecord[]): string {
+  return entries.reduce(
+    (least, { region }) => region < least ? region : least,
+    entries[0]?.region ?? "",
+  );
 }
 
 function readReport({ servers, counts }: LoadReportMessage): LoadCounts {
--- a/packages/daemon/edge/src/process/load_exchange_test.ts
+++ b/packages/daemon/edge/src/process/load_exchange_test.ts
@@ -5,9 +5,20 @@
 import { DisposableStore } from "@dotterelmoor/core.types";
 import type { LoadReportMessage } from "@dotterelmoor/network.peering";
 import { pino } from "pino";
+import { buildServer } from "../edge_fixture.ts";
+import { Assignments } from "./assignments.ts";
 import { startLoadExchange } from "./load_exchange.ts";
 import type { LoadExchange } from "./load_exchange.ts";
 
+const SERVERS = ["a", "b"].flatMap((region) =>
+  [1, 2].map((number) => ({
+    record: buildServer(`${region}${number}`, "10.0.0.1:80"),
+    region,
+    coldUntilMs: -Infinity,
+    missingSinceMs: undefined,
+  }))
+);
+
 const PLANS: PlacingPlans = {
   desk: {
     homeShare: 0.5,
@@ -24,6 +35,7 @@
   others: ReadonlyMap<string, number>;
   arrivals: number;
   plans: PlacingPlans | undefined;
+  readonly assignments: Assignments;
   exchange?: LoadExchange;
   isDead: boolean;
 }
@@ -39,8 +51,14 @@
     zone: `${region}-1`,
     capacity: 378,
   };
+  const assignments = new Assignments({
+    processId: name,
+    findServers: (scope) =>
+      SERVERS.filter((server) => scope === "all" || server.region === region),
+  });
   return {
     member,
+    assignments,
     own: new Map(),
     others: new Map(),
     arrivals: 0,
@@ -64,6 +82,10 @@
         countInFlight: () => new Map(entry.own),
         setOtherLoads: (counts) => entry.others = counts,
         takeObservations: () => ({
+          uses: {
+            all: [`desk\nr1 ${processId}`],
+            home: [`desk\nr1 ${region}`],
+          },
           arrivals: new Map([["desk", 1]]),
           runs: [],
         }),
@@ -72,6 +94,7 @@
         exportPlans: () => PLANS,
         importPlans: (plans) => entry.plans = plans,
       },
+      assignments: entry.assignments,
       random: Math.random,
       store,
       log: pino({ level: "silent" }),
@@ -122,6 +145,37 @@
   await waitUntil(t, () => entries[1]!.others.get("s1") === 8);
 });
 
+test("guards against entries that send one object to different servers", async (t) => {
+  const entries = [
+    createEntry("a1", "a", 1),
+    createEntry("a2", "a", 2),
+    createEntry("b1", "b", 1),
+    createEntry("b2", "b", 2),
+  ];
+  startEntries(t, entries);
+  const findAll = (entry: TestEntry) =>
+    entries.map(({ member }) =>
+      entry.assignments.find("all", `desk\nr1 ${member.processId}`)
+    );
+  for (const entry of entries) {
+    await waitUntil(t, () => !findAll(entry).includes(undefined));
+    t.deepEqual(findAll(entry), findAll(entries[0]!));
+    // Four objects on four servers.
+    t.is(new Set(findAll(entry)).size, 4);
+    const { region } = entry.member;
+    const key = `desk\nr1 ${region}`;
+    await waitUntil(
+      t,
+      () => entry.assignments.find("home", key)?.startsWith(region) === true,
+    );
+  }
+  // Another entry goes on from what the first one assigned.
+  const before = findAll(entries[1]!);
+  entries[0]!.isDead = true;
+  await waitUntil(t, () => entries[1]!.assignments.isAssigning("all"));
+  t.deepEqual(findAll(entries[1]!), before);
+});
+
 test("guards against entries that learn nothing once the first one has ended", async (t) => {
   const entries = [
     createEntry("a1", "a", 1),
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -14,6 +14,7 @@
 import { DisposableStore } from "@dotterelmoor/core.types";
 import { createBackendClient } from "@dotterelmoor/network.backend";
 import type { EdgePlatform, EdgeSettings, ListenAddress } from "./ports.ts";
+import { Assignments } from "./process/assignments.ts";
 import { startCatalogWatch } from "./process/catalog_watch.ts";
 import type { CatalogWatch } from "./process/catalog_watch.ts";
 import { sortEntries } from "./process/entry_order.ts";
@@ -100,6 +101,7 @@
   readonly metrics: EdgeMetrics;
   readonly catalog: Catalog;
   readonly placer: Placer;
+  readonly assignments: Assignments;
   /** Parts that others reach before they exist. */
   readonly late: { peers?: Peers; watch?: CatalogWatch; loads?: LoadExchange };
 }
@@ -108,8 +110,16 @@
   const store = new DisposableStore();
   store.add(() => platform.store.close());
   const processId = randomBytes(8).toString("hex");
-  const { instance, logLevel, region } = settings;
+  const { instance, logLevel, region, zones } = settings;
   const late: Base["late"] = {};
+  const catalog = createCatalog({ zones });
+  const assignments = new Assignments({
+    processId,
+    findServers: (scope, service) =>
+      catalog.findServers(service, performance.now()).filter((server) =>
+        scope === "all" || server.region === region
+      ),
+  });
   return {
     settings,
     platform,
@@ -118,12 +128,14 @@
     late,
     log: createEdgeLog({ level: logLevel, instance }),
     metrics: createEdgeMetrics({ address: settings.metrics, store }),
-    catalog: createCatalog({ zones: settings.zones }),
+    catalog,
+    assignments,
     placer: createPlacer({
       homeRegion: region,
       // Without peers known yet, this is the only entry of its region.
       countEntries: () =>
         late.peers?.membership.liveMembers(region).length ?? 1,
+      findAssigned: (scope, key) => assignments.find(scope, key),
       random: Math.random,
     }),
   };
@@ -161,6 +173,7 @@
     call: (address, message, timeoutMs) =>
       peers.call(address, message, timeoutMs),
     placer,
+    assignments: base.assignments,
     random: Math.random,
     store,
     log: log.part("load"),
--- a/packages/network/peering/src/guards.ts
+++ b/packages/network/peering/src/guards.ts
@@ -163,6 +163,26 @@
   return value === undefined || isPlans(value);
 }
 
+function isTablePosition(value: unknown): boolean {
+  return hasFields(value, { origin: isString, revision: isCount });
+}
+
+function isAssignment(value: unknown): boolean {
+  return Array.isArray(value) && value.length === 2 && isString(value[0]) &&
+    (value[1] === null || isString(value[1]));
+}
+
+function isTableChanges(value: unknown): boolean {
+  return isTablePosition(value) && hasFields(value, {
+    isComplete: isBoolean,
+    assignments: (list) => Array.isArray(list) && list.every(isAssignment),
+  });
+}
+
+function isOptionalChanges(value: unknown): boolean {
+  return value === undefined || isTableChanges(value);
+}
+
 function isRun(value: unknown): boolean {
   return hasFields(value, {
     service: isString,
@@ -226,11 +246,19 @@
     known: (known) => hasFields(known, { numbering: isString, count: isCount }),
     servers: isStringList,
     counts: isBytes,
+    uses: (uses) => hasFields(uses, { all: isStringList, home: isStringList }),
+    tables: (tables) =>
+      hasFields(tables, { all: isTablePosition, home: isTablePosition }),
     arrivals: (arrivals) => isMapOf(arrivals, isCount),
     runs: (runs) => Array.isArray(runs) && runs.every(isRun),
     wantsPlans: isBoolean,
   },
-  load_sums: { loads: isPackedLoads, plans: isOptionalPlans },
+  load_sums: {
+    loads: isPackedLoads,
+    tables: (tables) =>
+      hasFields(tables, { all: isOptionalChanges, home: isOptionalChanges }),
+    plans: isOptionalPlans,
+  },
   load_redirect: { peerAddress: isString },
   config_push: { snapshot: isSnapshot, forward: isBoolean },
   config_pull: { sequence: isCount },
--- a/packages/network/peering/src/messages.ts
+++ b/packages/network/peering/src/messages.ts
@@ -9,7 +9,13 @@
   KnownServers,
   PackedLoads,
 } from "@dotterelmoor/core.load_sharing";
-import type { PlacingPlans, RunObservation } from "@dotterelmoor/core.placing";
+import type {
+  AssignmentScope,
+  PlacingPlans,
+  RunObservation,
+  TableChanges,
+  TablePosition,
+} from "@dotterelmoor/core.placing";
 import type {
   ConfigurationSnapshot,
   Outcome,
@@ -176,6 +182,10 @@
   readonly servers: readonly string[];
   /** Requests in flight at each of them, at most 255. */
   readonly counts: Uint8Array;
+  /** Objects of requests since the last report. */
+  readonly uses: Readonly<Record<AssignmentScope, readonly string[]>>;
+  /** Where the sender's copies of the tables of objects stand. */
+  readonly tables: Readonly<Record<AssignmentScope, TablePosition>>;
   /** Requests by service since the last report. */
   readonly arrivals: Readonly<Record<string, number>>;
   /** Runs since the last report. */
@@ -188,6 +198,8 @@
 export interface LoadSumsMessage {
   readonly type: "load_sums";
   readonly loads: PackedLoads;
+  /** What the receiver lacks of the tables of objects. */
+  readonly tables: Partial<Readonly<Record<AssignmentScope, TableChanges>>>;
   readonly plans?: PlacingPlans;
 }
 
