--- a/packages/daemon/edge/src/request/forwarding.ts
+++ b/packages/daemon/edge/src/request/forwarding.ts
@@ -5,11 +5,7 @@
  */
 
 import type { IncomingHttpHeaders } from "node:http";
-import type {
-  Catalog,
-  RouteRecord,
-  TrackedServer,
-} from "@dotterelmoor/core.catalog";
+import type { Catalog, RouteRecord } from "@dotterelmoor/core.catalog";
 import type {
   Placement,
   Placer,
@@ -63,6 +59,10 @@
 export interface SendRecord {
   readonly server: string;
   readonly zone: string;
+  /** Place of the server in the order of the request's object. */
+  readonly rank: number;
+  /** Time in milliseconds in which the answer was expected. */
+  readonly expectedMs: number;
   readonly result: string;
   readonly elapsedMs: number;
 }
@@ -271,17 +271,23 @@
     const end: SendEnd = { outcome, elapsedMs, load };
     placer.recordEnd(placement, placeRequest, { ...end, nowMs });
     const name = isMisdirected ? "misdirected" : result.type;
-    this.#recordSend(server, name, elapsedMs);
+    this.#recordSend(placement, name, elapsedMs);
     return result;
   }
 
-  #recordSend(server: TrackedServer, result: string, elapsedMs: number): void {
+  #recordSend(
+    { server, rank, expectedMs }: SendPlacement,
+    result: string,
+    elapsedMs: number,
+  ): void {
     const { id, zone } = server.record;
     // No byte was sent; the server is passed over while it is paused.
     if (result === "connection_refused") this.#tried.delete(id);
     this.#sends.push({
       server: id,
       zone,
+      rank,
+      expectedMs: Math.round(expectedMs),
       result,
       elapsedMs: Math.round(elapsedMs),
     });
--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -154,9 +154,9 @@
   #record(
     end: RequestEnd,
     requestId: string | undefined,
-    { arrivedAtMs }: RequestContext,
+    { request, arrivedAtMs }: RequestContext,
   ): void {
-    const { log, metrics, catalog } = this.#options;
+    const { log, metrics, catalog, protocol } = this.#options;
     const { outcome, sends, route, service = "none" } = end;
     const elapsedMs = performance.now() - arrivedAtMs;
     const reason = "reason" in outcome ? outcome.reason : "none";
@@ -166,6 +166,7 @@
       request: requestId,
       route: route?.name,
       service,
+      object: protocol.readRequest(request.headers).object,
       outcome: outcome.type,
       reason,
       status: "status" in outcome ? outcome.status : undefined,
