--- a/packages/core/catalog/src/route_index.ts
+++ b/packages/core/catalog/src/route_index.ts
@@ -10,6 +10,8 @@
 export interface RouteIndex {
   /** The route with the longest prefix that begins the path. */
   find(host: string, path: string): RouteRecord | undefined;
+  /** The route of a name. */
+  get(name: string): RouteRecord | undefined;
 }
 
 /** Builds the index of a configuration's routes. */
@@ -24,7 +26,9 @@
   for (const list of byHost.values()) {
     list.sort((a, b) => b.prefix.length - a.prefix.length);
   }
+  const byName = new Map(routes.map((route) => [route.name, route]));
   return {
+    get: (name) => byName.get(name),
     find: (host, path) =>
       byHost.get(splitPort(host).toLowerCase())?.find((route) =>
         path.startsWith(route.prefix)
--- a/packages/core/placing/src/assigner.ts
+++ b/packages/core/placing/src/assigner.ts
@@ -1,10 +1,12 @@
 /**
  * Assigns objects to servers evenly.
  *
- * Pattern: objects that all go to the first server of their own order pile up
- * at some servers, and cold runs follow where they spill over. One entry gives
- * each object a server instead, the best of its order among those with fewest
- * objects, and keeps it there while the server lasts.
+ * Pattern: a server remembers few objects, and a cold run takes several times
+ * the slots of a warm one. Objects that all go to the first server of their own
+ * order pile up at some servers, and cold runs follow where they spill over.
+ * One entry gives each object a server instead, so that all servers hold the
+ * same number for each slot, those of the callers' region first, and keeps it
+ * there while the server lasts.
  *
  * @module
  */
@@ -12,82 +14,109 @@
 import type { TrackedServer } from "@dotterelmoor/core.catalog";
 import { AssignmentTable } from "./assignment_table.ts";
 import { computeDistance } from "./hashing.ts";
-import { getServiceOfKey } from "./object_key.ts";
+import { HeldObjects } from "./held_objects.ts";
+import { HomeFactors } from "./home_factors.ts";
+import { parseObjectKey } from "./object_key.ts";
+import { chooseRegion, sumRooms } from "./region_choice.ts";
 
 /** Time in milliseconds without a request after which an object is forgotten;
- * by then its servers have forgotten it too. */
+ * by then its server has forgotten it too. */
 const FORGET_MS = 20_000;
 
 /** Objects that are assigned; with more of them, their own orders fill servers
  * evenly enough. */
 const MAX_OBJECTS = 4_096;
 
-/** Least time in milliseconds between two moves of a service's objects to even
- * out servers: each one that moves is cold at first. */
+/** Least time in milliseconds between moves of a service's objects that even
+ * out servers, and the share of the objects that moves: each is cold at first,
+ * and 0.15 of a region's requests may change region in 2 s. */
 const MOVE_INTERVAL_MS = 250;
+const MOVE_SHARE = 0.01;
 
-/** Objects per slot by which a server exceeds another one before an object
- * moves, in objects of the fuller one. */
+/** Objects by which a server exceeds another one before one moves. */
 const MOVE_EXCESS = 2;
 
+interface AssignedObject {
+  /** Region of the callers that ask for it. */
+  readonly home: string;
+  readonly usedAtMs: number;
+}
+
 /** What `update` needs. */
 export interface AssignOptions {
-  /** Servers that may get objects of a service. */
+  /** Servers of a service that may be sent requests. */
   readonly findServers: (service: string) => readonly TrackedServer[];
+  /** True if answers about an object come too late from other regions. */
+  readonly keepsHome: (key: string) => boolean;
+  /** Requests in flight for each slot of some servers. */
+  readonly measureBusyShare: (servers: readonly TrackedServer[]) => number;
   readonly nowMs: number;
 }
 
-/** Assigns the objects of one scope. */
+/** One service's objects while they are assigned. */
+interface ServiceObjects {
+  readonly service: string;
+  readonly servers: readonly TrackedServer[];
+  readonly keys: readonly string[];
+  readonly held: HeldObjects;
+  readonly keepsHome: (key: string) => boolean;
+}
+
+/** Assigns the objects of all services. */
 export class Assigner {
   readonly table: AssignmentTable;
-  /** Monotonic time of the last request for each object. */
-  readonly #usedAtMs = new Map<string, number>();
+  readonly #objects = new Map<string, AssignedObject>();
   readonly #movedAtMs = new Map<string, number>();
+  readonly #factors = new HomeFactors();
 
   /** Goes on from the objects of a table, or from none. */
-  constructor(table: AssignmentTable, nowMs: number) {
+  constructor(table: AssignmentTable) {
     this.table = table;
-    this.addUses(table.keys(), nowMs);
   }
 
-  /** Adds requests for objects. */
-  addUses(keys: Iterable<string>, nowMs: number): void {
+  /** Adds requests of a region's callers for objects. */
+  addUses(region: string, keys: Iterable<string>, nowMs: number): void {
     for (const key of keys) {
-      const isKnown = this.#usedAtMs.has(key);
-      if (!isKnown && this.#usedAtMs.size >= MAX_OBJECTS) continue;
-      this.#usedAtMs.set(key, nowMs);
+      const known = this.#objects.get(key);
+      if (known === undefined && this.#objects.size >= MAX_OBJECTS) continue;
+      const home = known?.home ?? region;
+      this.#objects.set(key, { home, usedAtMs: nowMs });
     }
   }
 
   /** Assigns new objects and those of lost servers, and evens out the rest. */
   update(options: AssignOptions): void {
-    this.#forget(options.nowMs);
+    const { findServers, keepsHome, measureBusyShare, nowMs } = options;
+    this.#forget(nowMs);
     for (const [service, keys] of this.#groupObjects()) {
-      const servers = options.findServers(service).filter((server) =>
-        options.nowMs >= server.coldUntilMs
+      const servers = findServers(service).filter((server) =>
+        nowMs >= server.coldUntilMs
       );
       if (servers.length === 0) continue;
-      const held = this.#countHeld(servers, keys);
-      for (const key of keys) {
-        const id = this.table.find(key);
-        if (id === undefined || !held.has(id)) this.#assign(key, servers, held);
-      }
-      this.#evenOut(service, { servers, keys, held, nowMs: options.nowMs });
+      const held = new HeldObjects(servers);
+      const objects = { service, servers, keys, held, keepsHome };
+      this.#assignNew(objects);
+      const movedAtMs = this.#movedAtMs.get(service) ?? -Infinity;
+      if (nowMs - movedAtMs < MOVE_INTERVAL_MS) continue;
+      this.#movedAtMs.set(service, nowMs);
+      this.#factors.update(service, { servers, measureBusyShare });
+      this.#evenOut(objects);
+      this.#bringHome(objects);
     }
   }
 
   #forget(nowMs: number): void {
-    for (const [key, usedAtMs] of this.#usedAtMs) {
+    for (const [key, { usedAtMs }] of this.#objects) {
       if (nowMs - usedAtMs < FORGET_MS) continue;
-      this.#usedAtMs.delete(key);
+      this.#objects.delete(key);
       this.table.remove(key);
     }
   }
 
   #groupObjects(): Map<string, string[]> {
     const groups = new Map<string, string[]>();
-    for (const key of this.#usedAtMs.keys()) {
-      const service = getServiceOfKey(key);
+    for (const key of this.#objects.keys()) {
+      const { service } = parseObjectKey(key);
       const group = groups.get(service);
       if (group === undefined) groups.set(service, [key]);
       else group.push(key);
@@ -95,84 +124,115 @@
     return groups;
   }
 
-  /** Objects that each server holds. */
-  #countHeld(
-    servers: readonly TrackedServer[],
-    keys: readonly string[],
-  ): Map<string, number> {
-    const held = new Map(servers.map(({ record }) => [record.id, 0]));
+  #assignNew(objects: ServiceObjects): void {
+    const { keys, held } = objects;
+    const added: string[] = [];
     for (const key of keys) {
       const id = this.table.find(key);
-      const count = id === undefined ? undefined : held.get(id);
-      if (count !== undefined) held.set(id!, count + 1);
+      if (id === undefined || !held.add(id)) added.push(key);
     }
-    return held;
+    for (const key of added) this.#assign(key, objects);
   }
 
-  /** The best server in the order of the object among the least filled. */
-  #assign(
-    key: string,
-    servers: readonly TrackedServer[],
-    held: Map<string, number>,
-  ): void {
-    let best = servers[0]!;
-    let bestFill = Infinity;
-    let bestDistance = Infinity;
-    for (const server of servers) {
-      const fill = computeFill(server, held);
-      if (fill > bestFill) continue;
-      const distance = computeDistance(`${key} ${server.record.id}`);
-      if (fill === bestFill && distance >= bestDistance) continue;
-      best = server;
-      bestFill = fill;
-      bestDistance = distance;
+  #assign(key: string, objects: ServiceObjects): void {
+    const home = this.#getHome(key);
+    const { service, servers, keys, held } = objects;
+    const keepsHome = objects.keepsHome(key);
+    const first = findFirst(key, { home, servers, keepsHome });
+    const isHome = first.region === home;
+    const factor = isHome ? this.#factors.get(service, home) : 1;
+    const near = servers.filter(({ region }) => region === home);
+    const limit = { objects: keys.length, factor };
+    const chosen = held.hasRoom(first, limit)
+      ? first
+      : held.pickEmptiest(near, key, keepsHome ? undefined : limit) ??
+        held.pickEmptiest(servers, key, undefined)!;
+    held.add(chosen.record.id);
+    this.table.set(key, chosen.record.id);
+  }
+
+  /** Moves objects from servers that hold more than others to those. */
+  #evenOut(objects: ServiceObjects): void {
+    const { service, keys, held, servers } = objects;
+    for (let moves = 0; moves < countMoves(keys); moves++) {
+      const { fullest, emptiest } = held.findExtremes(servers);
+      // A region that is not busy may hold more than its even share.
+      const isKept = this.#factors.get(service, fullest.region) > 1 &&
+        fullest.region !== emptiest.region;
+      const excess = held.countExcess(fullest, emptiest);
+      if (isKept || excess < MOVE_EXCESS) return;
+      const moved = this.#pickMoved(objects, fullest, emptiest);
+      if (moved === undefined) return;
+      held.move(fullest, emptiest);
+      this.table.set(moved, emptiest.record.id);
     }
-    const { id } = best.record;
-    held.set(id, held.get(id)! + 1);
-    this.table.set(key, id);
   }
 
-  #evenOut(
-    service: string,
-    context: {
-      readonly servers: readonly TrackedServer[];
-      readonly keys: readonly string[];
-      readonly held: Map<string, number>;
-      readonly nowMs: number;
-    },
-  ): void {
-    const { servers, keys, held, nowMs } = context;
-    const movedAtMs = this.#movedAtMs.get(service) ?? -Infinity;
-    if (nowMs - movedAtMs < MOVE_INTERVAL_MS) return;
-    const fullest = pickExtreme(servers, (server) => computeFill(server, held));
-    const emptiest = pickExtreme(
-      servers,
-      (server) => -computeFill(server, held),
-    );
-    const excess = computeFill(fullest, held) - computeFill(emptiest, held);
-    if (excess * fullest.record.slots < MOVE_EXCESS) return;
-    const moved = keys.find((key) =>
-      this.table.find(key) === fullest.record.id
+  /** Moves objects to their callers' region where it has room. */
+  #bringHome({ service, keys, held, servers }: ServiceObjects): void {
+    let left = countMoves(keys);
+    for (const key of keys) {
+      if (left === 0) return;
+      const home = this.#getHome(key);
+      const factor = this.#factors.get(service, home);
+      const id = this.table.find(key);
+      const from = servers.find(({ record }) => record.id === id);
+      if (factor <= 1 || from === undefined || from.region === home) continue;
+      const near = servers.filter(({ region }) => region === home);
+      const limit = { objects: keys.length, factor };
+      const to = held.pickEmptiest(near, key, limit);
+      if (to === undefined) continue;
+      held.move(from, to);
+      this.table.set(key, to.record.id);
+      left -= 1;
+    }
+  }
+
+  /** An object of the emptier server's region, else one that is away, else
+   * any; but none that answers too late from there. */
+  #pickMoved(
+    { keys, keepsHome }: ServiceObjects,
+    fullest: TrackedServer,
+    emptiest: TrackedServer,
+  ): string | undefined {
+    const movable = keys.filter((key) =>
+      this.table.find(key) === fullest.record.id &&
+      (this.#getHome(key) === emptiest.region || !keepsHome(key))
     );
-    if (moved === undefined) return;
-    this.table.set(moved, emptiest.record.id);
-    this.#movedAtMs.set(service, nowMs);
+    return movable.find((key) => this.#getHome(key) === emptiest.region) ??
+      movable.find((key) => this.#getHome(key) !== fullest.region) ??
+      movable[0];
+  }
+
+  #getHome(key: string): string {
+    return this.#objects.get(key)!.home;
   }
 }
 
-/** Objects for each slot of a server. */
-function computeFill(
-  { record }: TrackedServer,
-  held: ReadonlyMap<string, number>,
-): number {
-  return held.get(record.id)! / record.slots;
+function countMoves(keys: readonly string[]): number {
+  return Math.max(1, Math.floor(MOVE_SHARE * keys.length));
 }
 
-function pickExtreme(
-  servers: readonly TrackedServer[],
-  measure: (server: TrackedServer) => number,
+/** The server that the object's requests go to before it is assigned. */
+function findFirst(
+  key: string,
+  options: {
+    readonly home: string;
+    readonly servers: readonly TrackedServer[];
+    readonly keepsHome: boolean;
+  },
 ): TrackedServer {
-  return servers.reduce((best, server) =>
-    measure(server) > measure(best) ? server : best
-  );
+  const { home, servers, keepsHome } = options;
+  const rooms = sumRooms(servers);
+  const region = chooseRegion(key, { home, rooms, keepsHome });
+  let first = servers[0]!;
+  let least = Infinity;
+  for (const server of servers) {
+    if (server.region !== region) continue;
+    const distance = computeDistance(`${key} ${server.record.id}`);
+    if (distance >= least) continue;
+    first = server;
+    least = distance;
+  }
+  return first;
 }
--- a/packages/core/placing/src/assigner_test.ts
+++ b/packages/core/placing/src/assigner_test.ts
@@ -2,7 +2,11 @@
 import type { TrackedServer } from "@dotterelmoor/core.catalog";
 import { Assigner, AssignmentTable } from "./mod.ts";
 
-function makeServer(id: string, coldUntilMs = -Infinity): TrackedServer {
+function makeServer(
+  id: string,
+  coldUntilMs = -Infinity,
+  region = "a",
+): TrackedServer {
   return {
     record: {
       id,
@@ -15,20 +19,22 @@
       bornMs: 1,
       sequence: 1,
     },
-    region: "a",
+    region,
     coldUntilMs,
     missingSinceMs: undefined,
   };
 }
 
+const ANYWHERE = { keepsHome: () => false, measureBusyShare: () => 0.9 };
+
 const SERVERS = [...Array(10).keys()].map((index) => makeServer(`s${index}`));
 const KEYS = [...Array(25).keys()].map((index) => `desk\nr1 ${index}`);
 
 function createAssigner(keys = KEYS, servers = SERVERS) {
-  const assigner = new Assigner(new AssignmentTable("p1"), 0);
+  const assigner = new Assigner(new AssignmentTable("p1"));
   const update = (nowMs: number, current = servers) => {
-    assigner.addUses(keys, nowMs);
-    assigner.update({ findServers: () => current, nowMs });
+    assigner.addUses("a", keys, nowMs);
+    assigner.update({ ...ANYWHERE, findServers: () => current, nowMs });
   };
   return { assigner, update };
 }
@@ -80,11 +86,47 @@
   t.true(countHeld(assigner).get("s9")! >= 3);
 });
 
+test("guards against objects that leave their region while it has room", (t) => {
+  const regions = ["a", "b", "c"];
+  const sizes = [1, 4, 5];
+  const servers = regions.flatMap((region, index) =>
+    [...Array(sizes[index]).keys()].map((number) =>
+      makeServer(`${region}${number}`, -Infinity, region)
+    )
+  );
+  const assign = (keepsHome: boolean) => {
+    const assigner = new Assigner(new AssignmentTable("p1"));
+    for (let index = 0; index < 20; index++) {
+      for (const region of regions) {
+        assigner.addUses(region, [`desk\nr1 ${region}${index}`], index);
+      }
+      assigner.update({
+        findServers: () => servers,
+        keepsHome: () => keepsHome,
+        measureBusyShare: () => 0.9,
+        nowMs: index,
+      });
+    }
+    const count = (home: string, place: string) =>
+      [...Array(20).keys()].filter((index) =>
+        assigner.table.find(`desk\nr1 ${home}${index}`)?.startsWith(place)
+      ).length;
+    return { assigner, count };
+  };
+  const shared = assign(false);
+  // The even share is 6 objects for each server.
+  t.true(shared.count("a", "a") >= 5 && shared.count("a", "a") <= 7);
+  t.true(shared.count("b", "b") >= 17);
+  t.true(shared.count("c", "c") >= 18);
+  const near = assign(true);
+  for (const region of regions) t.is(near.count(region, region), 20);
+});
+
 test("guards against objects that no caller asks for and that take places", (t) => {
   const { assigner, update } = createAssigner();
   update(0);
-  assigner.addUses([KEYS[0]!], 15_000);
-  assigner.update({ findServers: () => SERVERS, nowMs: 21_000 });
+  assigner.addUses("a", [KEYS[0]!], 15_000);
+  assigner.update({ ...ANYWHERE, findServers: () => SERVERS, nowMs: 21_000 });
   t.truthy(assigner.table.find(KEYS[0]!));
   t.is(assigner.table.find(KEYS[1]!), undefined);
 });
@@ -94,8 +136,9 @@
   update(0);
   const copy = new AssignmentTable();
   copy.apply(assigner.table.changesSince(copy.position));
-  const next = new Assigner(copy.fork("p2"), 100);
-  next.update({ findServers: () => SERVERS, nowMs: 100 });
+  const next = new Assigner(copy.fork("p2"));
+  next.addUses("a", KEYS, 100);
+  next.update({ ...ANYWHERE, findServers: () => SERVERS, nowMs: 100 });
   for (const key of KEYS) t.is(next.table.find(key), assigner.table.find(key));
   // A copy of the first one gets the whole table of the second one.
   const changes = next.table.changesSince(copy.position);
--- a/packages/core/placing/src/candidates.ts
+++ b/packages/core/placing/src/candidates.ts
@@ -27,9 +27,6 @@
  * divided by its slots. */
 const RESIDUAL_RUNS = 0.5;
 
-/** Warm share where this entry has sent the object lately. */
-const SENT_WARM_SHARE = 0.9;
-
 /** A server that could run a request. */
 export interface Candidate {
   readonly server: TrackedServer;
@@ -48,8 +45,6 @@
   readonly load: ServerLoad;
   /** Place of the server in the object's order; 0 is the first. */
   readonly rank: number;
-  /** Share of the runs at that place that are warm, 0 to 1. */
-  readonly warmShare: number;
   readonly homeRegion: string;
   readonly work: WorkModel;
   /** Average run time in milliseconds of the service's requests. */
@@ -67,8 +62,9 @@
   const busy = load.estimateLoad(nowMs);
   const waiting = Math.max(0, busy - slots + RESIDUAL_RUNS);
   const waitMs = waiting / slots * meanRunMs;
-  const coldShare = 1 - estimateWarmShare(inputs, request, nowMs);
-  const longerMs = coldShare * (work.coldMs - work.warmMs);
+  const longerMs = isWarm(inputs, request, nowMs)
+    ? 0
+    : work.coldMs - work.warmMs;
   const runMs = work.warmMs + longerMs;
   const expectedMs = getRttMs(server, homeRegion) +
     (waitMs + runMs) * load.slowness(nowMs);
@@ -80,15 +76,15 @@
   return { server, load, rank, expectedMs, costMs };
 }
 
-function estimateWarmShare(
-  { load, warmShare }: EstimateInputs,
+/** The first server of its order keeps an object warm, and one that this entry
+ * sent it to lately. */
+function isWarm(
+  { load, rank }: EstimateInputs,
   request: PlaceRequest,
   nowMs: number,
-): number {
+): boolean {
   const key = getObjectKey(request);
-  if (key === undefined) return 0;
-  if (!load.isWarm(key, nowMs)) return warmShare;
-  return Math.max(SENT_WARM_SHARE, warmShare);
+  return key !== undefined && (rank === 0 || load.isWarm(key, nowMs));
 }
 
 /** Round trip in milliseconds to a server. */
--- /dev/null
+++ b/packages/core/placing/src/held_objects.ts
@@ -0,0 +1,94 @@
+/**
+ * Counts the objects that the servers of one service hold.
+ *
+ * @module
+ */
+
+import type { TrackedServer } from "@dotterelmoor/core.catalog";
+import { computeDistance } from "./hashing.ts";
+
+/** An even share of the objects for each slot. */
+export interface EvenShare {
+  readonly objects: number;
+  /** Multiple of the even share that counts as room. */
+  readonly factor: number;
+}
+
+/** Objects by server. */
+export class HeldObjects {
+  readonly #counts: Map<string, number>;
+  readonly #totalSlots: number;
+
+  constructor(servers: readonly TrackedServer[]) {
+    this.#counts = new Map(servers.map(({ record }) => [record.id, 0]));
+    this.#totalSlots = servers.reduce((sum, one) => sum + one.record.slots, 0);
+  }
+
+  /** Adds an object; false if the server is not one of these. */
+  add(id: string): boolean {
+    const count = this.#counts.get(id);
+    if (count === undefined) return false;
+    this.#counts.set(id, count + 1);
+    return true;
+  }
+
+  move(from: TrackedServer, to: TrackedServer): void {
+    this.#counts.set(from.record.id, this.#counts.get(from.record.id)! - 1);
+    this.add(to.record.id);
+  }
+
+  /** Tells whether a server holds less than its share, rounded up. */
+  hasRoom(
+    { record }: TrackedServer,
+    { objects, factor }: EvenShare,
+  ): boolean {
+    const share = factor * objects * record.slots / this.#totalSlots;
+    return this.#counts.get(record.id)! < Math.ceil(share);
+  }
+
+  /** The server with fewest objects for each slot, the first of those in the
+   * object's order; only those with room if a share is given. */
+  pickEmptiest(
+    servers: readonly TrackedServer[],
+    key: string,
+    share: EvenShare | undefined,
+  ): TrackedServer | undefined {
+    let best: TrackedServer | undefined;
+    let bestFill = Infinity;
+    let bestDistance = Infinity;
+    for (const server of servers) {
+      if (share !== undefined && !this.hasRoom(server, share)) continue;
+      const fill = this.#getFill(server);
+      if (fill > bestFill) continue;
+      const distance = computeDistance(`${key} ${server.record.id}`);
+      if (fill === bestFill && distance >= bestDistance) continue;
+      best = server;
+      bestFill = fill;
+      bestDistance = distance;
+    }
+    return best;
+  }
+
+  findExtremes(servers: readonly TrackedServer[]): {
+    readonly fullest: TrackedServer;
+    readonly emptiest: TrackedServer;
+  } {
+    let fullest = servers[0]!;
+    let emptiest = servers[0]!;
+    for (const server of servers) {
+      if (this.#getFill(server) > this.#getFill(fullest)) fullest = server;
+      if (this.#getFill(server) < this.#getFill(emptiest)) emptiest = server;
+    }
+    return { fullest, emptiest };
+  }
+
+  /** Objects that one server holds beyond the fill of another one. */
+  countExcess(fuller: TrackedServer, emptier: TrackedServer): number {
+    const fill = this.#getFill(fuller) - this.#getFill(emptier);
+    return fill * fuller.record.slots;
+  }
+
+  #getFill({ record }: TrackedServer): number {
+    return this.#counts.get(record.id)! / record.slots;
+  }
+}
--- a/packages/core/placing/src/mod.ts
+++ b/packages/core/placing/src/mod.ts
@@ -12,13 +12,14 @@
   TableChanges,
   TablePosition,
 } from "./assignment_table.ts";
+export { parseObjectKey } from "./object_key.ts";
+export type { ObjectKeyParts } from "./object_key.ts";
 export { createPlacer } from "./placer.ts";
 export type { Placer, PlacerOptions } from "./placer.ts";
-export type { PlacingPlans, PlanDescription } from "./service_states.ts";
+export type { PlacingPlans, ServiceDescription } from "./service_states.ts";
 export type { ServicePlan } from "./service_state.ts";
 export type { RunTimes } from "./work_model.ts";
 export type {
-  AssignmentScope,
   Observations,
   Placement,
   PlaceRequest,
--- a/packages/core/placing/src/object_key.ts
+++ b/packages/core/placing/src/object_key.ts
@@ -16,7 +16,15 @@
   return `${service}${SEPARATOR}${route} ${object}`;
 }
 
-/** Service of an object's key. */
-export function getServiceOfKey(key: string): string {
-  return key.slice(0, key.indexOf(SEPARATOR));
+/** What a key names besides the object itself. */
+export interface ObjectKeyParts {
+  readonly service: string;
+  readonly route: string;
+}
+
+/** Service and route of an object's key. */
+export function parseObjectKey(key: string): ObjectKeyParts {
+  const end = key.indexOf(SEPARATOR);
+  const route = key.slice(end + 1, key.indexOf(" ", end));
+  return { service: key.slice(0, end), route };
 }
--- a/packages/core/placing/src/observing.ts
+++ b/packages/core/placing/src/observing.ts
@@ -4,24 +4,19 @@
  * @module
  */
 
-import type { AssignmentScope, Observations, RunObservation } from "./types.ts";
+import type { Observations, RunObservation } from "./types.ts";
 
-/** Runs kept between two reports, which are 200 ms apart; further ones would
- * change the averages of the region little. */
+/** Runs kept between two reports; further ones would change the averages of
+ * the region little. */
 const MAX_RUNS = 16;
 
 /** Observations since the last report. */
 export class ObservationLog {
-  #arrivals = new Map<string, number>();
+  #uses = new Set<string>();
   #runs: RunObservation[] = [];
-  #uses = createUses();
 
-  addUse(scope: AssignmentScope, key: string): void {
-    this.#uses[scope].add(key);
-  }
-
-  addArrival(service: string): void {
-    this.#arrivals.set(service, (this.#arrivals.get(service) ?? 0) + 1);
+  addUse(key: string): void {
+    this.#uses.add(key);
   }
 
   addRun(run: RunObservation): void {
@@ -29,15 +24,9 @@
   }
 
   take(): Observations {
-    const uses = { all: [...this.#uses.all], home: [...this.#uses.home] };
-    const taken = { uses, arrivals: this.#arrivals, runs: this.#runs };
-    this.#arrivals = new Map();
+    const taken = { uses: [...this.#uses], runs: this.#runs };
+    this.#uses = new Set();
     this.#runs = [];
-    this.#uses = createUses();
     return taken;
   }
 }
-
-function createUses(): Record<AssignmentScope, Set<string>> {
-  return { all: new Set(), home: new Set() };
-}
--- a/packages/core/placing/src/placer.ts
+++ b/packages/core/placing/src/placer.ts
@@ -16,13 +16,13 @@
 import type { Candidate } from "./candidates.ts";
 import { getObjectKey } from "./object_key.ts";
 import { ObservationLog } from "./observing.ts";
+import { chooseRegion } from "./region_choice.ts";
 import { ServerLoads } from "./server_loads.ts";
 import { ServerOrder } from "./server_order.ts";
 import type { RegionOrders } from "./server_order.ts";
 import { ServiceStates } from "./service_states.ts";
-import type { PlacingPlans, PlanDescription } from "./service_states.ts";
+import type { PlacingPlans, ServiceDescription } from "./service_states.ts";
 import type {
-  AssignmentScope,
   Observations,
   Placement,
   PlaceRequest,
@@ -36,7 +36,7 @@
 /** An answer expected later than this multiple of the target latency is
  * refused while the servers are saturated: the queue would only grow, and
  * every later request would be late too. */
-const LATEST_TARGETS = 2.5;
+const LATEST_TARGETS = 1.1;
 
 /** Share of the requests that may leave their planned region at once because
  * they would be late there; the bound on region changes is 0.15. */
@@ -57,10 +57,7 @@
   /** Live entries of the home region, this one included. */
   readonly countEntries: () => number;
   /** Id of the server that an object is assigned to. */
-  readonly findAssigned: (
-    scope: AssignmentScope,
-    key: string,
-  ) => string | undefined;
+  readonly findAssigned: (key: string) => string | undefined;
 }
 
 /** Places the requests of one entry. */
@@ -71,7 +68,7 @@
     servers: readonly TrackedServer[],
     nowMs: number,
   ): Placement;
-  recordArrival(request: PlaceRequest): void;
+  recordArrival(): void;
   recordSend(
     placement: SendPlacement,
     request: PlaceRequest,
@@ -86,12 +83,13 @@
   countInFlight(): ReadonlyMap<string, number>;
   /** Takes over what all other entries have in flight by server id. */
   setOtherLoads(counts: ReadonlyMap<string, number>, nowMs: number): void;
-  /** Updates the plans; due every `PLAN_INTERVAL_MS`. */
-  tick(
-    findServers: (service: string) => readonly TrackedServer[],
-    nowMs: number,
-  ): void;
-  describe(): readonly PlanDescription[];
+  /** Forgets servers that are no longer used; to be called now and then. */
+  expire(nowMs: number): void;
+  describe(nowMs: number): readonly ServiceDescription[];
+  /** True if a route's answers from other regions come too late. */
+  keepsHome(service: string, route: string, targetLatencyMs: number): boolean;
+  /** Requests in flight for each slot of some servers. */
+  measureBusyShare(servers: readonly TrackedServer[], nowMs: number): number;
   /** What this entry saw since the last call, for the one that learns. */
   takeObservations(): Observations;
   /** Learns from what another entry of the region saw. */
@@ -125,13 +123,11 @@
 
   constructor(options: PlacerOptions) {
     this.#options = options;
-    this.#services = new ServiceStates(options.homeRegion);
+    this.#services = new ServiceStates();
     this.#order = new ServerOrder(options.random);
   }
 
-  recordArrival(request: PlaceRequest): void {
-    this.#services.get(request.service).recordArrival();
-    this.#observations.addArrival(request.service);
+  recordArrival(): void {
     this.#escapes = Math.min(MAX_ESCAPES, this.#escapes + ESCAPE_SHARE);
   }
 
@@ -140,7 +136,7 @@
     servers: readonly TrackedServer[],
     nowMs: number,
   ): Placement {
-    const planned = this.#choosePlanned(request, servers, nowMs);
+    const planned = this.#choosePlanned(request, servers);
     const orders = this.#findOrders(request, { servers, planned, nowMs });
     const chosen = this.#choose(orders, { request, planned, nowMs });
     if (chosen === undefined) {
@@ -177,7 +173,7 @@
   }
 
   recordEnd(
-    { server, rank, hasSlot }: SendPlacement,
+    { server, hasSlot }: SendPlacement,
     request: PlaceRequest,
     end: SendEnd & { readonly nowMs: number },
   ): void {
@@ -192,8 +188,6 @@
       const run: RunObservation = {
         service: request.service,
         route: request.route,
-        region: server.region,
-        ...(request.object === undefined ? {} : { rank }),
         runMs,
       };
       service.recordRun(run, nowMs);
@@ -210,21 +204,26 @@
     this.#loads.setOthers(counts, nowMs);
   }
 
-  tick(
-    findServers: (service: string) => readonly TrackedServer[],
-    nowMs: number,
-  ): void {
-    const entries = this.#options.countEntries();
-    for (const name of this.#services.names()) {
-      const servers = findServers(name);
-      const service = this.#services.get(name);
-      this.#services.update(service, { servers, entries, nowMs });
-    }
+  expire(nowMs: number): void {
     this.#loads.expire(nowMs);
   }
 
-  describe(): readonly PlanDescription[] {
-    return this.#services.describe();
+  describe(nowMs: number): readonly ServiceDescription[] {
+    return this.#services.describe(nowMs);
+  }
+
+  keepsHome(service: string, route: string, targetLatencyMs: number): boolean {
+    return this.#services.get(service).keepsHome(route, targetLatencyMs);
+  }
+
+  measureBusyShare(servers: readonly TrackedServer[], nowMs: number): number {
+    let busy = 0;
+    let slots = 0;
+    for (const server of servers) {
+      busy += this.#loads.get(server, nowMs).estimateLoad(nowMs);
+      slots += server.record.slots;
+    }
+    return slots === 0 ? 1 : busy / slots;
   }
 
   exportPlans(nowMs: number): PlacingPlans | undefined {
@@ -239,10 +238,7 @@
     return this.#observations.take();
   }
 
-  addObservations({ arrivals, runs }: Observations, nowMs: number): void {
-    for (const [service, count] of arrivals) {
-      this.#services.get(service).addArrivals(count);
-    }
+  addObservations({ runs }: Observations, nowMs: number): void {
     for (const run of runs) {
       this.#services.get(run.service).recordRun(run, nowMs);
     }
@@ -251,32 +247,27 @@
   #choosePlanned(
     request: PlaceRequest,
     servers: readonly TrackedServer[],
-    nowMs: number,
   ): PlannedPlace {
-    const { homeRegion, random, countEntries, findAssigned } = this.#options;
-    const { allowedRegions } = request;
+    const { homeRegion, random, findAssigned } = this.#options;
     const service = this.#services.get(request.service);
     service.getWork(request.route, request.targetLatencyMs);
-    if (!service.isPlanned) {
-      const entries = countEntries();
-      this.#services.update(service, { servers, entries, nowMs });
-    }
     const key = getObjectKey(request);
-    const object = key ?? String(random());
-    const isHome = service.plan.isHome(object, allowedRegions);
-    const scope = isHome ? "home" : "all";
-    if (key !== undefined) this.#observations.addUse(scope, key);
-    const id = key === undefined ? undefined : findAssigned(scope, key);
+    if (key !== undefined) this.#observations.addUse(key);
+    const id = key === undefined ? undefined : findAssigned(key);
     const assigned = id === undefined
       ? undefined
       : servers.find(({ record }) => record.id === id);
     if (assigned !== undefined && isAllowed(assigned.region, request)) {
       return { region: assigned.region, assigned };
     }
-    const region = isHome
-      ? homeRegion
-      : service.plan.chooseShared(object, allowedRegions) ?? homeRegion;
-    return { region, assigned: undefined };
+    const region = chooseRegion(key ?? String(random()), {
+      home: homeRegion,
+      rooms: service.getRooms(servers).filter((room) =>
+        isAllowed(room.region, request)
+      ),
+      keepsHome: service.keepsHome(request.route, request.targetLatencyMs),
+    });
+    return { region: region ?? homeRegion, assigned: undefined };
   }
 
   /** Usable servers by region, the assigned one first. */
@@ -344,15 +335,7 @@
     let best: Candidate | undefined;
     for (const [rank, server] of order.entries()) {
       const load = this.#loads.get(server, nowMs);
-      const inputs = {
-        server,
-        load,
-        rank,
-        warmShare: service.getWarmth(server.region).getShare(rank),
-        homeRegion,
-        work,
-        meanRunMs,
-      };
+      const inputs = { server, load, rank, homeRegion, work, meanRunMs };
       const candidate = computeCandidate(inputs, request, nowMs);
       if (best === undefined || candidate.costMs < best.costMs) {
         best = candidate;
--- a/packages/core/placing/src/placer_test.ts
+++ b/packages/core/placing/src/placer_test.ts
@@ -75,7 +75,7 @@
   },
 ): string {
   const { request, nowMs, end = ANSWERED } = options;
-  placer.recordArrival(request);
+  placer.recordArrival();
   const placement = placer.place(request, servers, nowMs);
   if (placement.type !== "send") return placement.reason;
   placer.recordSend(placement, request, nowMs);
@@ -188,7 +188,7 @@
   let sent = 0;
   for (let index = 1; index <= 40; index++) {
     const nowMs = index * 50;
-    placer.recordArrival(request);
+    placer.recordArrival();
     const placement = placer.place(request, HOME, nowMs);
     if (placement.type !== "send") return t.fail();
     placer.recordSend(placement, request, nowMs);
--- /dev/null
+++ b/packages/core/placing/src/region_choice.ts
@@ -0,0 +1,84 @@
+/**
+ * The region that runs an object which no entry has assigned yet.
+ *
+ * Pattern: callers of each region ask for objects of their own, and regions
+ * with the same demand have different slots. A region without enough slots
+ * sends a part of its objects to regions with more than their callers need.
+ *
+ * @module
+ */
+
+import type { TrackedServer } from "@dotterelmoor/core.catalog";
+import { computeDistance, computePosition } from "./hashing.ts";
+
+/** Slots of one region. */
+export interface RegionRoom {
+  readonly region: string;
+  readonly slots: number;
+}
+
+/** Options of `chooseRegion`. */
+export interface RegionChoiceOptions {
+  /** Region of the callers that ask for the object. */
+  readonly home: string;
+  readonly rooms: readonly RegionRoom[];
+  /** True if answers from other regions come too late. */
+  readonly keepsHome: boolean;
+}
+
+/** Chooses a region, the same at every entry; undefined without any slots. */
+export function chooseRegion(
+  object: string,
+  { home, rooms, keepsHome }: RegionChoiceOptions,
+): string | undefined {
+  const total = rooms.reduce((sum, { slots }) => sum + slots, 0);
+  const even = total / rooms.length;
+  const homeSlots = rooms.find(({ region }) => region === home)?.slots ?? 0;
+  const isHome = homeSlots > 0 &&
+    (keepsHome || computePosition(`\0${object}`) < homeSlots / even);
+  if (isHome) return home;
+  const spare = rooms.map(({ region, slots }) => ({
+    region,
+    slots: region === home ? 0 : Math.max(0, slots - even),
+  }));
+  return chooseWeighted(spare, object) ?? chooseWeighted(rooms, object);
+}
+
+/** Weighted rendezvous hashing: a change of one region's slots moves only the
+ * objects that it gains or loses. */
+function chooseWeighted(
+  rooms: readonly RegionRoom[],
+  object: string,
+): string | undefined {
+  let best: string | undefined;
+  let bestScore = -Infinity;
+  for (const { region, slots } of rooms) {
+    if (slots <= 0) continue;
+    const score = slots / computeDistance(`${region} ${object}`);
+    if (score <= bestScore) continue;
+    best = region;
+    bestScore = score;
+  }
+  return best;
+}
+
+/** Groups servers by region. */
+export function splitByRegion(
+  servers: readonly TrackedServer[],
+): Map<string, TrackedServer[]> {
+  const groups = new Map<string, TrackedServer[]>();
+  for (const server of servers) {
+    const group = groups.get(server.region);
+    if (group === undefined) groups.set(server.region, [server]);
+    else group.push(server);
+  }
+  return groups;
+}
+
+/** Sums the slots of servers by region. */
+export function sumRooms(servers: readonly TrackedServer[]): RegionRoom[] {
+  return [...splitByRegion(servers)].map(([region, group]) => ({
+    region,
+    slots: group.reduce((sum, { record }) => sum + record.slots, 0),
+  }));
+}
--- a/packages/core/placing/src/server_order.ts
+++ b/packages/core/placing/src/server_order.ts
@@ -7,6 +7,7 @@
 import type { TrackedServer } from "@dotterelmoor/core.catalog";
 import type { Random } from "@dotterelmoor/core.types";
 import { computeDistance } from "./hashing.ts";
+import { splitByRegion } from "./region_choice.ts";
 
 /** Servers of a region that are considered for an object. Further ones are
  * cold, and would take slots from what is warm there. */
@@ -60,19 +61,6 @@
   }
 }
 
-/** Groups servers by region. */
-export function splitByRegion(
-  servers: readonly TrackedServer[],
-): Map<string, TrackedServer[]> {
-  const groups = new Map<string, TrackedServer[]>();
-  for (const server of servers) {
-    const group = groups.get(server.region);
-    if (group === undefined) groups.set(server.region, [server]);
-    else group.push(server);
-  }
-  return groups;
-}
-
 function sortServers(
   servers: readonly TrackedServer[],
   object: string,
--- a/packages/core/placing/src/service_states.ts
+++ b/packages/core/placing/src/service_states.ts
@@ -1,70 +1,45 @@
 /**
- * What an entry knows of all services, and what it passes on at a start.
+ * What an entry knows of all services, and what entries pass on.
  *
  * @module
  */
 
-import type { TrackedServer } from "@dotterelmoor/core.catalog";
-import { splitByRegion } from "./server_order.ts";
 import { ServiceState } from "./service_state.ts";
 import type { ServicePlan } from "./service_state.ts";
+import type { RunTimes } from "./work_model.ts";
 
 /** What the entries of a region learnt, by service. */
 export type PlacingPlans = Readonly<Record<string, ServicePlan>>;
 
-/** A service's plan and work, for logs. */
-export interface PlanDescription {
+/** A service's run times, for logs. */
+export interface ServiceDescription extends RunTimes {
   readonly service: string;
-  readonly homeShare: number;
-  readonly demandSlots: number;
 }
 
 /** States by service. */
 export class ServiceStates {
-  readonly #homeRegion: string;
   readonly #states = new Map<string, ServiceState>();
   #imported: PlacingPlans | undefined;
 
-  constructor(homeRegion: string) {
-    this.#homeRegion = homeRegion;
-  }
-
   get(name: string): ServiceState {
     let service = this.#states.get(name);
     if (service === undefined) {
-      service = new ServiceState(this.#homeRegion, this.#imported?.[name]);
+      service = new ServiceState();
+      const plan = this.#imported?.[name];
+      if (plan !== undefined) service.adopt(plan);
       this.#states.set(name, service);
     }
     return service;
   }
 
-  names(): string[] {
-    return [...this.#states.keys()];
-  }
-
-  /** Updates a plan by the slots of the regions. */
-  update(
-    service: ServiceState,
-    options: {
-      readonly servers: readonly TrackedServer[];
-      readonly entries: number;
-      readonly nowMs: number;
-    },
-  ): void {
-    const { servers, entries, nowMs } = options;
-    const rooms = [...splitByRegion(servers)].map(([region, group]) => ({
-      region,
-      slots: group.reduce((sum, { record }) => sum + record.slots, 0),
-    }));
-    service.update({ rooms, entries, nowMs });
-  }
-
-  describe(): readonly PlanDescription[] {
-    return [...this.#states].map(([service, state]) => ({
-      service,
-      homeShare: state.plan.homeShare,
-      demandSlots: state.demandSlots,
-    }));
+  describe(nowMs: number): readonly ServiceDescription[] {
+    return [...this.#states].flatMap(([service, state]) => {
+      const { keepsHome } = state;
+      const learnt = state.describeLearnt(nowMs);
+      return learnt === undefined
+        ? []
+        : [{ service, keepsHome, ...learnt.all }];
+    });
   }
 
   exportPlans(nowMs: number): PlacingPlans | undefined {
--- a/packages/core/placing/src/types.ts
+++ b/packages/core/placing/src/types.ts
@@ -92,22 +92,12 @@
 export interface RunObservation {
   readonly service: string;
   readonly route: string;
-  /** Region of the server. */
-  readonly region: string;
-  /** Place of the server in the object's order; absent without an object. */
-  readonly rank?: number;
   readonly runMs: number;
 }
 
-/** Which entry assigns an object: the one for all regions, or the one for the
- * entry's own region, which took the object over. */
-export type AssignmentScope = "all" | "home";
-
 /** What an entry saw since it told the last time. */
 export interface Observations {
-  /** Objects of requests by who assigns them. */
-  readonly uses: Readonly<Record<AssignmentScope, readonly string[]>>;
-  /** Requests by service. */
-  readonly arrivals: ReadonlyMap<string, number>;
+  /** Keys of the objects that its callers asked for. */
+  readonly uses: readonly string[];
   readonly runs: readonly RunObservation[];
 }
--- a/packages/core/placing/src/world_fixture.ts
+++ b/packages/core/placing/src/world_fixture.ts
@@ -12,12 +12,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { EventQueue } from "./event_queue_fixture.ts";
 import { Assigner, AssignmentTable, createPlacer } from "./mod.ts";
-import type {
-  Observations,
-  Placer,
-  PlaceRequest,
-  SendPlacement,
-} from "./mod.ts";
+import type { Placer, PlaceRequest, SendPlacement } from "./mod.ts";
 
 /** A region with its servers, entries and callers. */
 export interface WorldRegion {
@@ -32,6 +27,7 @@
 export interface WorldOptions {
   readonly seed: number;
   readonly regions: readonly WorldRegion[];
+  /** Objects that the callers of each region ask for. */
   readonly objects: number;
   /** Requests that a server remembers the objects of. */
   readonly remembered: number;
@@ -120,10 +116,9 @@
   readonly #placers: { region: string; placer: Placer }[] = [];
   readonly #intervals: WorldInterval[] = [];
   readonly #events = new EventQueue();
-  /** Assigners for all regions and for each one. */
-  readonly #assigners = new Map<string, Assigner>();
-  /** What entries know of their tables. */
-  readonly #tables = new Map<string, AssignmentTable>();
+  readonly #assigner = new Assigner(new AssignmentTable("assigner"));
+  /** What entries know of its table. */
+  readonly #assignments = new AssignmentTable();
   #nowMs = 0;
 
   constructor(options: WorldOptions) {
@@ -131,10 +126,6 @@
     const generator = xoroshiro128plus(options.seed);
     this.#random = () => uniformFloat64(generator);
     for (const region of options.regions) this.#addRegion(region);
-    for (const place of ["all", ...options.regions.map(({ name }) => name)]) {
-      this.#assigners.set(place, new Assigner(new AssignmentTable(place), 0));
-      this.#tables.set(place, new AssignmentTable());
-    }
   }
 
   run(): WorldInterval[] {
@@ -186,11 +177,12 @@
       const [first, ...others] = this.#placers
         .filter(({ region }) => region === name)
         .map(({ placer }) => placer);
-      this.#addUses(name, first!.takeObservations());
+      const own = first!.takeObservations();
+      this.#assigner.addUses(name, own.uses, this.#nowMs);
       for (const other of others) {
         const observations = other.takeObservations();
         first!.addObservations(observations, this.#nowMs);
-        this.#addUses(name, observations);
+        this.#assigner.addUses(name, observations.uses, this.#nowMs);
       }
       const plans = first!.exportPlans(this.#nowMs);
       if (plans === undefined) continue;
@@ -198,23 +190,22 @@
     }
   }
 
-  #addUses(region: string, { uses }: Observations): void {
-    this.#assigners.get("all")!.addUses(uses.all, this.#nowMs);
-    this.#assigners.get(region)!.addUses(uses.home, this.#nowMs);
-  }
-
-  /** Copies of the tables are as old as an exchange takes. */
+  /** The copy of the table is as old as an exchange takes. */
   #shareAssignments(): void {
-    for (const [place, { table }] of this.#assigners) {
-      const copy = this.#tables.get(place)!;
-      copy.apply(table.changesSince(copy.position));
-    }
-    for (const [place, assigner] of this.#assigners) {
-      const servers = this.#tracked.filter(({ region }) =>
-        place === "all" || region === place
-      );
-      assigner.update({ findServers: () => servers, nowMs: this.#nowMs });
-    }
+    const { table } = this.#assigner;
+    this.#assignments.apply(table.changesSince(this.#assignments.position));
+    this.#assigner.update({
+      findServers: () => this.#tracked,
+      keepsHome: () =>
+        this.#placers[0]!.placer.keepsHome(
+          "desk",
+          "r1",
+          this.#options.targetLatencyMs,
+        ),
+      measureBusyShare: (servers) =>
+        this.#placers[0]!.placer.measureBusyShare(servers, this.#nowMs),
+      nowMs: this.#nowMs,
+    });
   }
 
   #addRegion(region: WorldRegion): void {
@@ -244,10 +235,7 @@
         homeRegion: region.name,
         random: this.#random,
         countEntries: () => region.entries,
-        findAssigned: (scope, key) => {
-          const place = scope === "all" ? "all" : region.name;
-          return this.#tables.get(place)!.find(key);
-        },
+        findAssigned: (key) => this.#assignments.find(key),
       });
       this.#placers.push({ region: region.name, placer });
     }
@@ -255,7 +243,7 @@
 
   #tick(): void {
     for (const { placer } of this.#placers) {
-      placer.tick(() => this.#tracked, this.#nowMs);
+      placer.expire(this.#nowMs);
     }
     if (this.#nowMs < this.#options.durationMs) {
       this.#schedule(TICK_MS, () => this.#tick());
@@ -281,7 +269,7 @@
       request: {
         service: "desk",
         route: "r1",
-        object: String(Math.floor(this.#random() * objects)),
+        object: `${region.name}${Math.floor(this.#random() * objects)}`,
         targetLatencyMs,
         remainingMs: deadlineMs,
         ageMs: 0,
@@ -297,7 +285,7 @@
       placement: undefined,
     };
     this.#interval(job).requests += 1;
-    placer.recordArrival(job.request);
+    placer.recordArrival();
     this.#place(job);
   }
 
--- a/packages/daemon/edge/src/edge_test.ts
+++ b/packages/daemon/edge/src/edge_test.ts
@@ -300,7 +300,7 @@
   putAll(store, [backend!]);
   const client = store.createClient("n0");
   const all = { warmMs: 40, coldMs: 120, meanMs: 50 };
-  const plan = { homeShare: 0.25, all, routes: {}, warmth: {} };
+  const plan = { all, routes: { r1: all } };
   await client.writePlans("a", { desk: plan });
   const first = await startReady(t, store, { instance: "n1" });
   t.is((await callEdge(first.settings.callers)).status, 200);
@@ -311,7 +311,7 @@
   await waitUntil(t, async () => {
     const kept = (await client.readPlans("a")).unwrap();
     const found = (kept as Record<string, typeof plan>)["desk"];
-    return found !== undefined && Math.abs(found.homeShare - 0.25) < 0.3;
+    return found !== undefined && Math.abs(found.all.coldMs - 120) < 60;
   }, 9_000);
 });
 
--- a/packages/daemon/edge/src/process/load_exchange.ts
+++ b/packages/daemon/edge/src/process/load_exchange.ts
@@ -19,7 +19,11 @@
   LoadReader,
 } from "@dotterelmoor/core.load_sharing";
 import type { MemberRecord } from "@dotterelmoor/core.membership";
-import type { Observations, Placer } from "@dotterelmoor/core.placing";
+import type {
+  Observations,
+  Placer,
+  TablePosition,
+} from "@dotterelmoor/core.placing";
 import type { DisposableStore, Random } from "@dotterelmoor/core.types";
 import type {
   LoadRedirectMessage,
@@ -29,7 +33,7 @@
   PeerMessage,
 } from "@dotterelmoor/network.peering";
 import type { Logger } from "pino";
-import type { Assignments, ScopePositions } from "./assignments.ts";
+import type { Assignments } from "./assignments.ts";
 import { sortEntries } from "./entry_order.ts";
 import { wait } from "./intervals.ts";
 import { createReaderChoice } from "./reader_choice.ts";
@@ -60,6 +64,10 @@
 
 const MAX_COUNT = 255;
 
+/** Objects kept for an assigning entry that does not answer; callers ask for
+ * them again. */
+const MAX_FOREIGN_USES = 4_096;
+
 /** What is exchanged of a placer. */
 export type SharingPlacer = Pick<
   Placer,
@@ -114,7 +122,7 @@
   /** Readers and addresses of the other regions' first entries. */
   readonly #regions = new Map<string, LoadReader>();
   readonly #addresses = new Map<string, string>();
-  /** Objects of the region's requests that another region's entry assigns. */
+  /** Objects to tell to the region whose entry assigns. */
   #foreignUses = new Set<string>();
   #sums: { readonly all: LoadCounts; readonly atMs: number } | undefined;
   #first: MemberRecord | undefined;
@@ -146,41 +154,28 @@
     }
     const nowMs = performance.now();
     const { placer, assignments } = this.#options;
+    const table = assignments.changesSince(report.table);
     if (peer.region !== region) {
-      assignments.addUses("all", report.uses.all);
-      assignments.update();
-      const all = assignments.changesSince("all", report.tables.all);
+      assignments.addUses(peer.region, report.uses);
       const sums = this.#board.sumRegion(nowMs);
       const loads = this.#board.pack(sums, report.known);
-      return { type: "load_sums", loads, tables: { all } };
+      return { type: "load_sums", loads, table };
     }
     this.#board.recordReport(peer.processId, readReport(report), nowMs);
-    this.#learn(readObservations(report), nowMs);
+    placer.addObservations(report, nowMs);
+    this.#addUses(report.uses);
     const sums = this.#sumAll(nowMs);
+    const loads = this.#board.pack(sums, report.known);
     const plans = report.wantsPlans ? placer.exportPlans(nowMs) : undefined;
-    return {
-      type: "load_sums",
-      loads: this.#board.pack(sums, report.known),
-      tables: {
-        all: assignments.changesSince("all", report.tables.all),
-        home: assignments.changesSince("home", report.tables.home),
-      },
-      ...(plans === undefined ? {} : { plans }),
-    };
-  }
-
-  /** Learns from what another entry of the region saw. */
-  #learn(observations: Observations, nowMs: number): void {
-    this.#options.placer.addObservations(observations, nowMs);
-    this.#assign(observations);
+    return { type: "load_sums", loads, table, plans };
   }
 
-  #assign({ uses }: Observations): void {
-    const { assignments } = this.#options;
-    assignments.addUses("home", uses.home);
-    if (assignments.isAssigning("all")) assignments.addUses("all", uses.all);
-    else for (const key of uses.all) this.#foreignUses.add(key);
-    assignments.update();
+  #addUses(keys: readonly string[]): void {
+    const { assignments, region } = this.#options;
+    assignments.addUses(region, keys);
+    if (assignments.isAssigning) return;
+    if (this.#foreignUses.size > MAX_FOREIGN_USES) this.#foreignUses.clear();
+    for (const key of keys) this.#foreignUses.add(key);
   }
 
   async #run(): Promise<void> {
@@ -203,9 +198,7 @@
     const chosen = this.#choice.choose(ids, performance.now());
     this.#setFirst(order.find((entry) => entry.processId === chosen));
     const isFirst = chosen === processId;
-    assignments.setAssigning("home", isFirst);
     assignments.setAssigning(
-      "all",
       isFirst && region === chooseAssigningRegion(entries),
     );
     if (this.#first === undefined) return;
@@ -215,7 +208,7 @@
     this.#board.recordReport(processId, own, nowMs);
     placer.setOtherLoads(subtract(this.#board.sumAll(nowMs), own), nowMs);
     // Its own runs and arrivals are part of what it knows.
-    this.#assign(placer.takeObservations());
+    this.#addUses(placer.takeObservations().uses);
     if (nowMs - this.#regionsAtMs < REGION_INTERVAL_MS) return;
     this.#regionsAtMs = nowMs;
     void this.#pullRegions(entries);
@@ -234,7 +227,7 @@
     const own = placer.countInFlight();
     const askedAtMs = performance.now();
     const report = writeReport(own, this.#reader, {
-      tables: this.#options.assignments.positions,
+      table: this.#options.assignments.position,
       observations: placer.takeObservations(),
       wantsPlans: askedAtMs - this.#plansAtMs >= PLANS_INTERVAL_MS,
     });
@@ -244,7 +237,7 @@
     if (answer?.type !== "load_sums") return;
     const sums = this.#reader.read(answer.loads);
     if (sums !== undefined) placer.setOtherLoads(subtract(sums, own), nowMs);
-    this.#options.assignments.apply(answer.tables);
+    this.#options.assignments.apply(answer.table);
     if (answer.plans === undefined) return;
     placer.importPlans(answer.plans);
     this.#plansAtMs = nowMs;
@@ -271,11 +264,11 @@
     const address = this.#addresses.get(region) ?? any;
     const isAssigning = region === chooseAssigningRegion(entries);
     const { assignments } = this.#options;
-    const all = isAssigning ? [...this.#foreignUses] : [];
+    const uses = isAssigning ? [...this.#foreignUses] : [];
     if (isAssigning) this.#foreignUses = new Set();
     const report = writeReport(new Map(), reader, {
-      tables: assignments.positions,
-      observations: { uses: { all, home: [] }, arrivals: new Map(), runs: [] },
+      table: assignments.position,
+      observations: { uses, runs: [] },
       wantsPlans: false,
     });
     const answer = await this.#ask(address, report);
@@ -285,7 +278,7 @@
     }
     if (answer?.type !== "load_sums") return;
     this.#addresses.set(region, address);
-    if (isAssigning) assignments.apply({ all: answer.tables.all });
+    if (isAssigning) assignments.apply(answer.table);
     const sums = reader.read(answer.loads);
     if (sums === undefined) return;
     this.#board.recordRegion(region, sums, performance.now());
@@ -319,12 +312,12 @@
   own: LoadCounts,
   reader: LoadReader,
   extra: {
-    readonly tables: ScopePositions;
+    readonly table: TablePosition;
     readonly observations: Observations;
     readonly wantsPlans: boolean;
   },
 ): LoadReportMessage {
-  const { tables, observations, wantsPlans } = extra;
+  const { table, observations, wantsPlans } = extra;
   return {
     type: "load_report",
     known: reader.known,
@@ -333,21 +326,15 @@
       own.values(),
       (count) => Math.min(MAX_COUNT, count),
     ),
+    table,
     uses: observations.uses,
-    tables,
-    arrivals: Object.fromEntries(observations.arrivals),
     runs: observations.runs,
     wantsPlans,
   };
 }
 
-function readObservations(report: LoadReportMessage): Observations {
-  const { uses, arrivals, runs } = report;
-  return { uses, arrivals: new Map(Object.entries(arrivals)), runs };
-}
-
-/** The region whose first entry assigns the objects that all share; the same
- * at every entry that knows the same regions. */
+/** The region whose first entry assigns objects; the same at every entry that
+ * knows the same regions. */
 function chooseAssigningRegion(entries: readonly MemberRecord[]): string {
   return entries.reduce(
     (least, { region }) => region < least ? region : least,
--- a/packages/daemon/edge/src/process/load_exchange_test.ts
+++ b/packages/daemon/edge/src/process/load_exchange_test.ts
@@ -21,10 +21,8 @@
 
 const PLANS: PlacingPlans = {
   desk: {
-    homeShare: 0.5,
     all: { warmMs: 1, coldMs: 3, meanMs: 2 },
     routes: {},
-    warmth: {},
   },
 };
 
@@ -33,7 +31,7 @@
   /** What it has in flight. */
   readonly own: Map<string, number>;
   others: ReadonlyMap<string, number>;
-  arrivals: number;
+  runs: number;
   plans: PlacingPlans | undefined;
   readonly assignments: Assignments;
   exchange?: LoadExchange;
@@ -53,15 +51,16 @@
   };
   const assignments = new Assignments({
     processId: name,
-    findServers: (scope) =>
-      SERVERS.filter((server) => scope === "all" || server.region === region),
+    findServers: () => SERVERS,
+    keepsHome: () => false,
+    measureBusyShare: () => 1,
   });
   return {
     member,
     assignments,
     own: new Map(),
     others: new Map(),
-    arrivals: 0,
+    runs: 0,
     plans: undefined,
     isDead: false,
   };
@@ -82,15 +81,10 @@
         countInFlight: () => new Map(entry.own),
         setOtherLoads: (counts) => entry.others = counts,
         takeObservations: () => ({
-          uses: {
-            all: [`desk\nr1 ${processId}`],
-            home: [`desk\nr1 ${region}`],
-          },
-          arrivals: new Map([["desk", 1]]),
-          runs: [],
+          uses: [`desk\nr1 ${processId}`],
+          runs: [{ service: "desk", route: "r1", runMs: 1 }],
         }),
-        addObservations: ({ arrivals }) =>
-          entry.arrivals += arrivals.get("desk") ?? 0,
+        addObservations: ({ runs }) => entry.runs += runs.length,
         exportPlans: () => PLANS,
         importPlans: (plans) => entry.plans = plans,
       },
@@ -155,24 +149,18 @@
   startEntries(t, entries);
   const findAll = (entry: TestEntry) =>
     entries.map(({ member }) =>
-      entry.assignments.find("all", `desk\nr1 ${member.processId}`)
+      entry.assignments.find(`desk\nr1 ${member.processId}`)
     );
   for (const entry of entries) {
     await waitUntil(t, () => !findAll(entry).includes(undefined));
     t.deepEqual(findAll(entry), findAll(entries[0]!));
     // Four objects on four servers.
     t.is(new Set(findAll(entry)).size, 4);
-    const { region } = entry.member;
-    const key = `desk\nr1 ${region}`;
-    await waitUntil(
-      t,
-      () => entry.assignments.find("home", key)?.startsWith(region) === true,
-    );
   }
   // Another entry goes on from what the first one assigned.
   const before = findAll(entries[1]!);
   entries[0]!.isDead = true;
-  await waitUntil(t, () => entries[1]!.assignments.isAssigning("all"));
+  await waitUntil(t, () => entries[1]!.assignments.isAssigning);
   t.deepEqual(findAll(entries[1]!), before);
 });
 
@@ -184,7 +172,7 @@
   ];
   startEntries(t, entries);
   await waitUntil(t, () => entries[2]!.plans !== undefined);
-  await waitUntil(t, () => entries[0]!.arrivals > 2);
+  await waitUntil(t, () => entries[0]!.runs > 2);
   entries[0]!.isDead = true;
   entries[2]!.own.set("s1", 2);
   await waitUntil(t, () => entries[1]!.others.get("s1") === 2);
--- a/packages/daemon/edge/src/request/forwarding.ts
+++ b/packages/daemon/edge/src/request/forwarding.ts
@@ -135,7 +135,7 @@
     const { budgets, placer } = this.#options;
     const { service, route } = this.#request;
     budgets.recordRequest(service);
-    placer.recordArrival(this.#buildPlaceRequest());
+    placer.recordArrival();
     while (true) {
       const placement = this.#place();
       if (placement.type === "refuse") {
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -9,7 +9,7 @@
 import type { Server } from "node:http";
 import { createCatalog, createSplitter } from "@dotterelmoor/core.catalog";
 import type { Catalog } from "@dotterelmoor/core.catalog";
-import { createPlacer } from "@dotterelmoor/core.placing";
+import { createPlacer, parseObjectKey } from "@dotterelmoor/core.placing";
 import type { Placer } from "@dotterelmoor/core.placing";
 import { DisposableStore } from "@dotterelmoor/core.types";
 import { createBackendClient } from "@dotterelmoor/network.backend";
@@ -31,9 +31,9 @@
 import type { EdgeMetrics } from "./process/metrics.ts";
 import { startPeers } from "./process/peers.ts";
 import type { Peers } from "./process/peers.ts";
-import { startPlanUpdates } from "./process/plan_updates.ts";
 import { startPlanKeeping } from "./process/plan_keeping.ts";
 import { startRegistration } from "./process/registration.ts";
+import { startReports } from "./process/reports.ts";
 import { createRetryBudgets } from "./process/retry_budgets.ts";
 import { createForwarder } from "./request/forwarding.ts";
 import { createFront } from "./request/front.ts";
@@ -113,12 +113,24 @@
   const { instance, logLevel, region, zones } = settings;
   const late: Base["late"] = {};
   const catalog = createCatalog({ zones });
+  const placer = createPlacer({
+    homeRegion: region,
+    // Without peers known yet, this is the only entry of its region.
+    countEntries: () => late.peers?.membership.liveMembers(region).length ?? 1,
+    findAssigned: (key) => assignments.find(key),
+    random: Math.random,
+  });
   const assignments = new Assignments({
     processId,
-    findServers: (scope, service) =>
-      catalog.findServers(service, performance.now()).filter((server) =>
-        scope === "all" || server.region === region
-      ),
+    findServers: (service) => catalog.findServers(service, performance.now()),
+    keepsHome: (key) => {
+      const { service, route } = parseObjectKey(key);
+      const found = catalog.routes?.get(route);
+      return found !== undefined &&
+        placer.keepsHome(service, route, found.targetLatencyMs);
+    },
+    measureBusyShare: (servers) =>
+      placer.measureBusyShare(servers, performance.now()),
   });
   return {
     settings,
@@ -130,19 +142,12 @@
     metrics: createEdgeMetrics({ address: settings.metrics, store }),
     catalog,
     assignments,
-    placer: createPlacer({
-      homeRegion: region,
-      // Without peers known yet, this is the only entry of its region.
-      countEntries: () =>
-        late.peers?.membership.liveMembers(region).length ?? 1,
-      findAssigned: (scope, key) => assignments.find(scope, key),
-      random: Math.random,
-    }),
+    placer,
   };
 }
 
 async function startParts(base: Base): Promise<Edge> {
-  const { settings, platform, store, log, placer, catalog, metrics } = base;
+  const { settings, platform, store, log, placer, metrics } = base;
   const peers = await connectPeers(base);
   const front = createRequests(base, peers);
   const callers = createCallerServer(front);
@@ -178,7 +183,7 @@
     store,
     log: log.part("load"),
   });
-  startPlanUpdates({ placer, catalog, store, log, peers, metrics });
+  startReports({ placer, store, log, peers, metrics });
   let isLeaving = false;
   await listenAll(base, {
     callers,
--- a/packages/network/peering/src/guards.ts
+++ b/packages/network/peering/src/guards.ts
@@ -144,18 +144,12 @@
   });
 }
 
-function isAmountList(value: unknown): boolean {
-  return Array.isArray(value) && value.every(isAmount);
-}
-
 /** Tells whether a value is what the entries of a region learnt. */
 export function isPlans(value: unknown): value is PlacingPlans {
   return isMapOf(value, (plan) =>
     hasFields(plan, {
-      homeShare: isAmount,
       all: isRunTimes,
       routes: (routes) => isMapOf(routes, isRunTimes),
-      warmth: (warmth) => isMapOf(warmth, isAmountList),
     }));
 }
 
@@ -187,8 +181,6 @@
   return hasFields(value, {
     service: isString,
     route: isString,
-    region: isString,
-    rank: (rank) => rank === undefined || isCount(rank),
     runMs: isAmount,
   });
 }
@@ -246,17 +238,14 @@
     known: (known) => hasFields(known, { numbering: isString, count: isCount }),
     servers: isStringList,
     counts: isBytes,
-    uses: (uses) => hasFields(uses, { all: isStringList, home: isStringList }),
-    tables: (tables) =>
-      hasFields(tables, { all: isTablePosition, home: isTablePosition }),
-    arrivals: (arrivals) => isMapOf(arrivals, isCount),
+    uses: isStringList,
+    table: isTablePosition,
     runs: (runs) => Array.isArray(runs) && runs.every(isRun),
     wantsPlans: isBoolean,
   },
   load_sums: {
     loads: isPackedLoads,
-    tables: (tables) =>
-      hasFields(tables, { all: isOptionalChanges, home: isOptionalChanges }),
+    table: isOptionalChanges,
     plans: isOptionalPlans,
   },
   load_redirect: { peerAddress: isString },
--- a/packages/network/peering/src/messages.ts
+++ b/packages/network/peering/src/messages.ts
@@ -10,7 +10,6 @@
   PackedLoads,
 } from "@dotterelmoor/core.load_sharing";
 import type {
-  AssignmentScope,
   PlacingPlans,
   RunObservation,
   TableChanges,
@@ -182,12 +181,10 @@
   readonly servers: readonly string[];
   /** Requests in flight at each of them, at most 255. */
   readonly counts: Uint8Array;
-  /** Objects of requests since the last report. */
-  readonly uses: Readonly<Record<AssignmentScope, readonly string[]>>;
-  /** Where the sender's copies of the tables of objects stand. */
-  readonly tables: Readonly<Record<AssignmentScope, TablePosition>>;
-  /** Requests by service since the last report. */
-  readonly arrivals: Readonly<Record<string, number>>;
+  /** Keys of the objects that callers asked for since the last report. */
+  readonly uses: readonly string[];
+  /** Where the sender's copy of the table of objects stands. */
+  readonly table: TablePosition;
   /** Runs since the last report. */
   readonly runs: readonly RunObservation[];
   /** True if the answer is to carry what the region learnt. */
@@ -198,8 +195,8 @@
 export interface LoadSumsMessage {
   readonly type: "load_sums";
   readonly loads: PackedLoads;
-  /** What the receiver lacks of the tables of objects. */
-  readonly tables: Partial<Readonly<Record<AssignmentScope, TableChanges>>>;
+  /** What the receiver lacks of the table of objects. */
+  readonly table?: TableChanges;
   readonly plans?: PlacingPlans;
 }
 
