Keep assigned objects over the loss of all entries

Change: the entry that assigns keeps objects and run times in one row of the store, at most every 5 s; a first entry that gets them from no peer reads the row before it assigns. Catalog messages carry no plans any longer.

--- a/packages/daemon/edge/src/edge_fixture.ts
+++ b/packages/daemon/edge/src/edge_fixture.ts
@@ -62,7 +62,7 @@
     readonly change: CatalogChange;
   }[] = [];
   readonly #entries = new Map<string, string>();
-  readonly #plans = new Map<string, unknown>();
+  #kept: unknown;
   readonly #down = new Set<string>();
   readonly #calls = new Map<string, number>();
   readonly #waiters = new Set<() => void>();
@@ -121,12 +121,11 @@
         this.#entries.set(instance, peerAddress);
         return Promise.resolve(Ok(undefined));
       },
-      readPlans: (region) =>
-        Promise.resolve(refuse() ?? Ok(this.#plans.get(region))),
-      writePlans: (region, value) => {
+      readKept: () => Promise.resolve(refuse() ?? Ok(this.#kept)),
+      writeKept: (value) => {
         const refused = refuse();
         if (refused !== undefined) return Promise.resolve(refused);
-        this.#plans.set(region, value);
+        this.#kept = value;
         return Promise.resolve(Ok(undefined));
       },
       listEntries: () =>
--- a/packages/daemon/edge/src/edge_test.ts
+++ b/packages/daemon/edge/src/edge_test.ts
@@ -12,6 +12,7 @@
   startBackend,
 } from "./edge_fixture.ts";
 import type { MemoryStore, TestBackend } from "./edge_fixture.ts";
+import type { KeptState } from "@dotterelmoor/network.peering";
 import { startEdge } from "./mod.ts";
 import type { EdgeSettings } from "./mod.ts";
 
@@ -294,24 +295,37 @@
   await t.throwsAsync(callEdge(settings.callers), { code: "ECONNREFUSED" });
 });
 
-test("guards against plans that are lost with all entries", async (t) => {
+test("guards against objects and run times that are lost with all entries", async (t) => {
   const store = createMemoryStore();
-  const [backend] = await startBackends(t, [undefined]);
-  putAll(store, [backend!]);
+  const backends = await startBackends(t, [undefined, undefined, undefined]);
+  putAll(store, backends);
   const client = store.createClient("n0");
   const all = { warmMs: 40, coldMs: 120, meanMs: 50 };
-  const plan = { all, routes: { r1: all } };
-  await client.writePlans("a", { desk: plan });
+  const key = "desk\nr1 17";
+  await client.writeKept({
+    plans: { desk: { all, routes: { r1: all } } },
+    objects: { s1: [key] },
+  });
   const first = await startReady(t, store, { instance: "n1" });
-  t.is((await callEdge(first.settings.callers)).status, 200);
-  // An entry that starts beside it takes them over, and keeps them in turn.
-  await client.writePlans("a", {});
-  const seeds = [`127.0.0.1:${first.settings.peers.port}`];
-  await startReady(t, store, { instance: "n2", seeds });
+  const headers = { "dotterelmoor-object": "17" };
+  const { host, port } = first.settings.peers;
+  const seeds = [`${host}:${port}`];
+  const second = await startReady(t, store, { instance: "n2", seeds });
+  for (const { settings } of [first, second]) {
+    for (let index = 0; index < 5; index++) {
+      t.is((await callEdge(settings.callers, { headers })).status, 200);
+    }
+  }
+  t.is(backends[1]!.requests.length, 10);
+  // What is learnt since is kept as well.
+  await client.writeKept({});
+  await callEdge(first.settings.callers, {
+    headers: { "dotterelmoor-object": "18" },
+  });
   await waitUntil(t, async () => {
-    const kept = (await client.readPlans("a")).unwrap();
-    const found = (kept as Record<string, typeof plan>)["desk"];
-    return found !== undefined && Math.abs(found.all.coldMs - 120) < 60;
+    const kept = (await client.readKept()).unwrap() as Partial<KeptState>;
+    const keys = Object.values(kept.objects ?? {}).flat();
+    return keys.includes(key) && keys.includes("desk\nr1 18");
   }, 9_000);
 });
 
--- a/packages/daemon/edge/src/ports.ts
+++ b/packages/daemon/edge/src/ports.ts
@@ -31,10 +31,10 @@
     instance: string,
     peerAddress: string,
   ): Promise<Result<void, StoreError>>;
-  /** What entries of a region keep for their next start. */
-  readPlans(region: string): Promise<Result<unknown, StoreError>>;
+  /** What entries keep for the next start of all; undefined at first. */
+  readKept(): Promise<Result<unknown, StoreError>>;
   /** Replaces it; the value is written as JSON. */
-  writePlans(region: string, value: unknown): Promise<Result<void, StoreError>>;
+  writeKept(value: unknown): Promise<Result<void, StoreError>>;
   /** Peer addresses of the entries that registered, ended ones included. */
   listEntries(): Promise<Result<readonly string[], StoreError>>;
   close(): void;
--- a/packages/daemon/edge/src/process/assignments.ts
+++ b/packages/daemon/edge/src/process/assignments.ts
@@ -44,6 +44,23 @@
     return this.#assigner !== undefined;
   }
 
+  /** Keys of the objects by the id of their server. */
+  listByServer(): Record<string, string[]> {
+    const lists: Record<string, string[]> = {};
+    for (const key of this.#table.keys()) {
+      (lists[this.#table.find(key)!] ??= []).push(key);
+    }
+    return lists;
+  }
+
+  /** Takes over what was kept, unless more is known by now. */
+  restore(objects: Readonly<Record<string, readonly string[]>>): void {
+    if (this.#table.position.revision > 0) return;
+    for (const [serverId, keys] of Object.entries(objects)) {
+      for (const key of keys) this.#table.set(key, serverId);
+    }
+  }
+
   /** Starts or stops to assign; what was assigned before stays. */
   setAssigning(isAssigning: boolean): void {
     if (isAssigning === this.isAssigning) return;
--- a/packages/daemon/edge/src/process/load_exchange.ts
+++ b/packages/daemon/edge/src/process/load_exchange.ts
@@ -93,6 +93,8 @@
   ) => Promise<PeerMessage | undefined>;
   readonly placer: SharingPlacer;
   readonly assignments: Assignments;
+  /** True once nothing of what was assigned before is still to be known. */
+  readonly isRestored: () => boolean;
   readonly random: Random;
   readonly store: DisposableStore;
   readonly log: Logger;
@@ -100,6 +102,8 @@
 
 /** The running exchange. */
 export interface LoadExchange {
+  /** True if this entry sums for its region. */
+  readonly isFirst: boolean;
   /** Answers the report of a peer. */
   answer(
     report: LoadReportMessage,
@@ -136,6 +140,10 @@
     this.#board = createLoadBoard({ numbering: options.processId });
   }
 
+  get isFirst(): boolean {
+    return this.#first?.processId === this.#options.processId;
+  }
+
   start(): void {
     this.#options.store.add(() => {
       this.#stopped = true;
@@ -187,7 +195,7 @@
   }
 
   async #step(): Promise<void> {
-    const { processId, region, listEntries, placer, assignments } =
+    const { processId, region, listEntries, placer, assignments, isRestored } =
       this.#options;
     const entries = listEntries();
     const order = sortEntries(
@@ -199,7 +207,7 @@
     this.#setFirst(order.find((entry) => entry.processId === chosen));
     const isFirst = chosen === processId;
     assignments.setAssigning(
-      isFirst && region === chooseAssigningRegion(entries),
+      isFirst && isRestored() && region === chooseAssigningRegion(entries),
     );
     if (this.#first === undefined) return;
     if (chosen !== processId) return await this.#report(this.#first);
--- a/packages/daemon/edge/src/process/load_exchange_test.ts
+++ b/packages/daemon/edge/src/process/load_exchange_test.ts
@@ -89,6 +89,7 @@
         importPlans: (plans) => entry.plans = plans,
       },
       assignments: entry.assignments,
+      isRestored: () => true,
       random: Math.random,
       store,
       log: pino({ level: "silent" }),
--- a/packages/daemon/edge/src/process/peers.ts
+++ b/packages/daemon/edge/src/process/peers.ts
@@ -5,7 +5,6 @@
  */
 
 import type { Catalog, CatalogPosition } from "@dotterelmoor/core.catalog";
-import type { PlacingPlans } from "@dotterelmoor/core.placing";
 import { createMembership } from "@dotterelmoor/core.membership";
 import type {
   MemberRecord,
@@ -64,7 +63,6 @@
   readonly catalog: Catalog;
   /** Time in milliseconds since the catalog was known to be current. */
   readonly getCatalogAgeMs: () => number;
-  readonly getPlans: () => PlacingPlans | undefined;
   /** A peer has a configuration of another version. */
   readonly onOtherVersion: (version: number) => void;
   /** Answers what a peer reports to have in flight. */
@@ -82,8 +80,6 @@
   pullCatalog(
     processId: string | undefined,
   ): Promise<CatalogMessage | undefined>;
-  /** Plans of an entry of the own region, if one answers. */
-  pullPlans(): Promise<PlacingPlans | undefined>;
   /** Calls an entry; undefined if it does not answer in time. */
   call(
     peerAddress: string,
@@ -118,8 +114,8 @@
         part.receive(message as MembershipMessage);
         return Promise.resolve(undefined);
       },
-      catalog_pull: ({ position }, { peer }) =>
-        Promise.resolve(part.answerPull(position, peer.region)),
+      catalog_pull: ({ position }) =>
+        Promise.resolve(part.answerPull(position)),
       load_report: options.answerLoads,
     },
   });
@@ -179,14 +175,12 @@
     this.#send({ type: "seeds", addresses });
   }
 
-  answerPull(position: CatalogPosition, region: string): CatalogMessage {
-    const { catalog, getCatalogAgeMs, getPlans, self } = this.#options;
-    const plans = region === self.region ? getPlans() : undefined;
+  answerPull(position: CatalogPosition): CatalogMessage {
+    const { catalog, getCatalogAgeMs } = this.#options;
     return {
       type: "catalog",
       delta: catalog.changesSince(position, nowMs()),
       ageMs: Math.min(NEVER_READ_MS, getCatalogAgeMs()),
-      ...(plans === undefined ? {} : { plans }),
     };
   }
 
@@ -201,14 +195,6 @@
     return this.#pull(others);
   }
 
-  async pullPlans(): Promise<PlacingPlans | undefined> {
-    const { self } = this.#options;
-    const near = this.membership.liveMembers(self.region).filter((member) =>
-      member.processId !== self.processId
-    );
-    return (await this.#pull(near))?.plans;
-  }
-
   async #pull(
     members: readonly MemberRecord[],
   ): Promise<CatalogMessage | undefined> {
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -31,7 +31,8 @@
 import type { EdgeMetrics } from "./process/metrics.ts";
 import { startPeers } from "./process/peers.ts";
 import type { Peers } from "./process/peers.ts";
-import { startPlanKeeping } from "./process/plan_keeping.ts";
+import { startKeeping } from "./process/keeping.ts";
+import type { Keeping } from "./process/keeping.ts";
 import { startRegistration } from "./process/registration.ts";
 import { startReports } from "./process/reports.ts";
 import { createRetryBudgets } from "./process/retry_budgets.ts";
@@ -103,7 +104,12 @@
   readonly placer: Placer;
   readonly assignments: Assignments;
   /** Parts that others reach before they exist. */
-  readonly late: { peers?: Peers; watch?: CatalogWatch; loads?: LoadExchange };
+  readonly late: {
+    peers?: Peers;
+    watch?: CatalogWatch;
+    loads?: LoadExchange;
+    keeping?: Keeping;
+  };
 }
 
 function createBase(settings: EdgeSettings, platform: EdgePlatform): Base {
@@ -162,33 +168,13 @@
     store,
     log: log.part("member"),
   });
-  const hasPlans = startPlanKeeping({
-    peers,
-    placer,
-    region: settings.region,
-    source: platform.store,
-    isKeeper: () => watch.isReading,
-    store,
-    log: log.part("plan"),
-  });
-  base.late.loads = startLoadExchange({
-    processId: base.processId,
-    region: settings.region,
-    listEntries: () => peers.membership.liveMembers(),
-    call: (address, message, timeoutMs) =>
-      peers.call(address, message, timeoutMs),
-    placer,
-    assignments: base.assignments,
-    random: Math.random,
-    store,
-    log: log.part("load"),
-  });
+  const keeping = startExchange(base, peers);
   startReports({ placer, store, log, peers, metrics });
   let isLeaving = false;
   await listenAll(base, {
     callers,
     peers,
-    isReady: () => !isLeaving && hasPlans() && watch.isLoaded,
+    isReady: () => !isLeaving && keeping.isRestored && watch.isLoaded,
   });
   return {
     leave: () => {
@@ -200,8 +186,42 @@
   };
 }
 
+function startExchange(base: Base, peers: Peers): Keeping {
+  const { settings, processId, platform, store, log, placer } = base;
+  const { assignments, late } = base;
+  const loads = startLoadExchange({
+    processId,
+    region: settings.region,
+    listEntries: () => peers.membership.liveMembers(),
+    call: (address, message, timeoutMs) =>
+      peers.call(address, message, timeoutMs),
+    placer,
+    assignments,
+    isRestored: () => late.keeping?.isRestored ?? false,
+    random: Math.random,
+    store,
+    log: log.part("load"),
+  });
+  late.loads = loads;
+  const startedAtMs = performance.now();
+  const joinMs = getJoinMs(settings);
+  late.keeping = startKeeping({
+    placer,
+    assignments,
+    source: platform.store,
+    store,
+    log: log.part("plan"),
+    isFirst: () => loads.isFirst && performance.now() - startedAtMs >= joinMs,
+  });
+  return late.keeping;
+}
+
+function getJoinMs({ capacity }: EdgeSettings): number {
+  return capacity < SMALL_CAPACITY ? JOIN_MS : 0;
+}
+
 async function connectPeers(base: Base): Promise<Peers> {
-  const { settings, processId, store, log, placer, catalog, late } = base;
+  const { settings, processId, store, log, catalog, late } = base;
   const { instance, region, zone } = settings;
   late.peers = await startPeers({
     self: {
@@ -221,7 +241,6 @@
     store,
     log: log.part("member"),
     catalog,
-    getPlans: () => placer.exportPlans(performance.now()),
     getCatalogAgeMs: () => late.watch?.ageMs() ?? Infinity,
     onOtherVersion: (version) => {
       const own = catalog.document?.version ?? 0;
@@ -287,7 +306,7 @@
     listRegion: () =>
       sortEntries(peers.membership.liveMembers(settings.region))
         .map((member) => member.processId),
-    joinMs: settings.capacity < SMALL_CAPACITY ? JOIN_MS : 0,
+    joinMs: getJoinMs(settings),
     pull: (id) => peers.pullCatalog(id),
     onChanged: () => {
       const { document } = catalog;
--- a/packages/network/peering/src/guards.ts
+++ b/packages/network/peering/src/guards.ts
@@ -4,9 +4,9 @@
  * @module
  */
 
-import type { PlacingPlans } from "@dotterelmoor/core.placing";
 import type { Outcome } from "@dotterelmoor/core.types";
 import type {
+  KeptState,
   PeerMessage,
   PeerMessageOf,
   PeerMessageType,
@@ -144,8 +144,15 @@
   });
 }
 
-/** Tells whether a value is what the entries of a region learnt. */
-export function isPlans(value: unknown): value is PlacingPlans {
+/** Tells whether a value is what entries keep. */
+export function isKeptState(value: unknown): value is KeptState {
+  return hasFields(value, {
+    plans: isPlans,
+    objects: (objects) => isMapOf(objects, isStringList),
+  });
+}
+
+function isPlans(value: unknown): boolean {
   return isMapOf(value, (plan) =>
     hasFields(plan, {
       all: isRunTimes,
@@ -232,7 +239,6 @@
   catalog: {
     delta: isDelta,
     ageMs: isAmount,
-    plans: isOptionalPlans,
   },
   load_report: {
     known: (known) => hasFields(known, { numbering: isString, count: isCount }),
--- a/packages/network/peering/src/messages.ts
+++ b/packages/network/peering/src/messages.ts
@@ -165,8 +165,6 @@
   readonly delta: CatalogDelta;
   /** Time in milliseconds since the sender's catalog was known to be current. */
   readonly ageMs: number;
-  /** What the sender learnt of services, for a receiver of its region. */
-  readonly plans?: PlacingPlans;
 }
 
 /**
@@ -191,6 +189,13 @@
   readonly wantsPlans: boolean;
 }
 
+/** What entries keep in the store for the loss of all of them. */
+export interface KeptState {
+  readonly plans: PlacingPlans;
+  /** Keys of objects by the id of their server. */
+  readonly objects: Readonly<Record<string, readonly string[]>>;
+}
+
 /** Requests in flight at servers, and what the sender's region learnt. */
 export interface LoadSumsMessage {
   readonly type: "load_sums";
--- a/packages/network/peering/src/mod.ts
+++ b/packages/network/peering/src/mod.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-export { isPlans } from "./guards.ts";
+export { isKeptState } from "./guards.ts";
 export { PROTOCOL_VERSION } from "./messages.ts";
 export type {
   CatalogMessage,
@@ -15,6 +15,7 @@
   ExecMessage,
   ExecResultMessage,
   HandoverMessage,
+  KeptState,
   LoadRedirectMessage,
   LoadReportMessage,
   LoadSumsMessage,
