--- a/packages/daemon/edge/src/ports.ts
+++ b/packages/daemon/edge/src/ports.ts
@@ -108,6 +108,9 @@
   readonly readiness: ListenAddress;
   readonly peers: ListenAddress;
   readonly metrics: ListenAddress | undefined;
+  /** Host to listen on if it is not the one of the addresses above, which
+   * others use. */
+  readonly listenHost?: string;
   /** Peer addresses of some entries; they may be out of date. */
   readonly seeds: readonly string[];
   /** Shared by all entries of one installation. */
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -234,7 +234,7 @@
       zone,
       capacity: settings.capacity,
     },
-    listen: settings.peers,
+    listen: getListenAddress(settings, settings.peers),
     token: settings.peerToken,
     seeds: settings.seeds,
     random: Math.random,
@@ -331,16 +331,24 @@
   },
 ): Promise<void> {
   const protocol = platform.callers;
-  await listen(settings.callers, parts.callers, store);
+  await listen(
+    getListenAddress(settings, settings.callers),
+    parts.callers,
+    store,
+  );
   const lookups = createLookupListener({
     membership: parts.peers.membership,
     protocol,
     random: Math.random,
     maxTtlS: settings.bounds.lookupTtlMaxS,
   });
-  await listen(settings.lookups, lookups, store);
+  await listen(getListenAddress(settings, settings.lookups), lookups, store);
   const readiness = createReadyListener(protocol, parts.isReady);
-  await listen(settings.readiness, readiness, store);
+  await listen(
+    getListenAddress(settings, settings.readiness),
+    readiness,
+    store,
+  );
   const callers = formatAddress(settings.callers);
   log.part("edge").info({ callers }, "Listening.");
 }
@@ -362,6 +370,13 @@
   log.flush();
 }
 
+function getListenAddress(
+  { listenHost }: EdgeSettings,
+  { host, port }: ListenAddress,
+): ListenAddress {
+  return { host: listenHost ?? host, port };
+}
+
 function formatAddress({ host, port }: ListenAddress): string {
   return `${host}:${port}`;
 }
--- a/packages/testing/demo/src/processes.ts
+++ b/packages/testing/demo/src/processes.ts
@@ -25,6 +25,8 @@
   readonly env?: Readonly<Record<string, string>>;
   /** Time in milliseconds for printing the ready line. */
   readonly readyTimeoutMs?: number;
+  /** Tells whether a parsed line of output is the ready line. */
+  readonly isReady?: (line: Readonly<Record<string, unknown>>) => boolean;
 }
 
 /** A process that has printed its ready line. */
@@ -72,6 +74,7 @@
   const ready = await waitForReady(child, {
     lines: stdoutLines,
     timeoutMs: options.readyTimeoutMs ?? READY_TIMEOUT_MS,
+    isReady: options.isReady ?? ((line) => line.ready === true),
     describe: () => `${options.script}: ${stderrLines.slice(-20).join("\n")}`,
   });
   return {
@@ -102,6 +105,7 @@
 interface ReadyOptions {
   readonly lines: string[];
   readonly timeoutMs: number;
+  readonly isReady: (line: Readonly<Record<string, unknown>>) => boolean;
   readonly describe: () => string;
 }
 
@@ -113,8 +117,8 @@
   const timer = setTimeout(() => stop.abort(), options.timeoutMs);
   const ready = new Promise<Record<string, unknown>>((resolve) => {
     recordLines(child.stdout!, options.lines, (line) => {
-      const parsed = parseReadyLine(line);
-      if (parsed !== undefined) resolve(parsed);
+      const parsed = parseLine(line);
+      if (parsed !== undefined && options.isReady(parsed)) resolve(parsed);
     });
   });
   const { signal } = stop;
@@ -133,10 +137,9 @@
   throw new Error(`The process printed no ready line: ${options.describe()}`);
 }
 
-function parseReadyLine(line: string): Record<string, unknown> | undefined {
+function parseLine(line: string): Record<string, unknown> | undefined {
   try {
-    const value = JSON.parse(line);
-    return value?.ready === true ? value : undefined;
+    return JSON.parse(line) ?? undefined;
   } catch {
     return undefined;
   }
--- /dev/null
+++ b/packages/testing/soak/src/checks.ts
@@ -0,0 +1,168 @@
+/**
+ * The promises that hold under faults, checked on what was seen.
+ *
+ * @module
+ */
+
+import type { FaultRecord, Records, RequestRecord } from "./records.ts";
+
+/** Time in milliseconds in which a change is in force at an entry that nothing
+ * disturbs: the bound that today's installations state. */
+const IN_FORCE_MS = 2_500;
+
+/** Time in milliseconds for which an entry must be undisturbed to be bound. */
+const CALM_MS = 4_000;
+
+/** Time in milliseconds after which a caller may have given up itself. */
+const CALLER_PATIENCE_MS = 1_400;
+
+/** Least share of the requests that are served once all faults are over. */
+const SERVED_SHARE = 0.95;
+
+/** A promise that was broken. */
+export interface Violation {
+  readonly promise: string;
+  readonly detail: string;
+}
+
+type Check = (records: Records, context: CheckContext) => Violation[];
+
+/** What checks need besides the records. */
+export interface CheckContext {
+  /** Time at which the last fault ended. */
+  readonly calmFromMs: number;
+}
+
+/** Checks by the promise that they stand for. */
+const CHECKS: Readonly<Record<string, Check>> = {
+  "runs at most once": (records) => {
+    const counts = new Map<string, number>();
+    for (const { requestId } of records.runs) {
+      counts.set(requestId, (counts.get(requestId) ?? 0) + 1);
+    }
+    return records.requests
+      .filter(({ id, repeatable }) => !repeatable && (counts.get(id) ?? 0) > 1)
+      .map((request) => violate("runs at most once", request));
+  },
+
+  "refused requests do not run": (records) => {
+    const ran = new Set(records.runs.map(({ requestId }) => requestId));
+    return records.requests
+      .filter(({ id, status, repeatable }) =>
+        !repeatable && (status === 503 || status === 429) && ran.has(id)
+      )
+      .map((request) => violate("refused requests do not run", request));
+  },
+
+  "answers are whole and one's own": (records) =>
+    records.requests
+      .filter(({ status, isWhole }) => status === 200 && !isWhole)
+      .map((request) => violate("answers are whole and one's own", request)),
+
+  "proper requests are accepted": (records) =>
+    records.requests
+      .filter(({ path, status = 0 }) =>
+        path.startsWith("/desk/") && status >= 400 && status < 500 &&
+        status !== 429
+      )
+      .map((request) => violate("proper requests are accepted", request)),
+
+  "changes are in force in time": (records) =>
+    findUnknownRoutes(records).filter((request) => {
+      const change = findDocument(records, request.path)!;
+      const calmFromMs = Math.max(change.atMs, request.sentAtMs - CALM_MS) -
+        CALM_MS;
+      return request.sentAtMs > change.atMs + IN_FORCE_MS &&
+        records.isCalm(request.entry, calmFromMs, request.endedAtMs);
+    }).map((request) => violate("changes are in force in time", request)),
+
+  "changes are not taken back": (records) =>
+    findUnknownRoutes(records).filter((request) =>
+      records.requests.some((earlier) =>
+        earlier.pid === request.pid && earlier.path === request.path &&
+        earlier.status === 200 && earlier.endedAtMs < request.sentAtMs
+      )
+    ).map((request) => violate("changes are not taken back", request)),
+
+  "leaving servers get no new work": (records) =>
+    records.changes.filter(({ kind }) => kind === "draining").flatMap(
+      ({ subject, atMs }) =>
+        records.runs.filter(({ requestId, serverId, atMs: ranAtMs }) => {
+          if (serverId !== subject || ranAtMs < atMs + IN_FORCE_MS) {
+            return false;
+          }
+          const request = records.requests.find(({ id }) => id === requestId);
+          return request !== undefined &&
+            records.isCalm(request.entry, atMs - CALM_MS, ranAtMs);
+        }).map(({ requestId }) => ({
+          promise: "leaving servers get no new work",
+          detail: `${requestId} ran at ${subject}, draining since ${atMs}`,
+        })),
+    ),
+
+  "planned stops cut off no request": (records) =>
+    records.faults.filter(({ kind }) => kind === "terminate").flatMap((stop) =>
+      records.requests.filter((request) =>
+        request.status === undefined && stop.entries.includes(request.entry) &&
+        request.endedAtMs >= stop.fromMs && request.sentAtMs <= stop.untilMs &&
+        request.endedAtMs - request.sentAtMs < CALLER_PATIENCE_MS &&
+        records.runs.some(({ requestId }) => requestId === request.id) &&
+        isOnlyFault(records, stop, request)
+      ).map((request) => violate("planned stops cut off no request", request))
+    ),
+
+  "service is back after the faults": (records, { calmFromMs }) => {
+    const late = records.requests.filter(({ sentAtMs, path }) =>
+      sentAtMs > calmFromMs + CALM_MS && path.startsWith("/desk/")
+    );
+    const served = late.filter(({ status }) => status === 200).length;
+    return served >= SERVED_SHARE * late.length ? [] : [{
+      promise: "service is back after the faults",
+      detail: `${served} of ${late.length} served`,
+    }];
+  },
+};
+
+/** True if nothing else disturbed a request's entry, nor any server. */
+function isOnlyFault(
+  records: Records,
+  stop: FaultRecord,
+  request: RequestRecord,
+): boolean {
+  return !records.faults.some((fault) =>
+    fault !== stop && fault.fromMs <= request.endedAtMs &&
+    fault.untilMs >= request.sentAtMs - CALM_MS &&
+    (fault.entries.length === 0 || fault.entries.includes(request.entry))
+  );
+}
+
+/** Checks all promises. */
+export function checkPromises(
+  records: Records,
+  context: CheckContext,
+): Violation[] {
+  return Object.values(CHECKS).flatMap((check) => check(records, context));
+}
+
+/** Requests to the route of a configuration that an entry did not know,
+ * although no newer configuration had replaced it. */
+function findUnknownRoutes(records: Records): RequestRecord[] {
+  return records.requests.filter((request) => {
+    if (request.status !== 404) return false;
+    const change = findDocument(records, request.path);
+    return change !== undefined &&
+      !records.changes.some(({ kind, atMs }) =>
+        kind === "document" && atMs > change.atMs && atMs < request.endedAtMs
+      );
+  });
+}
+
+function findDocument(records: Records, path: string) {
+  return records.changes.find(({ kind, subject, atMs }) =>
+    kind === "document" && path === `/v${subject}/` && atMs > 0
+  );
+}
+
+function violate(promise: string, request: RequestRecord): Violation {
+  return { promise, detail: JSON.stringify(request) };
+}
--- /dev/null
+++ b/packages/testing/soak/src/fault_proxy.ts
@@ -0,0 +1,157 @@
+/**
+ * A TCP proxy on loopback that delays, cuts, silences and resets connections.
+ *
+ * @module
+ */
+
+import { connect, createServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+
+/** A host and a port. */
+export interface Endpoint {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** How connections through a proxy are treated. */
+export interface LinkFaults {
+  /** Time in milliseconds by which bytes are late, each way. */
+  readonly delayMs: number;
+  /** Bytes of callers, or of the target, wait until the cut ends. */
+  readonly cutsCallers: boolean;
+  readonly cutsTarget: boolean;
+}
+
+/** A running proxy. */
+export interface FaultProxy {
+  readonly address: string;
+  setFaults(faults: Partial<LinkFaults>): void;
+  /** Resets all connections. */
+  reset(): void;
+  /** Nothing passes on the open connections any more; new ones work. */
+  silence(): void;
+  close(): void;
+}
+
+const NO_FAULTS: LinkFaults = {
+  delayMs: 0,
+  cutsCallers: false,
+  cutsTarget: false,
+};
+
+/** Starts a proxy; port 0 picks a free one. */
+export async function startFaultProxy(
+  listen: Endpoint,
+  target: Endpoint,
+): Promise<FaultProxy> {
+  const links = new Set<Link>();
+  let faults = NO_FAULTS;
+  const server: Server = createServer((caller) => {
+    const link = new Link(caller, connect(target), () => faults);
+    links.add(link);
+    caller.once("close", () => links.delete(link));
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(listen.port, listen.host, resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  return {
+    address: `${listen.host}:${port}`,
+    setFaults: (changes) => {
+      faults = { ...faults, ...changes };
+      for (const link of links) link.flush();
+    },
+    reset: () => links.forEach((link) => link.reset()),
+    silence: () => links.forEach((link) => link.silence()),
+    close: () => {
+      links.forEach((link) => link.reset());
+      server.close();
+    },
+  };
+}
+
+/** One connection of a caller with the one to the target. */
+class Link {
+  readonly #caller: Socket;
+  readonly #target: Socket;
+  readonly #flows: readonly Flow[];
+  #isSilent = false;
+
+  constructor(caller: Socket, target: Socket, getFaults: () => LinkFaults) {
+    this.#caller = caller;
+    this.#target = target;
+    const isCut = (cut: (faults: LinkFaults) => boolean) => () =>
+      this.#isSilent || cut(getFaults());
+    const getDelayMs = () => getFaults().delayMs;
+    this.#flows = [
+      new Flow(caller, target, {
+        isCut: isCut((faults) => faults.cutsCallers),
+        getDelayMs,
+      }),
+      new Flow(target, caller, {
+        isCut: isCut((faults) => faults.cutsTarget),
+        getDelayMs,
+      }),
+    ];
+    for (const socket of [caller, target]) {
+      // The close that follows an error is passed on.
+      socket.on("error", () => {});
+      socket.setNoDelay(true);
+    }
+    target.once("close", () => caller.destroy());
+    caller.once("close", () => target.destroy());
+  }
+
+  flush(): void {
+    for (const flow of this.#flows) flow.flush();
+  }
+
+  reset(): void {
+    this.#caller.resetAndDestroy();
+    this.#target.resetAndDestroy();
+  }
+
+  silence(): void {
+    this.#isSilent = true;
+  }
+}
+
+interface FlowOptions {
+  readonly isCut: () => boolean;
+  readonly getDelayMs: () => number;
+}
+
+/** Bytes in one direction; `undefined` is their end. */
+class Flow {
+  readonly #to: Socket;
+  readonly #options: FlowOptions;
+  readonly #held: (Buffer | undefined)[] = [];
+
+  constructor(from: Socket, to: Socket, options: FlowOptions) {
+    this.#to = to;
+    this.#options = options;
+    from.on("data", (bytes: Buffer) => this.#pass(bytes));
+    from.once("end", () => this.#pass(undefined));
+  }
+
+  flush(): void {
+    while (this.#held.length > 0 && !this.#options.isCut()) {
+      const bytes = this.#held.shift();
+      if (this.#to.destroyed) return;
+      if (bytes === undefined) this.#to.end();
+      else this.#to.write(bytes);
+    }
+  }
+
+  #pass(bytes: Buffer | undefined): void {
+    const delayMs = this.#options.getDelayMs();
+    const add = () => {
+      this.#held.push(bytes);
+      this.flush();
+    };
+    // Timers of one length fire in their order.
+    if (delayMs > 0) setTimeout(add, delayMs);
+    else add();
+  }
+}
--- /dev/null
+++ b/packages/testing/soak/src/faults.ts
@@ -0,0 +1,198 @@
+/**
+ * Faults that are injected from outside the entries.
+ *
+ * @module
+ */
+
+import { buildDocument } from "./documents.ts";
+import type { Installation, SoakEntry } from "./installation.ts";
+import type { FaultRecord, Records } from "./records.ts";
+
+/** Entries that are left alone by signals at any time. */
+const LEAST_RUNNING = 2;
+
+/** Time in milliseconds that a server serves on after it said that it leaves. */
+const DRAIN_MS = 3_500;
+
+/** What faults act on. */
+export interface FaultContext {
+  readonly installation: Installation;
+  readonly records: Records;
+  readonly random: () => number;
+  /** Version that was acknowledged last. */
+  version: number;
+}
+
+/** Starts a fault; the result ends it. */
+type Inject = (context: FaultContext, entry: SoakEntry) => {
+  /** True if it concerns only the entry. */
+  readonly isLocal: boolean;
+  readonly end: () => void | Promise<void>;
+} | undefined;
+
+/** Kinds of faults by name. */
+const FAULTS: Readonly<Record<string, Inject>> = {
+  kill: ({ installation }, entry) => {
+    if (countRunning(installation) <= LEAST_RUNNING) return undefined;
+    entry.process?.kill();
+    return { isLocal: true, end: () => restart(entry) };
+  },
+  terminate: ({ installation }, entry) => {
+    if (countRunning(installation) <= LEAST_RUNNING) return undefined;
+    entry.process?.terminate();
+    return { isLocal: true, end: () => restart(entry) };
+  },
+  pause: (_context, entry) => {
+    entry.process?.freeze();
+    return { isLocal: true, end: () => entry.process?.resume() };
+  },
+  delay: (_context, entry) => {
+    entry.links.forEach((link) => link.setFaults({ delayMs: 60 }));
+    return {
+      isLocal: true,
+      end: () => entry.links.forEach((link) => link.setFaults({ delayMs: 0 })),
+    };
+  },
+  cut: ({ random }, entry) => {
+    const side = random() < 0.5 ? "cutsCallers" : "cutsTarget";
+    entry.links.forEach((link) => link.setFaults({ [side]: true }));
+    return {
+      isLocal: true,
+      end: () =>
+        entry.links.forEach((link) => link.setFaults({ [side]: false })),
+    };
+  },
+  silence: (_context, entry) => {
+    entry.links.forEach((link) => link.silence());
+    return { isLocal: true, end: () => {} };
+  },
+  reset: (_context, entry) => {
+    entry.links.forEach((link) => link.reset());
+    return { isLocal: true, end: () => {} };
+  },
+  store_cut: (_context, entry) => {
+    entry.storeLink.setFaults({ cutsCallers: true });
+    return {
+      isLocal: true,
+      end: () => {
+        entry.storeLink.setFaults({ cutsCallers: false });
+        entry.storeLink.reset();
+      },
+    };
+  },
+  store_down: ({ installation: { store } }) => {
+    store.setFaults({ isDown: true });
+    return { isLocal: false, end: () => store.setFaults({ isDown: false }) };
+  },
+  store_slow: ({ installation: { store } }) => {
+    store.setFaults({ delayMs: 300 });
+    return { isLocal: false, end: () => store.setFaults({ delayMs: 0 }) };
+  },
+  store_lost: ({ installation: { store } }) => {
+    store.setFaults({ lostShare: 0.5 });
+    return { isLocal: false, end: () => store.setFaults({ lostShare: 0 }) };
+  },
+  store_compact: ({ installation: { store } }) => {
+    store.compact();
+    return { isLocal: false, end: () => {} };
+  },
+  server_lost: (context) => disturbServer(context, { lostShare: 0.4 }),
+  server_slow: (context) => disturbServer(context, { slowness: 8 }),
+  server_shed: (context) => disturbServer(context, { shedShare: 0.5 }),
+  server_reset: (context) => {
+    pickServer(context).link.reset();
+    return { isLocal: false, end: () => {} };
+  },
+  server_drain: (context) => {
+    const { installation, records } = context;
+    const server = pickServer(context);
+    if (!server.isReporting || server.record.state === "draining") {
+      return undefined;
+    }
+    installation.drain(server);
+    records.changes.push({
+      kind: "draining",
+      subject: server.record.id,
+      atMs: performance.now(),
+    });
+    setTimeout(() => installation.remove(server), DRAIN_MS);
+    void installation.addServer(installation.servers.length);
+    return { isLocal: true, end: () => {} };
+  },
+  document: (context) => {
+    putDocument(context);
+    return undefined;
+  },
+  evacuate: ({ installation, random }) => {
+    const zone = random() < 0.5 ? "a-1" : "b-2";
+    installation.setEvacuated(zone, true);
+    return {
+      isLocal: true,
+      end: () => installation.setEvacuated(zone, false),
+    };
+  },
+};
+
+/** Puts the next configuration. */
+export function putDocument(context: FaultContext): void {
+  context.version += 1;
+  context.installation.putDocument(buildDocument(context.version));
+  context.records.changes.push({
+    kind: "document",
+    subject: String(context.version),
+    atMs: performance.now(),
+  });
+}
+
+/** Injects one random fault for a while; resolves when it has ended. */
+export async function injectFault(
+  context: FaultContext,
+  durationMs: number,
+): Promise<void> {
+  const { random, installation, records } = context;
+  const kinds = Object.keys(FAULTS);
+  const kind = kinds[Math.floor(random() * kinds.length)]!;
+  const { entries } = installation;
+  const entry = entries[Math.floor(random() * entries.length)]!;
+  const fault = FAULTS[kind]!(context, entry);
+  if (fault === undefined) return;
+  const record: FaultRecord = {
+    kind,
+    entries: fault.isLocal ? [entry.name] : [],
+    fromMs: performance.now(),
+    untilMs: Infinity,
+  };
+  records.faults.push(record);
+  await new Promise((resolve) => setTimeout(resolve, durationMs));
+  await fault.end();
+  record.untilMs = performance.now();
+}
+
+function countRunning({ entries }: Installation): number {
+  return entries.filter((entry) => entry.process !== undefined).length;
+}
+
+/** Starts the entry again once its process has ended. */
+async function restart(entry: SoakEntry): Promise<void> {
+  const { process: running } = entry;
+  running?.resume();
+  await running?.exited;
+  if (entry.process === undefined) await entry.start();
+}
+
+function pickServer({ installation, random }: FaultContext) {
+  const { servers } = installation;
+  return servers[Math.floor(random() * servers.length)]!;
+}
+
+function disturbServer(
+  context: FaultContext,
+  faults: Parameters<Installation["servers"][number]["server"]["setFaults"]>[0],
+) {
+  const { server } = pickServer(context);
+  server.setFaults(faults);
+  return {
+    isLocal: false,
+    end: () => server.setFaults({ lostShare: 0, shedShare: 0, slowness: 1 }),
+  };
+}
