Log a route's regions, versions and look-ups of other regions

The logs could not tell the hypotheses of the incident apart: an old configuration, a retry under the route of its arrival, a placement outside the regions, or a look-up that leads callers away.

Each version is logged once with its source and the regions of its routes, a request's line has the version and regions at its arrival, each send the server's region and whether it was inside the regions of the newest configuration, and look-ups of other regions say what was named and known. Counters: bound_sends by place, lookups by source. Decisions are unchanged.

--- a/packages/daemon/edge/src/process/catalog_watch.ts
+++ b/packages/daemon/edge/src/process/catalog_watch.ts
@@ -46,7 +46,9 @@
   readonly store: DisposableStore;
   readonly metrics: EdgeMetrics;
   readonly log: Logger;
-  readonly onChanged: () => void;
+  /** The catalog was brought up to date by the store, or by the entry with
+   * this process id. */
+  readonly onChanged: (source: string) => void;
   /** Process ids of the live entries of the region, this one included, in
    * the order in which they are to read. */
   readonly listRegion: () => readonly string[];
@@ -202,7 +204,7 @@
     const nowMs = performance.now();
     catalog.applyDelta(answer.delta, nowMs);
     this.#followedAtMs = Math.max(this.#followedAtMs, nowMs - answer.ageMs);
-    onChanged();
+    onChanged(processId ?? "any entry");
     return answer.ageMs < STALE_MS;
   }
 
--- a/packages/daemon/edge/src/process/logging.ts
+++ b/packages/daemon/edge/src/process/logging.ts
@@ -18,6 +18,7 @@
   | "catalog"
   | "edge"
   | "load"
+  | "lookup"
   | "member"
   | "plan"
   | "request";
@@ -26,7 +27,11 @@
 export interface EdgeLog {
   part(part: LogPart): Logger;
   /** Logs a decision unless its kind has used up its lines of this second. */
-  decide(kind: string, fields: Readonly<Record<string, unknown>>): void;
+  decide(
+    kind: string,
+    fields: Readonly<Record<string, unknown>>,
+    part?: LogPart,
+  ): void;
   /** Writes what is buffered; for the end of the process. */
   flush(): void;
 }
@@ -41,6 +46,7 @@
 export function createEdgeLog(options: {
   readonly level: string;
   readonly instance: string;
+  readonly region: string;
 }): EdgeLog {
   const destination = pino.destination({
     fd: 1,
@@ -50,21 +56,26 @@
   });
   // A closed reader of standard output must not end the process.
   destination.on("error", () => {});
-  const root = pino(
-    { level: options.level, base: { instance: options.instance } },
-    destination,
-  );
-  const requests = root.child({}, { msgPrefix: "[request] " });
+  const { level, instance, region } = options;
+  const root = pino({ level, base: { instance, region } }, destination);
+  const decisions = new Map<LogPart, Logger>();
+  const createPart = (part: LogPart) =>
+    root.child({}, { msgPrefix: `[${part}] ` });
   const counts = new Map<string, KindCount>();
   const flushing = setInterval(() => destination.flush(), 1_000);
   flushing.unref();
   return {
-    part: (part) => root.child({}, { msgPrefix: `[${part}] ` }),
-    decide: (kind, fields) => {
+    part: createPart,
+    decide: (kind, fields, part = "request") => {
       const omitted = takeLine(counts, kind);
       if (omitted === undefined) return;
       const counted = omitted > 0 ? { ...fields, omitted } : fields;
-      requests.info(counted, kind);
+      let log = decisions.get(part);
+      if (log === undefined) {
+        log = createPart(part);
+        decisions.set(part, log);
+      }
+      log.info(counted, kind);
     },
     flush: () => {
       try {
--- a/packages/daemon/edge/src/process/lookups.ts
+++ b/packages/daemon/edge/src/process/lookups.ts
@@ -6,9 +6,11 @@
 
 import { createServer } from "node:http";
 import type { RequestListener, Server } from "node:http";
-import type { Membership } from "@dotterelmoor/core.membership";
+import type { Membership, MemberUpdate } from "@dotterelmoor/core.membership";
 import type { DisposableStore, Random } from "@dotterelmoor/core.types";
 import type { CallerProtocol, ListenAddress, LookupQuery } from "../ports.ts";
+import type { EdgeLog } from "./logging.ts";
+import type { EdgeMetrics } from "./metrics.ts";
 
 /** Time in seconds for which callers may keep an answer: short, so that they
  * leave an ending entry early, and longer than most of their pauses. */
@@ -23,8 +25,15 @@
   readonly protocol: CallerProtocol;
   readonly random: Random;
   readonly maxTtlS: number;
+  /** Region of this entry. */
+  readonly region: string;
+  readonly log: EdgeLog;
+  readonly metrics: EdgeMetrics;
 }
 
+/** Where the entries of an answer are, seen from this entry and the caller. */
+type LookupSource = "own-region" | "callers-region" | "elsewhere";
+
 /** Creates the listener that answers look-ups. */
 export function createLookupListener(options: LookupOptions): RequestListener {
   const { protocol, membership, random } = options;
@@ -36,10 +45,12 @@
       return;
     }
     const query = protocol.readLookup(url.searchParams);
-    const addresses = findEntries(membership, query);
-    shuffle(addresses, random);
+    const entries = findEntries(membership, query);
+    shuffle(entries, random);
+    const named = entries.slice(0, MAX_ADDRESSES);
+    recordLookup(named, { query, options });
     const body = protocol.renderLookup(
-      addresses.slice(0, MAX_ADDRESSES),
+      named.map(({ callerAddress }) => callerAddress),
       ttlS,
     );
     response.writeHead(200, {
@@ -58,12 +69,43 @@
 export function findEntries(
   membership: Pick<Membership, "liveMembers">,
   query: LookupQuery,
-): string[] {
+): MemberUpdate[] {
   const near = membership.liveMembers(query.region);
   const live = near.length > 0 ? near : membership.liveMembers();
   const alive = live.filter(({ state }) => state === "alive");
-  const chosen = alive.length > 0 ? alive : live;
-  return chosen.map(({ callerAddress }) => callerAddress);
+  return alive.length > 0 ? alive : [...live];
+}
+
+function recordLookup(
+  named: readonly MemberUpdate[],
+  { query, options }: {
+    readonly query: LookupQuery;
+    readonly options: LookupOptions;
+  },
+): void {
+  const { membership, region, log, metrics } = options;
+  const isNear = named.every((member) => member.region === query.region);
+  const source: LookupSource = !isNear
+    ? "elsewhere"
+    : query.region === region
+    ? "own-region"
+    : "callers-region";
+  metrics.lookups.inc({ source });
+  if (source === "own-region") return;
+  log.decide("Look-up of another region.", {
+    query,
+    source,
+    named: countRegions(named),
+    known: countRegions(membership.liveMembers()),
+  }, "lookup");
+}
+
+function countRegions(
+  members: readonly MemberUpdate[],
+): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const { region } of members) counts[region] = (counts[region] ?? 0) + 1;
+  return counts;
 }
 
 /** Creates the listener that tells whether this entry may get callers. */
@@ -100,7 +142,7 @@
   return listening;
 }
 
-function shuffle(items: string[], random: Random): void {
+function shuffle<Item>(items: Item[], random: Random): void {
   for (let index = items.length - 1; index > 0; index--) {
     const other = Math.floor(random() * (index + 1));
     [items[index], items[other]] = [items[other]!, items[index]!];
--- a/packages/daemon/edge/src/process/lookups_test.ts
+++ b/packages/daemon/edge/src/process/lookups_test.ts
@@ -31,23 +31,26 @@
   };
 }
 
+function findAddresses(members: readonly MemberUpdate[]): string[] {
+  return findEntries(makeMembership(members), QUERY)
+    .map(({ callerAddress }) => callerAddress);
+}
+
 const QUERY = { region: "a", zone: "a-1" };
 
 test("guards against callers that are led to an entry which does not answer", (t) => {
-  const membership = makeMembership([
+  const addresses = findAddresses([
     makeMember("a1", "a", "alive"),
     makeMember("a2", "a", "suspect"),
     makeMember("b1", "b", "alive"),
   ]);
-  t.deepEqual(findEntries(membership, QUERY), ["a1"]);
+  t.deepEqual(addresses, ["a1"]);
 });
 
 test("guards against an empty answer while every entry is suspect", (t) => {
-  const membership = makeMembership([makeMember("a1", "a", "suspect")]);
-  t.deepEqual(findEntries(membership, QUERY), ["a1"]);
+  t.deepEqual(findAddresses([makeMember("a1", "a", "suspect")]), ["a1"]);
 });
 
 test("guards against an empty answer for a region that was lost", (t) => {
-  const membership = makeMembership([makeMember("b1", "b", "alive")]);
-  t.deepEqual(findEntries(membership, QUERY), ["b1"]);
+  t.deepEqual(findAddresses([makeMember("b1", "b", "alive")]), ["b1"]);
 });
--- a/packages/daemon/edge/src/process/metrics.ts
+++ b/packages/daemon/edge/src/process/metrics.ts
@@ -30,6 +30,8 @@
   readonly requests: Counter<"service" | "outcome" | "reason">;
   readonly latency: Histogram<"service">;
   readonly sends: Counter<"service" | "outcome">;
+  readonly boundSends: Counter<"place">;
+  readonly lookups: Counter<"source">;
   readonly storeCalls: Counter<"table" | "outcome">;
   readonly members: Gauge<"region">;
   readonly configuration: Gauge;
@@ -62,6 +64,19 @@
       labelNames: ["service", "outcome"],
       registers,
     }),
+    boundSends: new Counter({
+      name: "dotterelmoor_bound_sends_total",
+      help:
+        "Sends of routes with regions, by place against the newest configuration",
+      labelNames: ["place"],
+      registers,
+    }),
+    lookups: new Counter({
+      name: "dotterelmoor_lookups_total",
+      help: "Look-ups by where the answer's entries are",
+      labelNames: ["source"],
+      registers,
+    }),
     storeCalls: new Counter({
       name: "dotterelmoor_store_calls_total",
       help: "Calls to the platform's store by table and outcome",
--- a/packages/daemon/edge/src/process/table_reader.ts
+++ b/packages/daemon/edge/src/process/table_reader.ts
@@ -40,7 +40,7 @@
   readonly store: DisposableStore;
   readonly metrics: EdgeMetrics;
   readonly log: Logger;
-  readonly onChanged: () => void;
+  readonly onChanged: (source: string) => void;
 }
 
 /** Reads one table while it is started. */
@@ -125,7 +125,7 @@
       log.info({ table, version: update.version, rows }, "Table read.");
     }
     this.#isContinued = true;
-    onChanged();
+    onChanged("store");
   }
 
   #noteReturn(nowMs: number): void {
--- a/packages/daemon/edge/src/request/forwarding.ts
+++ b/packages/daemon/edge/src/request/forwarding.ts
@@ -55,10 +55,19 @@
   readonly signal: AbortSignal;
 }
 
+/** Whether a server is in the regions of a route. */
+export type SendPlace = "inside" | "outside";
+
 /** One send of a request, for the decision log. */
 export interface SendRecord {
   readonly server: string;
   readonly zone: string;
+  readonly region: string;
+  /** Version of the configuration that was in force at the send. */
+  readonly configuration: number | undefined;
+  /** Where the server is against the route's regions in that version;
+   * undefined if the route has none. */
+  readonly place: SendPlace | undefined;
   /** Place of the server in the order of the request's object. */
   readonly rank: number;
   /** Time in milliseconds in which the answer was expected. */
@@ -251,6 +260,8 @@
       isMisdirected = status === 421;
     };
     placer.recordSend(placement, placeRequest, startedAtMs);
+    const place = this.#readPlace(server.region);
+    const configuration = this.#options.catalog.document?.version;
     const result = await backend.send({
       address: record.address,
       method: request.method,
@@ -271,25 +282,44 @@
     const end: SendEnd = { outcome, elapsedMs, load };
     placer.recordEnd(placement, placeRequest, { ...end, nowMs });
     const name = isMisdirected ? "misdirected" : result.type;
-    this.#recordSend(placement, name, elapsedMs);
+    this.#recordSend(placement, {
+      result: name,
+      elapsedMs: Math.round(elapsedMs),
+      place,
+      configuration,
+    });
     return result;
   }
 
+  /** Compares a server's region with the newest known form of the route. */
+  #readPlace(region: string): SendPlace | undefined {
+    const { catalog, metrics } = this.#options;
+    const { route } = this.#request;
+    const { allowedRegions } = catalog.routes?.get(route.name) ?? route;
+    if (allowedRegions.length === 0) return undefined;
+    const place = allowedRegions.includes(region) ? "inside" : "outside";
+    metrics.boundSends.inc({ place });
+    return place;
+  }
+
   #recordSend(
     { server, rank, expectedMs }: SendPlacement,
-    result: string,
-    elapsedMs: number,
+    end: Pick<
+      SendRecord,
+      "result" | "elapsedMs" | "place" | "configuration"
+    >,
   ): void {
     const { id, zone } = server.record;
+    const { result } = end;
     // No byte was sent; the server is passed over while it is paused.
     if (result === "connection_refused") this.#tried.delete(id);
     this.#sends.push({
       server: id,
       zone,
+      region: server.region,
       rank,
       expectedMs: Math.round(expectedMs),
-      result,
-      elapsedMs: Math.round(elapsedMs),
+      ...end,
     });
     const { service } = this.#request;
     this.#options.metrics.sends.inc({ service, outcome: result });
--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -52,6 +52,8 @@
 /** What is known of a request when it ends. */
 interface RequestEnd extends ForwardResult {
   readonly route?: RouteRecord;
+  /** Version of the configuration that the route was found in. */
+  readonly routeVersion?: number;
   readonly service?: string;
 }
 
@@ -130,7 +132,7 @@
       deadlineAtMs: context.arrivedAtMs + waitMs,
       signal: context.signal,
     });
-    return { ...result, route, service };
+    return { ...result, route, routeVersion: document.version, service };
   }
 
   #answer(
@@ -157,7 +159,7 @@
     { request, arrivedAtMs }: RequestContext,
   ): void {
     const { log, metrics, catalog, protocol } = this.#options;
-    const { outcome, sends, route, service = "none" } = end;
+    const { outcome, sends, route, routeVersion, service = "none" } = end;
     const elapsedMs = performance.now() - arrivedAtMs;
     const reason = "reason" in outcome ? outcome.reason : "none";
     metrics.requests.inc({ service, outcome: outcome.type, reason });
@@ -165,6 +167,8 @@
     log.decide(chooseKind(end, elapsedMs), {
       request: requestId,
       route: route?.name,
+      routeVersion,
+      allowedRegions: route?.allowedRegions,
       service,
       object: protocol.readRequest(request.headers).object,
       outcome: outcome.type,
@@ -187,6 +191,9 @@
 /** Kinds of log lines; each has a rate of its own. */
 function chooseKind(end: RequestEnd, elapsedMs: number): string {
   const { outcome, route, sends } = end;
+  if (sends.some(({ place }) => place === "outside")) {
+    return "Request sent outside its route's regions.";
+  }
   if (outcome.type !== "answered") return `Request ${outcome.type}.`;
   if (outcome.status >= 500) return "Request failed by its server.";
   if (route !== undefined && elapsedMs > route.targetLatencyMs) {
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -17,6 +17,7 @@
 import { Assignments } from "./process/assignments.ts";
 import { startCatalogWatch } from "./process/catalog_watch.ts";
 import type { CatalogWatch } from "./process/catalog_watch.ts";
+import { createConfigurationLog } from "./process/configuration_log.ts";
 import { sortEntries } from "./process/entry_order.ts";
 import { createEdgeLog } from "./process/logging.ts";
 import type { EdgeLog } from "./process/logging.ts";
@@ -144,7 +145,7 @@
     processId,
     store,
     late,
-    log: createEdgeLog({ level: logLevel, instance }),
+    log: createEdgeLog({ level: logLevel, instance, region }),
     metrics: createEdgeMetrics({ address: settings.metrics, store }),
     catalog,
     assignments,
@@ -296,22 +297,25 @@
   { peers, callers }: { readonly peers: Peers; readonly callers: Server },
 ): CatalogWatch {
   const { settings, platform, processId, store, log, catalog, metrics } = base;
+  const catalogLog = log.part("catalog");
+  const configurations = createConfigurationLog(catalogLog);
   const watch = startCatalogWatch({
     processId,
     catalog,
     source: platform.store,
     store,
     metrics,
-    log: log.part("catalog"),
+    log: catalogLog,
     listRegion: () =>
       sortEntries(peers.membership.liveMembers(settings.region))
         .map((member) => member.processId),
     joinMs: getJoinMs(settings),
     pull: (id) => peers.pullCatalog(id),
-    onChanged: () => {
+    onChanged: (source) => {
       const { document } = catalog;
       if (document === undefined) return;
       metrics.configuration.set(document.version);
+      configurations.record(document, source);
       peers.setVersion(document.version);
       const { idleTimeoutMs, headerTimeoutMs } = document.limits;
       callers.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
@@ -323,7 +327,7 @@
 }
 
 async function listenAll(
-  { settings, platform, store, log }: Base,
+  { settings, platform, store, log, metrics }: Base,
   parts: {
     readonly callers: Server;
     readonly peers: Peers;
@@ -341,6 +345,9 @@
     protocol,
     random: Math.random,
     maxTtlS: settings.bounds.lookupTtlMaxS,
+    region: settings.region,
+    log,
+    metrics,
   });
   await listen(getListenAddress(settings, settings.lookups), lookups, store);
   const readiness = createReadyListener(protocol, parts.isReady);
