Take a newer configuration from the entry that told of it

Callers: on routes whose regions had just moved, an entry whose reading entry was cut off or slow went on by the old regions (rule HOME) or the old routes (CONFIG).

Cause: membership tells an entry that another one has a newer version, and by whom, but the entry then asked a random live entry. Right after a change most entries do not have it either.

Change: the pull goes to the address that the message came from.

Test, failed before (the asked entry was any): catalog_watch_test, guards against a change that is asked of entries which do not have it.

--- a/packages/daemon/edge/src/process/catalog_watch.ts
+++ b/packages/daemon/edge/src/process/catalog_watch.ts
@@ -55,12 +55,21 @@
   /** Time in milliseconds after a start in which others are looked for before
    * this entry reads the store. */
   readonly joinMs: number;
-  /** Asks an entry, or a random one, for what has changed in its catalog. */
+  /** Asks an entry for what has changed in its catalog. */
   readonly pull: (
-    processId: string | undefined,
+    source: CatalogSource,
   ) => Promise<CatalogMessage | undefined>;
 }
 
+/** An entry to take the catalog from: by its process id, by the address at
+ * which it was heard, or any live one. */
+export type CatalogSource =
+  | { readonly type: "process"; readonly processId: string }
+  | { readonly type: "address"; readonly peerAddress: string }
+  | { readonly type: "any" };
+
+const ANY_SOURCE: CatalogSource = { type: "any" };
+
 /** The running watch. */
 export interface CatalogWatch {
   readonly isLoaded: boolean;
@@ -68,8 +77,8 @@
   readonly isReading: boolean;
   /** Time in milliseconds since the catalog was known to be current. */
   ageMs(): number;
-  /** Asks a random entry now, as one is known to be ahead. */
-  pullNow(): void;
+  /** Asks an entry that is ahead now. */
+  pullNow(peerAddress: string): void;
 }
 
 /** Starts to keep the catalog up to date. */
@@ -130,10 +139,10 @@
     void this.#run();
   }
 
-  pullNow(): void {
+  pullNow(peerAddress: string): void {
     if (this.#pulling) return;
     this.#pulling = true;
-    void this.#follow(undefined).finally(() => {
+    void this.#follow({ type: "address", peerAddress }).finally(() => {
       this.#pulling = false;
     });
   }
@@ -158,11 +167,15 @@
       if (!isFailing || this.#readAgeMs() < STALE_MS) return;
       // Others that reach the store read for a while.
       this.#choice.passOver(processId, nowMs);
-      await this.#follow(undefined);
+      await this.#follow(ANY_SOURCE);
       return;
     }
     this.#setReading(false);
-    const isFollowed = await this.#follow(chosen);
+    const isFollowed = await this.#follow(
+      chosen === undefined
+        ? ANY_SOURCE
+        : { type: "process", processId: chosen },
+    );
     const isStarting = !this.isLoaded && sinceStartMs < STARTING_MS;
     if (!isFollowed && !isStarting && chosen !== undefined) {
       this.#choice.passOver(chosen, performance.now());
@@ -186,32 +199,50 @@
 
   /** Takes over an entry's catalog; false if it cannot be relied on. Pulls
    * follow each other, so that changes are applied in their order. */
-  #follow(processId: string | undefined): Promise<boolean> {
-    this.#pulls = this.#pulls.then(() => this.#followOnce(processId));
+  #follow(source: CatalogSource): Promise<boolean> {
+    this.#pulls = this.#pulls.then(() => this.#followOnce(source));
     return this.#pulls;
   }
 
-  async #followOnce(processId: string | undefined): Promise<boolean> {
+  async #followOnce(source: CatalogSource): Promise<boolean> {
     const { catalog, onChanged } = this.#options;
-    const answer = await this.#options.pull(processId);
+    const answer = await this.#options.pull(source);
     // An entry that has just read itself still follows the reading one, or
     // the two would change places again and again.
     const acceptedMs = Math.max(STALE_MS, this.ageMs() + AGE_SLACK_MS);
     if (answer === undefined || answer.ageMs > acceptedMs) {
-      this.#warn(processId, answer?.ageMs);
+      this.#warn(source, answer?.ageMs);
       return false;
     }
     const nowMs = performance.now();
     catalog.applyDelta(answer.delta, nowMs);
     this.#followedAtMs = Math.max(this.#followedAtMs, nowMs - answer.ageMs);
-    onChanged(processId ?? "any entry");
+    onChanged(describeSource(source));
     return answer.ageMs < STALE_MS;
   }
 
-  #warn(processId: string | undefined, ageMs: number | undefined): void {
+  #warn(source: CatalogSource, ageMs: number | undefined): void {
     const nowMs = performance.now();
     if (nowMs - this.#warnedAtMs < WARN_INTERVAL_MS) return;
     this.#warnedAtMs = nowMs;
-    this.#options.log.warn({ processId, ageMs }, "Entry not followed.");
+    const entry = describeSource(source);
+    this.#options.log.warn({ entry, ageMs }, "Entry not followed.");
   }
 }
+
+const SOURCE_TEXTS: {
+  readonly [Type in CatalogSource["type"]]: (
+    source: Extract<CatalogSource, { type: Type }>,
+  ) => string;
+} = {
+  process: ({ processId }) => processId,
+  address: ({ peerAddress }) => peerAddress,
+  any: () => "any entry",
+};
+
+function describeSource(source: CatalogSource): string {
+  const describe = SOURCE_TEXTS[source.type] as (
+    source: CatalogSource,
+  ) => string;
+  return describe(source);
+}
--- a/packages/daemon/edge/src/process/catalog_watch_test.ts
+++ b/packages/daemon/edge/src/process/catalog_watch_test.ts
@@ -9,6 +9,7 @@
   createMemoryStore,
 } from "../edge_fixture.ts";
 import { startCatalogWatch } from "./catalog_watch.ts";
+import type { CatalogSource } from "./catalog_watch.ts";
 import { createEdgeMetrics } from "./metrics.ts";
 
 const wait = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
@@ -51,3 +52,32 @@
   t.false(watch.isReading);
   t.is(memory.countCalls("p2"), calls);
 });
+
+// Most entries have not heard of a change that has just been told, so asking
+// any of them delays the change by as many rounds as there are entries.
+test("guards against a change that is asked of entries which do not have it", async (t) => {
+  const store = new DisposableStore();
+  t.teardown(() => store.dispose());
+  const memory = createMemoryStore();
+  memory.setDown(true);
+  const asked: CatalogSource[] = [];
+  const watch = startCatalogWatch({
+    processId: "p2",
+    catalog: createCatalog({ zones: {} }),
+    source: memory.createClient("p2"),
+    store,
+    metrics: createEdgeMetrics({ address: undefined, store }),
+    log: pino({ level: "silent" }),
+    onChanged: () => {},
+    listRegion: () => ["p1", "p2"],
+    joinMs: 0,
+    pull: (source) => {
+      asked.push(source);
+      return Promise.resolve(undefined);
+    },
+  });
+  watch.pullNow("10.0.0.9:7620");
+  while (asked.length < 2) await wait(5);
+  const teller = { type: "address", peerAddress: "10.0.0.9:7620" };
+  t.deepEqual(asked.find(({ type }) => type !== "process"), teller);
+});
--- a/packages/daemon/edge/src/process/peers.ts
+++ b/packages/daemon/edge/src/process/peers.ts
@@ -31,6 +31,7 @@
 } from "@dotterelmoor/network.peering";
 import type { Logger } from "pino";
 import type { ListenAddress } from "../ports.ts";
+import type { CatalogSource } from "./catalog_watch.ts";
 
 /** Interval in milliseconds of membership's ticks. */
 const TICK_MS = 100;
@@ -64,7 +65,7 @@
   /** Time in milliseconds since the catalog was known to be current. */
   readonly getCatalogAgeMs: () => number;
   /** A peer has a configuration of another version. */
-  readonly onOtherVersion: (version: number) => void;
+  readonly onOtherVersion: (version: number, peerAddress: string) => void;
   /** Answers what a peer reports to have in flight. */
   readonly answerLoads: PeerHandlers["load_report"];
 }
@@ -76,10 +77,8 @@
   setVersion(version: number): void;
   /** Adds addresses of entries to contact while they are not known. */
   addSeeds(addresses: readonly string[]): void;
-  /** Asks an entry, or a random one, for what has changed in its catalog. */
-  pullCatalog(
-    processId: string | undefined,
-  ): Promise<CatalogMessage | undefined>;
+  /** Asks an entry for what has changed in its catalog. */
+  pullCatalog(source: CatalogSource): Promise<CatalogMessage | undefined>;
   /** Calls an entry; undefined if it does not answer in time. */
   call(
     peerAddress: string,
@@ -152,7 +151,8 @@
         if (state === "suspect") pool.closePeer(member.peerAddress);
       },
       state_changed: () => {},
-      digest: ({ sequence }) => options.onOtherVersion(sequence),
+      digest: ({ sequence, address }) =>
+        options.onOtherVersion(sequence, address),
     };
   }
 
@@ -184,30 +184,29 @@
     };
   }
 
-  pullCatalog(
-    processId: string | undefined,
+  async pullCatalog(
+    source: CatalogSource,
   ): Promise<CatalogMessage | undefined> {
-    const { self } = this.#options;
-    const others = this.membership.liveMembers().filter((member) =>
-      member.processId !== self.processId &&
-      (processId === undefined || member.processId === processId)
-    );
-    return this.#pull(others);
-  }
-
-  async #pull(
-    members: readonly MemberRecord[],
-  ): Promise<CatalogMessage | undefined> {
-    const member = members[Math.floor(this.#options.random() * members.length)];
-    if (member === undefined) return undefined;
+    const peerAddress = this.#findAddress(source);
+    if (peerAddress === undefined) return undefined;
     const answer = await this.call(
-      member.peerAddress,
+      peerAddress,
       { type: "catalog_pull", position: this.#options.catalog.position },
       PULL_TIMEOUT_MS,
     );
     return answer?.type === "catalog" ? answer : undefined;
   }
 
+  #findAddress(source: CatalogSource): string | undefined {
+    if (source.type === "address") return source.peerAddress;
+    const { self, random } = this.#options;
+    const others = this.membership.liveMembers().filter(({ processId }) =>
+      processId !== self.processId &&
+      (source.type === "any" || processId === source.processId)
+    );
+    return others[Math.floor(random() * others.length)]?.peerAddress;
+  }
+
   async call(
     peerAddress: string,
     message: PeerMessage,
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -243,9 +243,9 @@
     log: log.part("member"),
     catalog,
     getCatalogAgeMs: () => late.watch?.ageMs() ?? Infinity,
-    onOtherVersion: (version) => {
+    onOtherVersion: (version, peerAddress) => {
       const own = catalog.document?.version ?? 0;
-      if (version > own) late.watch?.pullNow();
+      if (version > own) late.watch?.pullNow(peerAddress);
     },
     answerLoads: (report, { peer }) =>
       Promise.resolve(late.loads?.answer(report, peer)),
@@ -310,7 +310,7 @@
       sortEntries(peers.membership.liveMembers(settings.region))
         .map((member) => member.processId),
     joinMs: getJoinMs(settings),
-    pull: (id) => peers.pullCatalog(id),
+    pull: (source) => peers.pullCatalog(source),
     onChanged: (source) => {
       const { document } = catalog;
       if (document === undefined) return;
