Tell a few entries of a newer configuration at once

Cause: the digest of the configuration travels only in messages that are due anyway, 600 ms apart.

Change: an entry that gets a newer version tells three members and one entry of each other region, once for each version. That is five messages of some 250 bytes an entry and change, whatever the number of entries.

Test, new: version_spread_test, 3 x 48 entries, three of which read a change that all others hear of from entries.

--- a/packages/core/membership/src/membership.ts
+++ b/packages/core/membership/src/membership.ts
@@ -72,10 +72,7 @@
     tick: (_event, nowMs) => this.#tick(nowMs),
     message: (event, nowMs) => this.#messenger.receive(event.message, nowMs),
     set_state: (event, nowMs) => this.#setState(event, nowMs),
-    set_digest: (event) => {
-      this.#messenger.digest = event.sequence;
-      return [];
-    },
+    set_digest: (event, nowMs) => this.#setDigest(event.sequence, nowMs),
     identity: (event, nowMs) => {
       const { incarnation } = event;
       this.#knowledge.updateSelf({ incarnation }, nowMs);
@@ -196,6 +193,14 @@
     return actions;
   }
 
+  /** A newer configuration is told at once; a first one is known to others. */
+  #setDigest(sequence: number, nowMs: number): MembershipAction[] {
+    const before = this.#messenger.digest;
+    this.#messenger.digest = sequence;
+    const isNews = this.#started && before > 0 && sequence > before;
+    return isNews ? this.#messenger.announceDigest(nowMs) : [];
+  }
+
   #setState(
     event: Extract<MembershipEvent, { type: "set_state" }>,
     nowMs: number,
--- a/packages/core/membership/src/messaging.ts
+++ b/packages/core/membership/src/messaging.ts
@@ -20,10 +20,14 @@
 import type { MembershipAction, MembershipTimings } from "./options.ts";
 import type { Prober } from "./prober.ts";
 import { readPacked, toPacked } from "./packing.ts";
-import { pickRandom } from "./random.ts";
+import { pickRandom, takeRandom } from "./random.ts";
 
 const CORRECTION_INTERVAL_MS = 100;
 
+/** Members of the region that are told of a new digest at once. Each of them
+ * tells as many, so that probes have only a few left to reach. */
+const DIGEST_FANOUT = 3;
+
 /** Options of `Messenger`. */
 export interface MessengerOptions {
   readonly knowledge: Knowledge;
@@ -122,6 +126,22 @@
     });
   }
 
+  /** Tells some members, and one entry of each other region, the digest. */
+  announceDigest(nowMs: number): MembershipAction[] {
+    const { knowledge, contacts, random } = this.#options;
+    const members = takeRandom(
+      knowledge.members.reachable(),
+      DIGEST_FANOUT,
+      random,
+    );
+    return [
+      ...members.map(({ peerAddress }) => peerAddress),
+      ...contacts.pickEachRegion(),
+    ].map((address) =>
+      send(address, { type: "gossip", ...this.#base(undefined, nowMs, false) })
+    );
+  }
+
   /** Asks an address for the first chunk of what it knows. */
   buildPull(address: string, nowMs: number, pullAfter = ""): MembershipAction {
     const base = { ...this.#base(undefined, nowMs, false), pullAfter };
--- a/packages/core/membership/src/simulated_network.ts
+++ b/packages/core/membership/src/simulated_network.ts
@@ -41,6 +41,8 @@
   recording = false;
   nowMs = 0;
   blocked: (from: Node, to: Node) => boolean = () => false;
+  /** A node heard of another version from the node at an address. */
+  onDigest: (node: Node, address: string, sequence: number) => void = () => {};
   #queue = new Map<
     number,
     { from: string; to: string; event: MembershipEvent }[]
@@ -131,6 +133,9 @@
       const of = action.member.processId;
       this.deaths.push({ by: node.id, of, atMs: this.nowMs });
     }
+    if (action.type === "digest") {
+      this.onDigest(node, action.address, action.sequence);
+    }
     if (action.type !== "send") return;
     const { address, message } = action;
     if (this.recording) this.messages.push({ from: node.id, message });
--- /dev/null
+++ b/packages/core/membership/src/version_spread_test.ts
@@ -0,0 +1,71 @@
+import test from "ava";
+import { Network } from "./simulated_network.ts";
+import type { Node } from "./simulated_network.ts";
+
+/** Entries of the largest region of a grown installation. */
+const REGION_SIZE = 48;
+
+/** A change must be in force everywhere within 3 s; reading it takes the entry
+ * that hears of it first up to half a second. */
+const LIMIT_MS = 2_500;
+
+/** As the edge sets them. */
+const TIMINGS = {
+  probeIntervalMs: 600,
+  probeTimeoutMs: 250,
+  suspicionMs: 1_200,
+  gossipIntervalMs: 600,
+  contactFreshMs: 4_000,
+};
+
+/** Milliseconds for a request to a node and its answer. */
+function getRttMs(from: Node, to: Node): number {
+  return from.region === to.region ? 4 : 75;
+}
+
+/**
+ * Spreads a version from three entries of one region, while all others cannot
+ * read the store and take it from the entry that told them of it.
+ */
+function measureSpread(seed: number): number {
+  const network = new Network({
+    seed,
+    regions: 3,
+    size: REGION_SIZE,
+    timings: TIMINGS,
+  });
+  const versions = new Map<Node, number>();
+  const arrivals: { atMs: number; node: Node; version: number }[] = [];
+  const learn = (node: Node, version: number) => {
+    versions.set(node, version);
+    network.apply(node, { type: "set_digest", sequence: version });
+  };
+  for (const node of network.running()) learn(node, 1);
+  network.runFor(20_000);
+  network.onDigest = (node, address, version) => {
+    if (version <= (versions.get(node) ?? 0)) return;
+    const teller = network.get(address);
+    const atMs = network.nowMs + getRttMs(node, teller);
+    arrivals.push({ atMs, node, version });
+  };
+  for (const id of ["r0n5", "r0n6", "r0n7"]) learn(network.get(id), 2);
+  const startMs = network.nowMs;
+  while (network.nowMs < startMs + 20_000) {
+    network.runFor(10);
+    for (const { atMs, node, version } of arrivals.splice(0)) {
+      if (atMs <= network.nowMs) learn(node, version);
+      else arrivals.push({ atMs, node, version });
+    }
+    if ([...versions.values()].every((version) => version === 2)) break;
+  }
+  return network.nowMs - startMs;
+}
+
+for (const seed of [1, 2, 3, 4, 5]) {
+  // The regions' reading entries may all be cut off when a change comes.
+  test(`guards against a change that stays in the region that reads it, seed ${seed}`, (t) => {
+    const tookMs = measureSpread(seed);
+    t.log(`${3 * REGION_SIZE} entries after ${tookMs} ms`);
+    t.true(tookMs <= LIMIT_MS, `${tookMs} ms`);
+  });
+}
