Pack the configuration for entries that follow

Cause: each change carries the whole configuration, 260 KB, to each entry. That takes 0.3 s of a small instance's link of 7 Mbit/s, and the followed entry sends it to 47 others within half a second, while a pull ends after 0.4 s. So pulls fail, followers pass the reading entry over, ask others that lack the change too, and start to read the store themselves.

Change: the configuration travels packed (cbor, deflate), once packed for each version.

--- a/packages/daemon/edge/src/process/catalog_watch.ts
+++ b/packages/daemon/edge/src/process/catalog_watch.ts
@@ -10,6 +10,7 @@
 import type { CatalogMessage } from "@dotterelmoor/network.peering";
 import type { Logger } from "pino";
 import type { CatalogStore } from "../ports.ts";
+import { unpackDelta } from "./document_packing.ts";
 import { wait } from "./intervals.ts";
 import type { EdgeMetrics } from "./metrics.ts";
 import { createReaderChoice } from "./reader_choice.ts";
@@ -214,8 +215,16 @@
       this.#warn(source, answer?.ageMs);
       return false;
     }
+    const delta = unpackDelta(answer);
+    if (delta === undefined) {
+      this.#options.log.warn(
+        { source },
+        "Configuration of an entry unreadable.",
+      );
+      return false;
+    }
     const nowMs = performance.now();
-    catalog.applyDelta(answer.delta, nowMs);
+    catalog.applyDelta(delta, nowMs);
     this.#followedAtMs = Math.max(this.#followedAtMs, nowMs - answer.ageMs);
     onChanged(describeSource(source));
     return answer.ageMs < STALE_MS;
--- a/packages/daemon/edge/src/process/peers.ts
+++ b/packages/daemon/edge/src/process/peers.ts
@@ -32,6 +32,7 @@
 import type { Logger } from "pino";
 import type { ListenAddress } from "../ports.ts";
 import type { CatalogSource } from "./catalog_watch.ts";
+import { createDocumentPacker } from "./document_packing.ts";
 
 /** Interval in milliseconds of membership's ticks. */
 const TICK_MS = 100;
@@ -130,6 +131,7 @@
   readonly membership: Membership;
   readonly #options: PeersOptions;
   readonly #pool: PeerPool;
+  readonly #packer = createDocumentPacker();
   readonly #handlers: EventHandlers<MembershipAction, void>;
 
   constructor(options: PeersOptions, pool: PeerPool) {
@@ -179,7 +181,7 @@
     const { catalog, getCatalogAgeMs } = this.#options;
     return {
       type: "catalog",
-      delta: catalog.changesSince(position, nowMs()),
+      ...this.#packer.pack(catalog.changesSince(position, nowMs())),
       ageMs: Math.min(NEVER_READ_MS, getCatalogAgeMs()),
     };
   }
--- a/packages/network/peering/src/frames.ts
+++ b/packages/network/peering/src/frames.ts
@@ -15,12 +15,17 @@
   tagUint8Array: false,
 });
 
+/** Encodes a value as cbor. */
+export function encodePayload(value: unknown): Buffer {
+  return codec.encode(value);
+}
+
 /** Encodes a value; undefined if its frame would be too large. */
 export function encodeFrame(
   value: unknown,
   maxBytes: number,
 ): Buffer | undefined {
-  const payload = codec.encode(value);
+  const payload = encodePayload(value);
   if (payload.length > maxBytes) return undefined;
   const frame = Buffer.allocUnsafe(PREFIX_BYTES + payload.length);
   frame.writeUInt32BE(payload.length, 0);
--- a/packages/network/peering/src/guards.ts
+++ b/packages/network/peering/src/guards.ts
@@ -45,6 +45,10 @@
   return value instanceof Uint8Array;
 }
 
+function isOptionalBytes(value: unknown): boolean {
+  return value === undefined || isBytes(value);
+}
+
 function isStringMap(value: unknown): boolean {
   return isRecord(value) && Object.values(value).every(isString);
 }
@@ -238,6 +242,7 @@
   catalog_pull: { position: isPosition },
   catalog: {
     delta: isDelta,
+    document: isOptionalBytes,
     ageMs: isAmount,
   },
   load_report: {
--- a/packages/network/peering/src/messages.ts
+++ b/packages/network/peering/src/messages.ts
@@ -162,7 +162,10 @@
 /** Answer to a `catalog_pull`. */
 export interface CatalogMessage {
   readonly type: "catalog";
+  /** What has changed, the configuration left out. */
   readonly delta: CatalogDelta;
+  /** The configuration if it has changed, packed by `packValue`. */
+  readonly document?: Uint8Array;
   /** Time in milliseconds since the sender's catalog was known to be current. */
   readonly ageMs: number;
 }
--- a/packages/network/peering/src/mod.ts
+++ b/packages/network/peering/src/mod.ts
@@ -31,6 +31,7 @@
   PromiseResultMessage,
   SubmitMessage,
 } from "./messages.ts";
+export { packValue, unpackValue } from "./packing.ts";
 export { createPeerPool } from "./pool.ts";
 export { createPeerServer } from "./server.ts";
 export type {
