Pass over cold servers whose rate is used up

Callers were refused with "no-server" while a warm server in an allowed region had a free slot. The placer chose a cold server by its cost and only then found that its rate was used up; it did not look at other servers.

A cold server now counts as usable only while its rate allows a send, so the request goes to the next server by cost, in another allowed region if the planned one has none. No more requests reach a cold server than before. More requests may leave a region whose servers are all cold.

allowed_regions_test draws servers, assigned objects, retries and regions that change between requests for an object.

--- a/packages/core/placing/src/placer.ts
+++ b/packages/core/placing/src/placer.ts
@@ -155,11 +155,7 @@
     if (expectedMs > latestMs && this.#isHopeless(chosen, request, nowMs)) {
       return this.#refuse("too-late", expectedMs - latestMs, inputs);
     }
-    const perSecond = request.coldPerSecond /
-      Math.max(1, this.#options.countEntries());
-    if (isCold(chosen, nowMs) && !load.takeCold(perSecond, nowMs)) {
-      return this.#refuse("no-server", 1_000 / Math.max(1, perSecond), inputs);
-    }
+    if (isCold(chosen, nowMs)) load.takeCold();
     const hasSlot = busy < server.record.slots;
     return { type: "send", server, rank, expectedMs, hasSlot };
   }
@@ -366,8 +362,11 @@
     if (load.isPaused(nowMs)) return false;
     if (!isCold({ server, load }, nowMs)) return true;
     // Only the entries of its region share a cold server's rate.
-    return server.region === this.#options.homeRegion &&
-      load.estimateLoad(nowMs) < server.record.slots;
+    const { homeRegion, countEntries } = this.#options;
+    const perSecond = request.coldPerSecond / Math.max(1, countEntries());
+    return server.region === homeRegion &&
+      load.estimateLoad(nowMs) < server.record.slots &&
+      load.hasCold(perSecond, nowMs);
   }
 
   #refuse(
--- a/packages/core/placing/src/server_load.ts
+++ b/packages/core/placing/src/server_load.ts
@@ -96,14 +96,17 @@
     return atMs !== undefined && nowMs - atMs < WARM_MS;
   }
 
-  /** Takes one send to a cold server, if the rate allows it. */
-  takeCold(perSecond: number, nowMs: number): boolean {
+  /** True if the rate allows one send to a cold server. */
+  hasCold(perSecond: number, nowMs: number): boolean {
     const gained = (nowMs - this.#coldTokensAtMs) / 1_000 * perSecond;
     this.#coldTokens = Math.min(1, this.#coldTokens + gained);
     this.#coldTokensAtMs = nowMs;
-    if (this.#coldTokens < 1) return false;
+    return this.#coldTokens >= 1;
+  }
+
+  /** Takes one send to a cold server, which `hasCold` allowed. */
+  takeCold(): void {
     this.#coldTokens -= 1;
-    return true;
   }
 
   recordSend(object: string | undefined, nowMs: number): void {
