Consider an object's further servers when the first are down

Callers asking for one object were refused with "no-server" while servers of the region were free: only the first 8 servers of the object's order were looked at, and then those left out that cannot be used.

The first 8 usable servers out of 24 in the order are considered now. The bound keeps the memory of the kept orders at most three times what it was.

--- a/packages/core/placing/src/allowed_regions_test.ts
+++ b/packages/core/placing/src/allowed_regions_test.ts
@@ -206,3 +206,22 @@
   );
   t.pass();
 });
+
+// Only the first servers of an object's order are considered.
+test("guards against a region whose first servers for an object are all down", (t) => {
+  const drawn = { region: "a", slots: 4, coldUntilMs: -Infinity };
+  const servers = makeServers(Array(20).fill(drawn));
+  const down = [...servers.keys()].slice(0, 18);
+  const steps: Step[] = [...Array(120).keys()].map((index) => ({
+    object: index % 4,
+    allowedRegions: ["a"],
+    excluded: [],
+    outcome: "answered",
+    others: [],
+    coldPerSecond: 1,
+    afterMs: 1,
+  }));
+  const refused = [...run({ servers, down, assigned: [] }, steps)]
+    .filter(({ placement }) => placement.type === "refuse");
+  t.is(refused.length, 0);
+});
--- a/packages/core/placing/src/placer.ts
+++ b/packages/core/placing/src/placer.ts
@@ -43,6 +43,10 @@
 const ESCAPE_SHARE = 0.05;
 const MAX_ESCAPES = 4;
 
+/** Usable servers of a region that are considered for an object. Further ones
+ * are cold, and would take slots from what is warm there. */
+const MAX_CONSIDERED = 8;
+
 /** Least and longest time in milliseconds after which to come back. */
 const LEAST_RETRY_MS = 100;
 const LONGEST_RETRY_MS = 2_000;
@@ -284,14 +288,25 @@
       const all = assigned === undefined || name !== region
         ? order
         : [assigned, ...order.filter((server) => server !== assigned)];
-      const left = all.filter((server) =>
-        this.#isUsable(server, request, nowMs)
-      );
+      const left = this.#pickUsable(all, request, nowMs);
       if (left.length > 0) usable.set(name, left);
     }
     return usable;
   }
 
+  #pickUsable(
+    order: readonly TrackedServer[],
+    request: PlaceRequest,
+    nowMs: number,
+  ): TrackedServer[] {
+    const usable: TrackedServer[] = [];
+    for (const server of order) {
+      if (usable.length === MAX_CONSIDERED) break;
+      if (this.#isUsable(server, request, nowMs)) usable.push(server);
+    }
+    return usable;
+  }
+
   /** Leaves the planned region if it has no server or would be late. */
   #choose(
     orders: RegionOrders,
--- a/packages/core/placing/src/server_order.ts
+++ b/packages/core/placing/src/server_order.ts
@@ -9,9 +9,9 @@
 import { computeDistance } from "./hashing.ts";
 import { splitByRegion } from "./region_choice.ts";
 
-/** Servers of a region that are considered for an object. Further ones are
- * cold, and would take slots from what is warm there. */
-const MAX_SERVERS = 8;
+/** Servers of a region in an object's order: some more than are considered, as
+ * those of a lost zone cannot be used. All of them would take much memory. */
+const MAX_SERVERS = 24;
 
 /** Objects whose order is kept. */
 const MAX_OBJECTS = 4_096;
