--- /dev/null
+++ b/packages/daemon/edge/src/started_fixture.ts
@@ -0,0 +1,99 @@
+/**
+ * Starts whole edges, stores and backend servers for one test.
+ *
+ * @module
+ */
+
+import type { ExecutionContext } from "ava";
+import {
+  buildDocument,
+  buildPlatform,
+  buildRoute,
+  buildServer,
+  buildSettings,
+  callEdge,
+  startBackend,
+} from "./edge_fixture.ts";
+import type { MemoryStore, TestBackend } from "./edge_fixture.ts";
+import { startEdge } from "./mod.ts";
+import type { EdgeSettings } from "./mod.ts";
+
+/** Polls until a condition holds; fails when the time is over. */
+export async function waitUntil(
+  t: ExecutionContext,
+  isTrue: () => Promise<boolean>,
+  limitMs = 5_000,
+): Promise<void> {
+  const endAtMs = performance.now() + limitMs;
+  while (!await isTrue()) {
+    if (performance.now() > endAtMs) return t.fail(`Not within ${limitMs} ms`);
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  t.pass();
+}
+
+/** Another process may take a port between its choice and the start. */
+async function startOnFreePorts(
+  store: MemoryStore,
+  name: string,
+  changes: Partial<EdgeSettings>,
+) {
+  for (let attempt = 0;; attempt++) {
+    const settings = await buildSettings(name, changes);
+    const platform = buildPlatform(store.createClient(name));
+    try {
+      return { settings, edge: await startEdge(settings, platform) };
+    } catch (error) {
+      const { code } = error as NodeJS.ErrnoException;
+      if (code !== "EADDRINUSE" || attempt === 4) throw error;
+    }
+  }
+}
+
+/** Starts an edge that leaves after the test; resolves when it is ready. */
+export async function startReady(
+  t: ExecutionContext,
+  store: MemoryStore,
+  changes: Partial<EdgeSettings> = {},
+) {
+  const name = changes.instance ?? "n1";
+  const { settings, edge } = await startOnFreePorts(store, name, changes);
+  let left = false;
+  const leave = () => {
+    left = true;
+    return edge.leave();
+  };
+  t.teardown(() => left ? undefined : edge.leave());
+  const isReady = async () =>
+    (await callEdge(settings.readiness, { path: "/ready" })).status === 200;
+  await waitUntil(t, isReady);
+  return { settings, leave, isReady };
+}
+
+/** Starts backend servers that close after the test. */
+export async function startBackends(
+  t: ExecutionContext,
+  handles: readonly Parameters<typeof startBackend>[0][],
+): Promise<TestBackend[]> {
+  const backends: TestBackend[] = [];
+  for (const handle of handles) {
+    const backend = await startBackend(handle);
+    t.teardown(() => backend.close());
+    backends.push(backend);
+  }
+  return backends;
+}
+
+/** Puts a configuration with one route, and backend servers of its service. */
+export function putAll(
+  store: MemoryStore,
+  backends: readonly TestBackend[],
+  route = buildRoute(),
+): void {
+  const document = buildDocument(1, [route]);
+  store.put("orders", "config", { type: "document", document });
+  backends.forEach(({ address }, index) => {
+    const record = buildServer(`s${index}`, address);
+    store.put("servers", record.id, { type: "server", record });
+  });
+}
