Decide each send by the newest configuration

Requests of a route with allowed_regions ran in a region that the route had left: a second send, a backup send, and the first send of a request whose body or connection was slow went by the route as it was when the request arrived. The same holds for routes that were removed, moved to another service, limited to fewer servers or made non-repeatable meanwhile.

A request kept the route and service found at its arrival for all its sends. `TermsReader` now reads route and service anew for each send, and the backend client's check before the first byte holds a send back that the configuration came to forbid while it waited for a connection; the request is then decided again. A request stays with its service while the route's split has it. It is repeatable only if no configuration since its arrival forbids that. If no route takes it any more, nothing further is sent, and it ends as its sends tell: not run (`route-removed`), the server's failure, or unknown.

--- a/packages/daemon/edge/src/request/forwarding.ts
+++ b/packages/daemon/edge/src/request/forwarding.ts
@@ -4,97 +4,37 @@
  * @module
  */
 
-import type { IncomingHttpHeaders } from "node:http";
-import type { Catalog, RouteRecord } from "@dotterelmoor/core.catalog";
 import type {
   Placement,
-  Placer,
   PlaceRequest,
   RefusalInputs,
-  SendEnd,
-  SendOutcome,
-  SendPlacement,
-  ServerLoadReport,
 } from "@dotterelmoor/core.placing";
-import type {
-  BackendClient,
-  BackendResult,
-} from "@dotterelmoor/network.backend";
 import { wait } from "../process/intervals.ts";
-import type { EdgeMetrics } from "../process/metrics.ts";
 import type { RetryBudgets } from "../process/retry_budgets.ts";
-import type { CallerProtocol } from "../ports.ts";
-import type { RequestOutcome } from "./outcomes.ts";
+import type { ForwardRequest, ForwardResult } from "./forward_types.ts";
+import type { NotRunReason, RequestOutcome } from "./outcomes.ts";
 import {
   computeBackupDelay,
   SEND_RESULTS,
   takeFirstAnswer,
 } from "./send_results.ts";
-
-/** Time in milliseconds kept for the answer on its way back to the caller. */
-const ANSWER_MARGIN_MS = 10;
+import type { SendResult } from "./send_results.ts";
+import { TermsReader } from "./send_terms.ts";
+import type { SendTerms, TermsReaderOptions } from "./send_terms.ts";
+import { ANSWER_MARGIN_MS, RequestSender } from "./sending.ts";
+import type {
+  OpenSend,
+  RequestSenderOptions,
+  SendDecision,
+} from "./sending.ts";
 
 /** Time in milliseconds after which to come back when servers refused. */
 const REFUSED_RETRY_MS = 250;
 
-/** A request that is to be served. */
-export interface ForwardRequest {
-  readonly route: RouteRecord;
-  readonly service: string;
-  readonly coldPerSecond: number;
-  readonly requestId: string;
-  readonly object: string | undefined;
-  readonly method: string;
-  readonly path: string;
-  readonly headers: Readonly<Record<string, string>>;
-  readonly body: Uint8Array;
-  /** Monotonic times of the arrival and of the final answer at the latest. */
-  readonly arrivedAtMs: number;
-  readonly deadlineAtMs: number;
-  /** Aborted when the caller leaves. */
-  readonly signal: AbortSignal;
-}
-
-/** Whether a server is in the regions of a route. */
-export type SendPlace = "inside" | "outside";
-
-/** One send of a request, for the decision log. */
-export interface SendRecord {
-  readonly server: string;
-  readonly zone: string;
-  readonly region: string;
-  /** Version of the configuration that was in force at the send. */
-  readonly configuration: number | undefined;
-  /** Where the server is against the route's regions in that version;
-   * undefined if the route has none. */
-  readonly place: SendPlace | undefined;
-  /** Place of the server in the order of the request's object. */
-  readonly rank: number;
-  /** Time in milliseconds in which the answer was expected. */
-  readonly expectedMs: number;
-  readonly result: string;
-  readonly elapsedMs: number;
-}
-
-/** The outcome of a request with its sends. */
-export interface ForwardResult {
-  readonly outcome: RequestOutcome;
-  readonly sends: readonly SendRecord[];
-  /** Why no server, or no further one, was tried. */
-  readonly refusal?: {
-    readonly reason: string;
-    readonly inputs: RefusalInputs | undefined;
-  };
-}
-
 /** Options of `createForwarder`. */
-export interface ForwarderOptions {
-  readonly catalog: Catalog;
-  readonly placer: Placer;
-  readonly backend: BackendClient;
+export interface ForwarderOptions
+  extends TermsReaderOptions, Omit<RequestSenderOptions, "terms"> {
   readonly budgets: RetryBudgets;
-  readonly protocol: CallerProtocol;
-  readonly metrics: EdgeMetrics;
 }
 
 /** Serves requests through backend servers. */
@@ -109,24 +49,17 @@
   };
 }
 
-/** A send of which the result is awaited. */
-interface OpenSend {
-  readonly result: Promise<BackendResult>;
-  readonly progress: SendProgress;
-}
-
-/** How far a send is. */
-interface SendProgress {
-  readonly controller: AbortController;
-  /** True once the answer took far longer than expected. */
-  isOverdue: boolean;
-}
+/** What is done next for a request. */
+type Step =
+  | { readonly type: "send"; readonly decision: SendDecision }
+  | { readonly type: "end"; readonly outcome: RequestOutcome };
 
 class Run {
   readonly #request: ForwardRequest;
   readonly #options: ForwarderOptions;
-  readonly #sends: SendRecord[] = [];
-  readonly #tried = new Set<string>();
+  readonly #terms: TermsReader;
+  readonly #sender: RequestSender;
+  #isCounted = false;
   /** True once a server may have run the request. */
   #mayHaveRun = false;
   /** What decided that the request, or its retry, is not sent. */
@@ -138,98 +71,71 @@
   constructor(request: ForwardRequest, options: ForwarderOptions) {
     this.#request = request;
     this.#options = options;
+    this.#terms = new TermsReader(request, options);
+    const terms = this.#terms;
+    this.#sender = new RequestSender(request, { ...options, terms });
   }
 
   async run(): Promise<ForwardResult> {
-    const { budgets, placer } = this.#options;
-    const { service, route } = this.#request;
-    budgets.recordRequest(service);
-    placer.recordArrival();
+    this.#options.placer.recordArrival();
     while (true) {
-      const placement = this.#place();
-      if (placement.type === "refuse") {
-        this.#refusal = placement.inputs;
-        return this.#end(
-          this.#settle(placement.reason, placement.retryAfterMs),
-        );
-      }
-      if (this.#sends.length > 0 && !budgets.takeRetry(service)) {
-        return this.#end(this.#settle("retry-budget", REFUSED_RETRY_MS));
-      }
-      const result = await this.#sendWithBackup(placement);
-      const { verdict } = SEND_RESULTS[result.type];
-      const isFailure = result.type === "answered" && result.status >= 500;
-      if (isFailure && route.repeatable) {
-        // Another server may answer; if none does, the failure is the answer.
-        this.#failure = this.#finish(result);
-      } else if (verdict === "answer" || verdict === "stop") {
-        return this.#end(this.#finish(result));
-      }
-      if (verdict === "may-have-run") this.#mayHaveRun = true;
-      const isSpent = this.#tried.size >= route.maxAttempts ||
-        (this.#mayHaveRun && !route.repeatable);
-      if (isSpent) {
-        return this.#end(this.#settle("servers-refused", REFUSED_RETRY_MS));
-      }
+      const step = this.#decide();
+      if (step.type === "end") return this.#end(step.outcome);
+      const result = await this.#sendWithBackup(step.decision);
+      const outcome = this.#takeResult(result);
+      if (outcome !== undefined) return this.#end(outcome);
     }
   }
 
-  #place(): Placement {
-    const { catalog, placer } = this.#options;
-    const nowMs = performance.now();
-    const servers = catalog.findServers(this.#request.service, nowMs);
-    return placer.place(this.#buildPlaceRequest(), servers, nowMs);
-  }
-
-  /**
-   * Sends to one server, and to a second one if the answer takes far longer
-   * than expected: it may be lost, or the server slow. The first answer counts.
-   */
-  async #sendWithBackup(placement: SendPlacement): Promise<BackendResult> {
-    const first = this.#startSend(placement);
-    if (!this.#request.route.repeatable) return first.result;
-    const isEarly = await Promise.race([
-      first.result.then(() => true),
-      wait(computeBackupDelay(placement.expectedMs)).then(() => false),
-    ]);
-    first.progress.isOverdue = !isEarly;
-    const backup = isEarly ? undefined : this.#startBackup();
-    if (backup === undefined) return first.result;
-    const result = await takeFirstAnswer([first.result, backup.result]);
-    first.progress.controller.abort();
-    backup.progress.controller.abort();
-    return result;
-  }
-
-  #startBackup(): OpenSend | undefined {
+  /** Decides the next send by the newest known configuration. */
+  #decide(): Step {
     const { budgets } = this.#options;
-    const { route, service, signal } = this.#request;
-    if (signal.aborted || this.#tried.size >= route.maxAttempts) {
-      return undefined;
+    if (this.#request.signal.aborted) {
+      return { type: "end", outcome: { type: "abandoned" } };
     }
-    const placement = this.#place();
-    if (placement.type === "refuse" || !placement.hasSlot) return undefined;
-    if (!budgets.takeRetry(service)) return undefined;
-    return this.#startSend(placement);
+    const terms = this.#terms.read();
+    if (terms === undefined) return this.#stop("route-removed");
+    const { service, route, repeatable } = terms;
+    if (!this.#isCounted) budgets.recordRequest(service);
+    this.#isCounted = true;
+    const { tried } = this.#sender;
+    const isSpent = tried.size >= route.maxAttempts ||
+      (this.#mayHaveRun && !repeatable);
+    if (isSpent) return this.#stop("servers-refused");
+    const { placement, placeRequest } = this.#place(terms);
+    if (placement.type === "refuse") {
+      const { reason, retryAfterMs, inputs } = placement;
+      this.#refusal = inputs;
+      return this.#stop(reason, retryAfterMs);
+    }
+    if (this.#sender.hasSent && !budgets.takeRetry(service)) {
+      return this.#stop("retry-budget");
+    }
+    const isRepeat = this.#mayHaveRun;
+    const decision = { placement, placeRequest, terms, isRepeat };
+    return { type: "send", decision };
   }
 
-  #startSend(placement: SendPlacement): OpenSend {
-    const controller = new AbortController();
-    const progress = { controller, isOverdue: false };
-    const { signal } = this.#request;
-    const abort = () => controller.abort();
-    signal.addEventListener("abort", abort, { once: true });
-    this.#tried.add(placement.server.record.id);
-    const result = this.#send(placement, progress).finally(() =>
-      signal.removeEventListener("abort", abort)
-    );
-    return { result, progress };
+  #stop(reason: NotRunReason, retryAfterMs = REFUSED_RETRY_MS): Step {
+    return { type: "end", outcome: this.#settle(reason, retryAfterMs) };
   }
 
-  #buildPlaceRequest(): PlaceRequest {
-    const { route, service, object, arrivedAtMs, deadlineAtMs, coldPerSecond } =
-      this.#request;
+  #place(
+    terms: SendTerms,
+  ): { readonly placement: Placement; readonly placeRequest: PlaceRequest } {
+    const { catalog, placer } = this.#options;
     const nowMs = performance.now();
+    const servers = catalog.findServers(terms.service, nowMs);
+    const placeRequest = this.#buildPlaceRequest(terms, nowMs);
+    const placement = placer.place(placeRequest, servers, nowMs);
+    return { placement, placeRequest };
+  }
+
+  #buildPlaceRequest(
+    { route, service, coldPerSecond, deadlineAtMs }: SendTerms,
+    nowMs: number,
+  ): PlaceRequest {
+    const { object, arrivedAtMs } = this.#request;
     return {
       service,
       route: route.name,
@@ -238,103 +144,60 @@
       remainingMs: deadlineAtMs - nowMs - ANSWER_MARGIN_MS,
       ageMs: nowMs - arrivedAtMs,
       allowedRegions: route.allowedRegions,
-      excluded: this.#tried,
+      excluded: this.#sender.tried,
       coldPerSecond,
     };
   }
 
-  async #send(
-    placement: SendPlacement,
-    progress: SendProgress,
-  ): Promise<BackendResult> {
-    const placeRequest = this.#buildPlaceRequest();
-    const { placer, backend, protocol } = this.#options;
-    const request = this.#request;
-    const { server } = placement;
-    const { record } = server;
-    const startedAtMs = performance.now();
-    let load: ServerLoadReport | undefined;
-    let isMisdirected = false;
-    const onHead = (status: number, headers: IncomingHttpHeaders) => {
-      load = protocol.readLoad(headers);
-      isMisdirected = status === 421;
-    };
-    placer.recordSend(placement, placeRequest, startedAtMs);
-    const place = this.#readPlace(server.region);
-    const configuration = this.#options.catalog.document?.version;
-    const result = await backend.send({
-      address: record.address,
-      method: request.method,
-      path: request.path,
-      headers: { ...request.headers, [protocol.targetHeader]: record.id },
-      body: request.body,
-      deadlineMs: request.deadlineAtMs - startedAtMs - ANSWER_MARGIN_MS,
-      requestId: request.requestId,
-      signal: progress.controller.signal,
-      onHead,
-    });
-    const nowMs = performance.now();
-    const elapsedMs = nowMs - startedAtMs;
-    // Another server has the address: the one that was meant is gone.
-    const outcome = isMisdirected
-      ? "unreachable"
-      : this.#readOutcome(result, progress);
-    const end: SendEnd = { outcome, elapsedMs, load };
-    placer.recordEnd(placement, placeRequest, { ...end, nowMs });
-    const name = isMisdirected ? "misdirected" : result.type;
-    this.#recordSend(placement, {
-      result: name,
-      elapsedMs: Math.round(elapsedMs),
-      place,
-      configuration,
-    });
+  /**
+   * Sends to one server, and to a second one if the answer takes far longer
+   * than expected: it may be lost, or the server slow. The first answer counts.
+   */
+  async #sendWithBackup(decision: SendDecision): Promise<SendResult> {
+    const first = this.#sender.start(decision);
+    if (!decision.terms.repeatable) return first.result;
+    const { expectedMs } = decision.placement;
+    const isEarly = await Promise.race([
+      first.result.then(() => true),
+      wait(computeBackupDelay(expectedMs)).then(() => false),
+    ]);
+    first.progress.isOverdue = !isEarly;
+    const backup = isEarly ? undefined : this.#startBackup();
+    if (backup === undefined) return first.result;
+    const result = await takeFirstAnswer([first.result, backup.result]);
+    first.progress.controller.abort();
+    backup.progress.controller.abort();
     return result;
   }
 
-  /** Compares a server's region with the newest known form of the route. */
-  #readPlace(region: string): SendPlace | undefined {
-    const { catalog, metrics } = this.#options;
-    const { route } = this.#request;
-    const { allowedRegions } = catalog.routes?.get(route.name) ?? route;
-    if (allowedRegions.length === 0) return undefined;
-    const place = allowedRegions.includes(region) ? "inside" : "outside";
-    metrics.boundSends.inc({ place });
-    return place;
-  }
-
-  #recordSend(
-    { server, rank, expectedMs }: SendPlacement,
-    end: Pick<
-      SendRecord,
-      "result" | "elapsedMs" | "place" | "configuration"
-    >,
-  ): void {
-    const { id, zone } = server.record;
-    const { result } = end;
-    // No byte was sent; the server is passed over while it is paused.
-    if (result === "connection_refused") this.#tried.delete(id);
-    this.#sends.push({
-      server: id,
-      zone,
-      region: server.region,
-      rank,
-      expectedMs: Math.round(expectedMs),
-      ...end,
-    });
-    const { service } = this.#request;
-    this.#options.metrics.sends.inc({ service, outcome: result });
+  #startBackup(): OpenSend | undefined {
+    const terms = this.#terms.read();
+    const isOpen = terms !== undefined && terms.repeatable &&
+      !this.#request.signal.aborted &&
+      this.#sender.tried.size < terms.route.maxAttempts;
+    if (!isOpen) return undefined;
+    const { placement, placeRequest } = this.#place(terms);
+    if (placement.type === "refuse" || !placement.hasSlot) return undefined;
+    if (!this.#options.budgets.takeRetry(terms.service)) return undefined;
+    const decision = { placement, placeRequest, terms, isRepeat: true };
+    return this.#sender.start(decision);
   }
 
-  #readOutcome(result: BackendResult, progress: SendProgress): SendOutcome {
-    // Another server answered earlier; this one may lose its answers.
-    const wasBeaten = progress.isOverdue && !this.#request.signal.aborted;
-    if (result.type === "cancelled" && wasBeaten) return "failed";
-    // A failure that the server itself answers still tells about the server.
-    if (result.type === "answered" && result.status >= 500) return "failed";
-    return SEND_RESULTS[result.type].outcome;
+  /** The outcome by a send's result; undefined if another send may follow. */
+  #takeResult(result: SendResult): RequestOutcome | undefined {
+    const { verdict } = SEND_RESULTS[result.type];
+    const isFailure = result.type === "answered" && result.status >= 500;
+    if (isFailure && this.#terms.read()?.repeatable) {
+      // Another server may answer; if none does, the failure is the answer.
+      this.#failure = this.#finish(result);
+      return undefined;
+    }
+    if (verdict === "answer" || verdict === "stop") return this.#finish(result);
+    if (verdict === "may-have-run") this.#mayHaveRun = true;
+    return undefined;
   }
 
-  #finish(result: BackendResult): RequestOutcome {
+  #finish(result: SendResult): RequestOutcome {
     if (result.type === "answered") {
       const { status, headers, body } = result;
       return { type: "answered", status, headers, body };
@@ -345,10 +208,7 @@
   }
 
   /** The outcome when no further server is tried. */
-  #settle(
-    reason: "no-server" | "retry-budget" | "servers-refused" | "too-late",
-    retryAfterMs: number,
-  ): RequestOutcome {
+  #settle(reason: NotRunReason, retryAfterMs: number): RequestOutcome {
     this.#refusalReason = reason;
     if (this.#failure !== undefined) return this.#failure;
     return this.#mayHaveRun
@@ -357,7 +217,12 @@
   }
 
   #end(outcome: RequestOutcome): ForwardResult {
-    const result = { outcome, sends: this.#sends };
+    const { service } = this.#terms;
+    const result: ForwardResult = {
+      outcome,
+      sends: this.#sender.sends,
+      ...(service === undefined ? {} : { service }),
+    };
     if (this.#refusalReason === undefined) return result;
     const refusal = { reason: this.#refusalReason, inputs: this.#refusal };
     return { ...result, refusal };
--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -5,17 +5,13 @@
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type {
-  Catalog,
-  RouteRecord,
-  RoutingDocument,
-  Splitter,
-} from "@dotterelmoor/core.catalog";
+import type { Catalog, RouteRecord } from "@dotterelmoor/core.catalog";
 import type { CallerProtocol } from "../ports.ts";
 import type { EdgeLog } from "../process/logging.ts";
 import type { EdgeMetrics } from "../process/metrics.ts";
 import { readBody } from "./body.ts";
-import type { Forwarder, ForwardResult } from "./forwarding.ts";
+import type { ForwardResult } from "./forward_types.ts";
+import type { Forwarder } from "./forwarding.ts";
 import { answer } from "./outcomes.ts";
 
 /** Time in milliseconds after which callers come back to a starting entry. */
@@ -32,7 +28,6 @@
 /** Options of `createFront`. */
 export interface FrontOptions {
   readonly catalog: Catalog;
-  readonly splitter: Splitter;
   readonly forwarder: Forwarder;
   readonly protocol: CallerProtocol;
   readonly metrics: EdgeMetrics;
@@ -54,7 +49,6 @@
   readonly route?: RouteRecord;
   /** Version of the configuration that the route was found in. */
   readonly routeVersion?: number;
-  readonly service?: string;
 }
 
 /** Creates the request side. */
@@ -94,7 +88,7 @@
   }
 
   async #run(context: RequestContext): Promise<RequestEnd> {
-    const { catalog, protocol, splitter } = this.#options;
+    const { catalog, protocol } = this.#options;
     const { request } = context;
     const { document, routes } = catalog;
     if (document === undefined || routes === undefined) {
@@ -104,7 +98,8 @@
       return reject("header-too-large");
     }
     const path = (request.url ?? "").split("?", 1)[0]!;
-    const route = routes.find(request.headers.host ?? "", path);
+    const { host = "" } = request.headers;
+    const route = routes.find(host, path);
     if (route === undefined) return reject("no-route");
     const caller = protocol.readRequest(request.headers);
     if (caller.requestId === undefined) return reject("malformed");
@@ -116,12 +111,10 @@
     if (body.type === "cut") {
       return { outcome: { type: "abandoned" }, sends: [] };
     }
-    const service = splitter.choose(route);
     const waitMs = Math.min(caller.waitMs ?? Infinity, route.timeoutMs);
     const result = await this.#options.forwarder.forward({
       route,
-      service,
-      coldPerSecond: findColdRate(document, service),
+      host,
       requestId: caller.requestId,
       object: caller.object,
       method: request.method ?? "GET",
@@ -132,7 +125,7 @@
       deadlineAtMs: context.arrivedAtMs + waitMs,
       signal: context.signal,
     });
-    return { ...result, route, routeVersion: document.version, service };
+    return { ...result, route, routeVersion: document.version };
   }
 
   #answer(
@@ -215,11 +208,6 @@
   return { outcome: { type: "invalid", reason }, sends: [] };
 }
 
-function findColdRate(document: RoutingDocument, service: string): number {
-  const found = document.services.find(({ name }) => name === service);
-  return found?.coldPerSecond ?? 0;
-}
-
 function countHeaderBytes(request: IncomingMessage): number {
   let bytes = 0;
   for (const text of request.rawHeaders) bytes += text.length + 2;
--- a/packages/daemon/edge/src/request/outcomes.ts
+++ b/packages/daemon/edge/src/request/outcomes.ts
@@ -12,6 +12,7 @@
   | "no-configuration"
   | "no-server"
   | "retry-budget"
+  | "route-removed"
   | "servers-refused"
   | "too-late";
 
--- a/packages/daemon/edge/src/request/send_results.ts
+++ b/packages/daemon/edge/src/request/send_results.ts
@@ -7,19 +7,24 @@
 import type { SendOutcome } from "@dotterelmoor/core.placing";
 import type { BackendResult } from "@dotterelmoor/network.backend";
 
+/** The result of a send; one is held back if the configuration came to forbid
+ * it before the first byte was written. */
+export type SendResult = BackendResult | { readonly type: "held_back" };
+
 /** What a send means for its request. */
 export type SendVerdict = "answer" | "not-run" | "may-have-run" | "stop";
 
 /** How the result of a send is taken, and what it tells about the server. */
 export const SEND_RESULTS: Readonly<
   Record<
-    BackendResult["type"],
+    SendResult["type"],
     { readonly verdict: SendVerdict; readonly outcome: SendOutcome }
   >
 > = {
   answered: { verdict: "answer", outcome: "answered" },
   refused: { verdict: "not-run", outcome: "shed" },
   connection_refused: { verdict: "not-run", outcome: "unreachable" },
+  held_back: { verdict: "not-run", outcome: "abandoned" },
   not_authorized: { verdict: "stop", outcome: "abandoned" },
   connection_lost: { verdict: "may-have-run", outcome: "failed" },
   timed_out: { verdict: "stop", outcome: "failed" },
@@ -39,8 +44,8 @@
 
 /** The first answer of a server, or the last result if none answers. */
 export async function takeFirstAnswer(
-  results: readonly Promise<BackendResult>[],
-): Promise<BackendResult> {
+  results: readonly Promise<SendResult>[],
+): Promise<SendResult> {
   const answered = results.map(async (pending) => {
     const result = await pending;
     if (SEND_RESULTS[result.type].verdict !== "answer") throw result;
--- /dev/null
+++ b/packages/daemon/edge/src/request/sending.ts
@@ -0,0 +1,225 @@
+/**
+ * The sends of one request, and what they tell of their servers.
+ *
+ * @module
+ */
+
+import type { IncomingHttpHeaders } from "node:http";
+import type { Catalog, RouteRecord } from "@dotterelmoor/core.catalog";
+import type {
+  Placer,
+  PlaceRequest,
+  SendEnd,
+  SendOutcome,
+  SendPlacement,
+  ServerLoadReport,
+} from "@dotterelmoor/core.placing";
+import type { BackendClient } from "@dotterelmoor/network.backend";
+import type { CallerProtocol } from "../ports.ts";
+import type { EdgeMetrics } from "../process/metrics.ts";
+import type { ForwardRequest, SendPlace, SendRecord } from "./forward_types.ts";
+import { SEND_RESULTS } from "./send_results.ts";
+import type { SendResult } from "./send_results.ts";
+import type { SendTerms, TermsReader } from "./send_terms.ts";
+
+/** Time in milliseconds kept for the answer on its way back to the caller. */
+export const ANSWER_MARGIN_MS = 10;
+
+/** Options of `RequestSender`. */
+export interface RequestSenderOptions {
+  readonly catalog: Catalog;
+  readonly placer: Placer;
+  readonly backend: BackendClient;
+  readonly protocol: CallerProtocol;
+  readonly metrics: EdgeMetrics;
+  readonly terms: TermsReader;
+}
+
+/** A send that was decided. */
+export interface SendDecision {
+  readonly placement: SendPlacement;
+  readonly placeRequest: PlaceRequest;
+  readonly terms: SendTerms;
+  /** True if the request may have run before. */
+  readonly isRepeat: boolean;
+}
+
+/** A send of which the result is awaited. */
+export interface OpenSend {
+  readonly result: Promise<SendResult>;
+  readonly progress: SendProgress;
+}
+
+/** How far a send is. */
+export interface SendProgress {
+  readonly controller: AbortController;
+  /** True once the answer took far longer than expected. */
+  isOverdue: boolean;
+}
+
+/** What becomes known of a send from its first byte on. */
+interface WrittenSend {
+  load?: ServerLoadReport | undefined;
+  isMisdirected?: boolean;
+  isHeldBack?: boolean;
+  place?: SendPlace | undefined;
+  configuration?: number | undefined;
+}
+
+/** Sends one request to servers. */
+export class RequestSender {
+  readonly sends: SendRecord[] = [];
+  /** Servers that may have got the request. */
+  readonly tried = new Set<string>();
+  readonly #request: ForwardRequest;
+  readonly #options: RequestSenderOptions;
+
+  constructor(request: ForwardRequest, options: RequestSenderOptions) {
+    this.#request = request;
+    this.#options = options;
+  }
+
+  /** True if a server was tried; a send that was held back tries none. */
+  get hasSent(): boolean {
+    return this.sends.some(({ result }) => result !== "held_back");
+  }
+
+  start(decision: SendDecision): OpenSend {
+    const controller = new AbortController();
+    const progress = { controller, isOverdue: false };
+    const { signal } = this.#request;
+    const abort = () => controller.abort();
+    signal.addEventListener("abort", abort, { once: true });
+    this.tried.add(decision.placement.server.record.id);
+    const result = this.#send(decision, progress).finally(() =>
+      signal.removeEventListener("abort", abort)
+    );
+    return { result, progress };
+  }
+
+  async #send(
+    decision: SendDecision,
+    progress: SendProgress,
+  ): Promise<SendResult> {
+    const { placement, placeRequest } = decision;
+    const { placer } = this.#options;
+    const startedAtMs = performance.now();
+    placer.recordSend(placement, placeRequest, startedAtMs);
+    const written: WrittenSend = {};
+    const result = await this.#write(decision, progress, written);
+    const nowMs = performance.now();
+    const elapsedMs = nowMs - startedAtMs;
+    // Another server has the address: the one that was meant is gone.
+    const outcome = written.isMisdirected
+      ? "unreachable"
+      : this.#readOutcome(result, progress);
+    const end: SendEnd = { outcome, elapsedMs, load: written.load };
+    placer.recordEnd(placement, placeRequest, { ...end, nowMs });
+    this.#record(decision, {
+      result: written.isMisdirected ? "misdirected" : result.type,
+      elapsedMs: Math.round(elapsedMs),
+      place: written.place,
+      configuration: written.configuration,
+    });
+    return result;
+  }
+
+  async #write(
+    decision: SendDecision,
+    { controller }: SendProgress,
+    written: WrittenSend,
+  ): Promise<SendResult> {
+    const { backend, protocol } = this.#options;
+    const { record } = decision.placement.server;
+    const { deadlineAtMs } = decision.terms;
+    const { method, path, headers, body, requestId } = this.#request;
+    const result = await backend.send({
+      address: record.address,
+      method,
+      path,
+      headers: { ...headers, [protocol.targetHeader]: record.id },
+      body,
+      deadlineMs: deadlineAtMs - performance.now() - ANSWER_MARGIN_MS,
+      requestId,
+      signal: controller.signal,
+      workLimitMs: () => this.#checkWrite(decision, written) ? Infinity : 0,
+      onHead: (status: number, headers: IncomingHttpHeaders) => {
+        written.load = protocol.readLoad(headers);
+        written.isMisdirected = status === 421;
+      },
+    });
+    return written.isHeldBack ? { type: "held_back" } : result;
+  }
+
+  /** Notes what holds as the first byte is written; false if the configuration
+   * forbids the send since it was decided, as while it waited for a
+   * connection. */
+  #checkWrite(decision: SendDecision, written: WrittenSend): boolean {
+    const { catalog, metrics, terms } = this.#options;
+    const newest = terms.read();
+    written.isHeldBack = newest === undefined || !isAllowed(decision, newest);
+    if (written.isHeldBack) return false;
+    written.configuration = catalog.document?.version;
+    written.place = findPlace(decision, newest!.route);
+    if (written.place !== undefined) {
+      metrics.boundSends.inc({ place: written.place });
+    }
+    return true;
+  }
+
+  #record(
+    { placement, terms }: SendDecision,
+    end: Pick<
+      SendRecord,
+      "result" | "elapsedMs" | "place" | "configuration"
+    >,
+  ): void {
+    const { server, rank, expectedMs } = placement;
+    const { id, zone } = server.record;
+    const { result } = end;
+    // No byte was sent. A server that refuses connections is passed over while
+    // it is paused, and one where a send was held back may be allowed again.
+    if (UNSENT.has(result)) this.tried.delete(id);
+    this.sends.push({
+      server: id,
+      zone,
+      region: server.region,
+      rank,
+      expectedMs: Math.round(expectedMs),
+      ...end,
+    });
+    const { service } = terms;
+    this.#options.metrics.sends.inc({ service, outcome: result });
+  }
+
+  #readOutcome(result: SendResult, progress: SendProgress): SendOutcome {
+    // Another server answered earlier; this one may lose its answers.
+    const wasBeaten = progress.isOverdue && !this.#request.signal.aborted;
+    if (result.type === "cancelled" && wasBeaten) return "failed";
+    // A failure that the server itself answers still tells about the server.
+    if (result.type === "answered" && result.status >= 500) return "failed";
+    return SEND_RESULTS[result.type].outcome;
+  }
+}
+
+function isAllowed(decision: SendDecision, newest: SendTerms): boolean {
+  return newest.service === decision.terms.service &&
+    (newest.repeatable || !decision.isRepeat) &&
+    findPlace(decision, newest.route) !== "outside";
+}
+
+/** Where a server is against a route's regions; undefined if it has none. */
+function findPlace(
+  { placement }: SendDecision,
+  { allowedRegions }: RouteRecord,
+): SendPlace | undefined {
+  if (allowedRegions.length === 0) return undefined;
+  const isInside = allowedRegions.includes(placement.server.region);
+  return isInside ? "inside" : "outside";
+}
+
+/** Results of sends of which no byte was written. */
+const UNSENT: ReadonlySet<string> = new Set<SendResult["type"]>([
+  "connection_refused",
+  "held_back",
+]);
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -268,9 +268,9 @@
   });
   return createFront({
     catalog,
-    splitter: createSplitter(),
     forwarder: createForwarder({
       catalog,
+      splitter: createSplitter(),
       placer,
       backend,
       budgets,
