Keep callers in their region while it is not lost

Cause: `findEntries` took a region without a recent address as lost.

Change: entries of any region are named only if the caller's region is lost. Otherwise the up to 4 entries heard of last are named, without those known to be gone, and none if none is known. Such an answer is a failed look-up, and the caller asks the next entry. The metric has the source `none` for it, the log line the region's state.

A lost region still leads elsewhere after 4 s.

--- a/packages/daemon/edge/src/process/lookups.ts
+++ b/packages/daemon/edge/src/process/lookups.ts
@@ -32,7 +32,13 @@
 }
 
 /** Where the entries of an answer are, seen from this entry and the caller. */
-type LookupSource = "own-region" | "callers-region" | "elsewhere";
+type LookupSource = "own-region" | "callers-region" | "elsewhere" | "none";
+
+/** What a look-up asks of membership. */
+export type LookupMembership = Pick<
+  Membership,
+  "liveMembers" | "regionState" | "rememberedMembers"
+>;
 
 /** Creates the listener that answers look-ups. */
 export function createLookupListener(options: LookupOptions): RequestListener {
@@ -62,18 +68,29 @@
 }
 
 /**
- * Entries of the caller's region, or of any region if it has none. Suspects are
- * left out where others are alive: leaving out a live entry for a moment costs
- * callers less than a connection to a dead one.
+ * Entries of the caller's region, or of any region if it is lost. While it may
+ * be live, but no entry of it was heard of lately, those heard of before are
+ * named, and none if there are none: the caller then asks the next entry, and
+ * is not led out of its region.
  */
 export function findEntries(
-  membership: Pick<Membership, "liveMembers">,
-  query: LookupQuery,
+  membership: LookupMembership,
+  { region }: LookupQuery,
 ): MemberUpdate[] {
-  const near = membership.liveMembers(query.region);
-  const live = near.length > 0 ? near : membership.liveMembers();
-  const alive = live.filter(({ state }) => state === "alive");
-  return alive.length > 0 ? alive : [...live];
+  const near = membership.liveMembers(region);
+  if (near.length > 0) return preferAlive(near);
+  return membership.regionState(region) === "lost"
+    ? preferAlive(membership.liveMembers())
+    : [...membership.rememberedMembers(region)];
+}
+
+/**
+ * Leaves out suspects where others are alive: leaving out a live entry for a
+ * moment costs callers less than a connection to a dead one.
+ */
+function preferAlive(members: readonly MemberUpdate[]): MemberUpdate[] {
+  const alive = members.filter(({ state }) => state === "alive");
+  return alive.length > 0 ? alive : [...members];
 }
 
 function recordLookup(
@@ -85,7 +102,9 @@
 ): void {
   const { membership, region, log, metrics } = options;
   const isNear = named.every((member) => member.region === query.region);
-  const source: LookupSource = !isNear
+  const source: LookupSource = named.length === 0
+    ? "none"
+    : !isNear
     ? "elsewhere"
     : query.region === region
     ? "own-region"
@@ -95,6 +114,7 @@
   log.decide("Look-up of another region.", {
     query,
     source,
+    state: membership.regionState(query.region),
     named: countRegions(named),
     known: countRegions(membership.liveMembers()),
   }, "lookup");
--- a/packages/daemon/edge/src/process/lookups_test.ts
+++ b/packages/daemon/edge/src/process/lookups_test.ts
@@ -1,6 +1,11 @@
 import test from "ava";
-import type { MemberState, MemberUpdate } from "@dotterelmoor/core.membership";
+import type {
+  MemberState,
+  MemberUpdate,
+  RegionState,
+} from "@dotterelmoor/core.membership";
 import { findEntries } from "./lookups.ts";
+import type { LookupMembership } from "./lookups.ts";
 
 function makeMember(
   callerAddress: string,
@@ -22,17 +27,27 @@
   };
 }
 
-function makeMembership(members: readonly MemberUpdate[]) {
+function makeMembership(
+  members: readonly MemberUpdate[],
+  state: RegionState,
+  remembered: readonly MemberUpdate[],
+): LookupMembership {
   return {
     liveMembers: (region?: string) =>
       members.filter((member) =>
         region === undefined || member.region === region
       ),
+    regionState: () => state,
+    rememberedMembers: () => remembered,
   };
 }
 
-function findAddresses(members: readonly MemberUpdate[]): string[] {
-  return findEntries(makeMembership(members), QUERY)
+function findAddresses(
+  members: readonly MemberUpdate[],
+  state: RegionState = "lost",
+  remembered: readonly MemberUpdate[] = [],
+): string[] {
+  return findEntries(makeMembership(members, state, remembered), QUERY)
     .map(({ callerAddress }) => callerAddress);
 }
 
@@ -54,3 +69,12 @@
 test("guards against an empty answer for a region that was lost", (t) => {
   t.deepEqual(findAddresses([makeMember("b1", "b", "alive")]), ["b1"]);
 });
+
+test("guards against a caller led to another region for want of a recent address", (t) => {
+  const others = [makeMember("b1", "b", "alive")];
+  const remembered = [makeMember("a1", "a", "alive")];
+  t.deepEqual(findAddresses(others, "live", remembered), ["a1"]);
+  t.deepEqual(findAddresses(others, "unknown", remembered), ["a1"]);
+  t.deepEqual(findAddresses(others, "live"), []);
+  t.deepEqual(findAddresses(others, "unknown"), []);
+});
--- a/packages/daemon/edge/src/process/peers.ts
+++ b/packages/daemon/edge/src/process/peers.ts
@@ -45,7 +45,7 @@
  * than 4 s, and regions have a few entries only. Gossip is slower, because
  * bytes between zones are paid for.
  */
-const TIMINGS = {
+export const TIMINGS = {
   probeIntervalMs: 600,
   probeTimeoutMs: 250,
   suspicionMs: 1_200,
