End sends that a server answers with a protocol switch

Callers saw no answer at all: `send` never resolved, not even at its deadline, when a server answered 101 with an upgrade header. A 101 with a length was passed on as an answer.

node:http closes the connection of an upgrade that nobody listens for without an error or a response, and the client waited for either of them. It now also takes the close of the request for its end. A response with status 101 counts as incomplete, because no request asks for a switch.

endless_test.ts plays answers without end on a raw socket: bytes that are not HTTP, heads, bodies, chunks, trailers, refusals, bytes after a complete answer, and slow ones. It checks the result, the close of the server's side and the bytes that the server could write.

--- /dev/null
+++ b/packages/network/backend/src/endless_test.ts
@@ -0,0 +1,299 @@
+import { createServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import test from "ava";
+import type { ExecutionContext } from "ava";
+import { createBackendClient, OWN_PROTOCOL } from "./mod.ts";
+import type { BackendResult } from "./mod.ts";
+
+const PROTOCOL = {
+  ...OWN_PROTOCOL,
+  acceptsUnframed: true,
+  echoesRequestId: true,
+};
+
+const MAX_ANSWER_BYTES = 256 * 1_024;
+
+/** Bytes that a server can hand to the kernel beyond what the client read:
+ * Linux lets a send buffer grow to 4 MiB and a receive buffer to 6 MiB. */
+const SOCKET_BUFFER_BYTES = 16 * 1_024 * 1_024;
+
+/** Largest read of a socket in Node.js, and the size of the server's writes. */
+const READ_BYTES = 64 * 1_024;
+
+/** Long against what a loaded machine needs, so that the client's bounds and
+ * not the deadline end an answer that comes at full speed. */
+const DEADLINE_MS = 20_000;
+
+/** How a server answers without end. */
+interface EndlessAnswer {
+  /** Sent once. */
+  readonly head: string;
+  /** Sent again and again. */
+  readonly piece: string;
+  /** Pause in milliseconds between pieces; none if undefined. */
+  readonly pauseMs?: number;
+  readonly method?: string;
+  readonly deadlineMs?: number;
+}
+
+interface Observed {
+  readonly result: BackendResult;
+  readonly elapsedMs: number;
+  /** Bytes that the server's kernel took until the connection was closed. */
+  readonly writtenBytes: number;
+}
+
+/** Sends one request and returns once the server's side is closed as well. */
+async function sendTo(
+  t: ExecutionContext,
+  answer: EndlessAnswer,
+): Promise<Observed> {
+  let writtenBytes = 0;
+  let markClosed = () => {};
+  const closed = new Promise<void>((resolve) => markClosed = resolve);
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("close", markClosed);
+    socket.once("data", () => {
+      socket.write(answer.head);
+      repeat(socket, answer, (bytes) => writtenBytes += bytes);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const client = createBackendClient({
+    protocol: PROTOCOL,
+    maxAnswerBytes: MAX_ANSWER_BYTES,
+  });
+  t.teardown(() => {
+    client.close();
+    server.close();
+  });
+  const startedAtMs = performance.now();
+  const result = await client.send({
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    method: answer.method ?? "GET",
+    path: "/",
+    headers: {},
+    deadlineMs: answer.deadlineMs ?? DEADLINE_MS,
+    requestId: "r1",
+  });
+  const elapsedMs = performance.now() - startedAtMs;
+  await closed;
+  return { result, elapsedMs, writtenBytes };
+}
+
+/** Writes until the connection is closed, each write once the last is taken. */
+function repeat(
+  socket: Socket,
+  { piece, pauseMs }: EndlessAnswer,
+  onWritten: (bytes: number) => void,
+): void {
+  const count = pauseMs === undefined
+    ? Math.ceil(READ_BYTES / piece.length)
+    : 1;
+  const bytes = Buffer.from(piece.repeat(count));
+  const write = () => {
+    if (socket.destroyed) return;
+    socket.write(bytes, (error) => {
+      if (error) return;
+      onWritten(bytes.length);
+      // A turn of the event loop lets the client read.
+      if (pauseMs === undefined) setImmediate(write);
+      else setTimeout(write, pauseMs);
+    });
+  };
+  write();
+}
+
+type Cases = Readonly<Record<string, EndlessAnswer>>;
+
+/** Registers a test for each answer that must end with the given result. */
+function testEach(
+  cases: Cases,
+  type: BackendResult["type"],
+  maxReadBytes: number,
+): void {
+  for (const [name, answer] of Object.entries(cases)) {
+    test(`guards against ${name} without end`, async (t) => {
+      const { result, elapsedMs, writtenBytes } = await sendTo(t, answer);
+      t.is(result.type, type);
+      t.true(elapsedMs < DEADLINE_MS);
+      t.true(
+        writtenBytes <= maxReadBytes + SOCKET_BUFFER_BYTES,
+        `The server wrote ${writtenBytes} bytes`,
+      );
+    });
+  }
+}
+
+const OK = "HTTP/1.1 200 OK\r\n";
+const CHUNKED = "transfer-encoding: chunked\r\n\r\n";
+const NOT_RUN = "HTTP/1.1 503 Busy\r\ndotterelmoor-not-run: true\r\n";
+
+/** Bytes read at most of an answer of which the body is too large. */
+const BODY_BOUND = MAX_ANSWER_BYTES + 2 * READ_BYTES;
+
+testEach(
+  {
+    "bytes that are not HTTP": { head: "", piece: "not HTTP" },
+    "zero bytes": { head: "", piece: "\0" },
+    "a reason phrase": { head: "HTTP/1.1 200 ", piece: "a" },
+    "a header line": { head: `${OK}x: `, piece: "a" },
+    "header lines": { head: OK, piece: "x: a\r\n" },
+    "protocol switches": {
+      head: "",
+      piece: "HTTP/1.1 101 S\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n",
+    },
+  },
+  "connection_lost",
+  2 * READ_BYTES,
+);
+
+testEach(
+  {
+    "protocol switches with a length": {
+      head: "",
+      piece: "HTTP/1.1 101 S\r\ncontent-length: 0\r\n\r\n",
+    },
+    "a body that no length ends": {
+      head: `${OK}connection: close\r\n\r\n`,
+      piece: "a",
+    },
+    "large chunks": {
+      head: OK + CHUNKED,
+      piece: `10000\r\n${"a".repeat(65_536)}\r\n`,
+    },
+    "one chunk": { head: `${OK}${CHUNKED}ffffffffff\r\n`, piece: "a" },
+    "a chunk extension": { head: `${OK}${CHUNKED}1;`, piece: "a" },
+    "trailer lines": {
+      head: `${OK}${CHUNKED}1\r\na\r\n0\r\n`,
+      piece: "x: a\r\n",
+    },
+    "a trailer line": { head: `${OK}${CHUNKED}1\r\na\r\n0\r\nx: `, piece: "a" },
+    "a redirect's body": {
+      head: "HTTP/1.1 302 Found\r\nlocation: /x\r\n\r\n",
+      piece: "a",
+    },
+    "a failure's body": { head: "HTTP/1.1 500 Failed\r\n\r\n", piece: "a" },
+    "the answer to another request": {
+      head: `${OK}dotterelmoor-request-id: r0\r\n\r\n`,
+      piece: "a",
+    },
+    "a refusal that no length ends": { head: `${NOT_RUN}\r\n`, piece: "a" },
+    "a refusal in chunks": {
+      head: NOT_RUN + CHUNKED,
+      piece: `400\r\n${"a".repeat(1_024)}\r\n`,
+    },
+    "a refusal of a great length": {
+      head: `${NOT_RUN}content-length: 99999999999\r\n\r\n`,
+      piece: "a",
+    },
+  },
+  "incomplete_answer",
+  BODY_BOUND,
+);
+
+// The answer is whole, so it counts, and its connection is not used again.
+testEach(
+  {
+    "bytes after a body": {
+      head: `${OK}content-length: 2\r\n\r\nok`,
+      piece: "a",
+    },
+    "line breaks after a body": {
+      head: `${OK}content-length: 2\r\n\r\nok`,
+      piece: "\r\n",
+    },
+    "bytes after the last answer of a connection": {
+      head: `${OK}connection: close\r\ncontent-length: 2\r\n\r\nok`,
+      piece: "a",
+    },
+    "further answers": {
+      head: "",
+      piece: `${OK}content-length: 2\r\n\r\nok`,
+    },
+    "bytes after status 204": { head: "HTTP/1.1 204 No\r\n\r\n", piece: "a" },
+    "bytes after status 304": {
+      head: "HTTP/1.1 304 No\r\ncontent-length: 2\r\n\r\n",
+      piece: "a",
+    },
+    "bytes after the answer to HEAD": {
+      head: `${OK}content-length: 2\r\n\r\n`,
+      piece: "a",
+      method: "HEAD",
+    },
+  },
+  "answered",
+  2 * READ_BYTES,
+);
+
+test("guards against bytes after a body that become part of it", async (t) => {
+  const { result } = await sendTo(t, {
+    head: `${OK}content-length: 2\r\n\r\nok`,
+    piece: "a",
+  });
+  t.is(result.type, "answered");
+  if (result.type !== "answered") return;
+  t.is(Buffer.from(result.body).toString(), "ok");
+});
+
+test("guards against bytes on an idle connection that answer the next request", async (t) => {
+  const closed: Promise<void>[] = [];
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    closed.push(
+      new Promise((resolve) => socket.once("close", () => resolve())),
+    );
+    socket.once("data", () => {
+      socket.write(`${OK}content-length: 2\r\n\r\nok`);
+      // The bytes come once the answer has been taken.
+      unasked.push(() => repeat(socket, { head: "", piece: "\r\n" }, () => {}));
+    });
+  });
+  const unasked: (() => void)[] = [];
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const client = createBackendClient({ protocol: PROTOCOL });
+  t.teardown(() => {
+    client.close();
+    server.close();
+  });
+  for (let index = 0; index < 2; index++) {
+    const result = await client.send({
+      address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+      method: "GET",
+      path: "/",
+      headers: {},
+      deadlineMs: DEADLINE_MS,
+      requestId: `r${index}`,
+    });
+    t.is(result.type, "answered");
+    unasked[index]!();
+    await closed[index];
+  }
+});
+
+const TRICKLES: Cases = {
+  "a head": { head: `${OK}x: `, piece: "a" },
+  "line breaks": { head: "", piece: "\r\n" },
+  "interim answers": { head: "", piece: "HTTP/1.1 102 Processing\r\n\r\n" },
+  "a body": { head: `${OK}content-length: 99999\r\n\r\n`, piece: "a" },
+  "a body in chunks": { head: OK + CHUNKED, piece: "1\r\na\r\n" },
+  "a refusal": { head: NOT_RUN + CHUNKED, piece: "1\r\na\r\n" },
+};
+
+for (const [name, answer] of Object.entries(TRICKLES)) {
+  test(`guards against ${name} sent slowly beyond the deadline`, async (t) => {
+    const deadlineMs = 300;
+    const { result, elapsedMs } = await sendTo(t, {
+      ...answer,
+      pauseMs: 10,
+      deadlineMs,
+    });
+    t.is(result.type, "timed_out");
+    t.true(elapsedMs < deadlineMs + 5_000);
+  });
+}
--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -20,6 +20,10 @@
  * connection is given up, so that no request crosses the server's close. */
 const IDLE_MARGIN_MS = 1_500;
 
+/** Status that ends HTTP on the connection and is no final answer. No request
+ * asks for it, since `upgrade` is a header of one connection only. */
+const SWITCHING_PROTOCOLS = 101;
+
 /** Bounds and progress of one exchange. */
 export interface Exchange {
   readonly request: BackendRequest;
@@ -54,6 +58,7 @@
     ? connection.watchEnd()
     : Promise.resolve(true);
   exchange.answerBegan = true;
+  if (response.statusCode === SWITCHING_PROTOCOLS) closeRejected(exchange);
   if (!isOwnAnswer(response, exchange)) closeRejected(exchange);
   if (!hasKnownEnd(response, exchange)) closeRejected(exchange);
   const { statusCode = 0, headers } = response;
@@ -106,6 +111,11 @@
     clientRequest.once("response", resolve);
     // Errors also come after the head, and must not go unhandled.
     clientRequest.on("error", reject);
+    // An answer that switches protocols ends without an error.
+    clientRequest.once(
+      "close",
+      () => reject(new Error("The connection closed without an answer")),
+    );
   });
 }
 
