Bound the bytes of an answer that are no part of its body

A send whose server sent interim answers, line breaks before a head, spaces in a header or a trailer, zeros in a chunk's length, or chunk extensions without end ended only at its deadline.

The parser of node:http bounds none of these (each interim answer and each chunk starts its count again), and the client bounded the body alone. It now counts all bytes that it reads for an answer and gives the connection up beyond 128 KiB and eight bytes for each byte of the body; a chunk of one byte takes six. The result is an incomplete answer, so the request may have run.

A whole answer in 100,000 chunks of one byte is still taken.

--- a/packages/network/backend/src/client.ts
+++ b/packages/network/backend/src/client.ts
@@ -69,6 +69,7 @@
     controller,
     sent: false,
     answerBegan: false,
+    bodyBytes: 0,
     answerRejected: false,
     heldBack: false,
   };
--- a/packages/network/backend/src/connection.ts
+++ b/packages/network/backend/src/connection.ts
@@ -71,6 +71,7 @@
   readonly #socket: Socket;
   #idleMs: number;
   #idleTimer: NodeJS.Timeout | undefined;
+  #handleAnswerData: () => void = () => {};
 
   constructor(
     socket: Socket,
@@ -101,6 +102,14 @@
     this.#socket.removeListener("data", this.#handleUnaskedData);
   }
 
+  /** Calls back with the bytes read so far, at each read of the answer. */
+  watchAnswer(onRead: (bytes: number) => void): void {
+    const socket = this.#socket;
+    const startBytes = socket.bytesRead;
+    this.#handleAnswerData = () => onRead(socket.bytesRead - startBytes);
+    socket.on("data", this.#handleAnswerData);
+  }
+
   /**
    * Tells, once the peer has ended the connection, whether it did so cleanly.
    * A reset that arrives together with data looks like an end to Node.js, so a
@@ -127,6 +136,7 @@
   }
 
   #markIdle(): void {
+    this.#socket.removeListener("data", this.#handleAnswerData);
     // Bytes that nobody asked for would be read as the next request's answer.
     this.#socket.on("data", this.#handleUnaskedData);
     this.#idleTimer = setTimeout(() => this.close(), this.#idleMs);
--- a/packages/network/backend/src/endless_test.ts
+++ b/packages/network/backend/src/endless_test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import test from "ava";
 import type { ExecutionContext } from "ava";
+import { FRAMING_RATIO, MAX_FRAMING_BYTES } from "./limits.ts";
 import { createBackendClient, OWN_PROTOCOL } from "./mod.ts";
 import type { BackendResult } from "./mod.ts";
 
@@ -132,6 +133,9 @@
 const CHUNKED = "transfer-encoding: chunked\r\n\r\n";
 const NOT_RUN = "HTTP/1.1 503 Busy\r\ndotterelmoor-not-run: true\r\n";
 
+/** Bytes read at most of an answer that carries no byte of a body. */
+const FRAMING_BOUND = MAX_FRAMING_BYTES + 2 * READ_BYTES;
+
 /** Bytes read at most of an answer of which the body is too large. */
 const BODY_BOUND = MAX_ANSWER_BYTES + 2 * READ_BYTES;
 
@@ -195,6 +199,42 @@
   BODY_BOUND,
 );
 
+// The parser of Node.js sets no bound on these, and the body stays empty.
+testEach(
+  {
+    "line breaks before an answer": { head: "", piece: "\r\n" },
+    "interim answers": { head: "", piece: "HTTP/1.1 100 Continue\r\n\r\n" },
+    "interim answers with headers": {
+      head: "",
+      piece: "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n",
+    },
+    "spaces in a header": { head: `${OK}x:`, piece: " " },
+    "spaces in a trailer": {
+      head: `${OK}${CHUNKED}1\r\na\r\n0\r\nx:`,
+      piece: " ",
+    },
+    "zeros in a chunk's length": { head: OK + CHUNKED, piece: "0" },
+  },
+  "incomplete_answer",
+  FRAMING_BOUND,
+);
+
+testEach(
+  {
+    "chunk extensions": {
+      head: OK + CHUNKED,
+      piece: `1;${"e".repeat(10_000)}\r\na\r\n`,
+    },
+    "chunks of one byte": { head: OK + CHUNKED, piece: "1\r\na\r\n" },
+    "a refusal in chunks of one byte": {
+      head: NOT_RUN + CHUNKED,
+      piece: "1\r\na\r\n",
+    },
+  },
+  "incomplete_answer",
+  FRAMING_BOUND + FRAMING_RATIO * MAX_ANSWER_BYTES,
+);
+
 // The answer is whole, so it counts, and its connection is not used again.
 testEach(
   {
@@ -297,3 +337,15 @@
     t.true(elapsedMs < deadlineMs + 5_000);
   });
 }
+
+test("guards against a whole answer in chunks of one byte that is refused", async (t) => {
+  const size = 100_000;
+  const { result } = await sendTo(t, {
+    head: `${OK}connection: close\r\n${CHUNKED}` +
+      `${"1\r\na\r\n".repeat(size)}0\r\n\r\n`,
+    piece: "\r\n",
+  });
+  t.is(result.type, "answered");
+  if (result.type !== "answered") return;
+  t.is(result.body.length, size);
+});
--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -13,6 +13,7 @@
 import { performance } from "node:perf_hooks";
 import type { Connection } from "./connection.ts";
 import { buildRequestHeaders, takeEndToEnd } from "./headers.ts";
+import { computeMaxRead } from "./limits.ts";
 import type { ServerProtocol } from "./protocol.ts";
 import type { BackendRequest, BackendResult } from "./types.ts";
 
@@ -35,6 +36,8 @@
   sent: boolean;
   /** True once the head of the answer has come. */
   answerBegan: boolean;
+  /** Bytes of the answer's body that have come. */
+  bodyBytes: number;
   /** True if the answer cannot be taken as complete. */
   answerRejected: boolean;
   /** True if the request was held back on an open connection. */
@@ -50,6 +53,9 @@
   connection: Connection,
   exchange: Exchange,
 ): Promise<BackendResult> {
+  connection.watchAnswer((bytes) => {
+    if (bytes > computeMaxRead(exchange.bodyBytes)) closeRejected(exchange);
+  });
   const clientRequest = write(connection, exchange);
   const response = await waitForHead(clientRequest);
   const endsWithConnection = !isBodiless(response, exchange) &&
@@ -125,11 +131,10 @@
 ): Promise<Uint8Array> {
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
-    let size = 0;
     response.on("data", (chunk: Buffer) => {
       chunks.push(chunk);
-      size += chunk.length;
-      if (size > exchange.maxAnswerBytes) closeRejected(exchange);
+      exchange.bodyBytes += chunk.length;
+      if (exchange.bodyBytes > exchange.maxAnswerBytes) closeRejected(exchange);
     });
     response.once(
       "end",
--- /dev/null
+++ b/packages/network/backend/src/limits.ts
@@ -0,0 +1,21 @@
+/**
+ * Bounds on what one answer may make the client read.
+ *
+ * @module
+ */
+
+/**
+ * Bytes that are no part of a body: heads, interim answers, chunk lengths and
+ * extensions, trailers, line breaks. A server that sends them without end keeps
+ * the event loop busy until the deadline, because the parser of Node.js bounds
+ * neither interim answers nor spaces. A head with its trailers needs less.
+ */
+export const MAX_FRAMING_BYTES = 128 * 1_024;
+
+/** Bytes read for each byte of a body: a chunk of one byte takes six. */
+export const FRAMING_RATIO = 8;
+
+/** Computes the bytes that may be read when a part of the body has come. */
+export function computeMaxRead(bodyBytes: number): number {
+  return MAX_FRAMING_BYTES + FRAMING_RATIO * bodyBytes;
+}
