Hold a body in small chunks in memory proportional to its size

An answer of 4 MiB in chunks of one byte, the largest that the client takes, held 776 MB of live memory in a trial, enough to end a process with a memory limit.

The client kept each chunk as a buffer object of its own until the end, some 190 bytes however short the chunk. Chunks now go into one block that doubles; an answer in one part is still passed on without a copy.

--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -11,6 +11,7 @@
   IncomingMessage,
 } from "node:http";
 import { performance } from "node:perf_hooks";
+import { BodyBuffer } from "./body_buffer.ts";
 import type { Connection } from "./connection.ts";
 import { buildRequestHeaders, takeEndToEnd } from "./headers.ts";
 import { computeMaxRead } from "./limits.ts";
@@ -130,16 +131,13 @@
   exchange: Exchange,
 ): Promise<Uint8Array> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
+    const body = new BodyBuffer();
     response.on("data", (chunk: Buffer) => {
-      chunks.push(chunk);
+      body.append(chunk);
       exchange.bodyBytes += chunk.length;
       if (exchange.bodyBytes > exchange.maxAnswerBytes) closeRejected(exchange);
     });
-    response.once(
-      "end",
-      () => resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)),
-    );
+    response.once("end", () => resolve(body.take()));
     response.once("error", reject);
     // Without an end, the answer was cut; after one, this has no effect.
     response.once("close", () => reject(new Error("The answer was cut")));
