State the bounds of an answer's head

An answer with 1,000 or more header lines was judged by the first of them alone: with the id of another request behind them it was passed on as the caller's own answer.

node:http drops header lines beyond a count without a word, and the client left both this count and the bound in bytes to its defaults, which depend on how the process was started.

Before the change, "guards against a request id that many header lines push out of sight" gave 'answered' instead of 'incomplete_answer'.

--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -14,7 +14,7 @@
 import { BodyBuffer } from "./body_buffer.ts";
 import type { Connection } from "./connection.ts";
 import { buildRequestHeaders, takeEndToEnd } from "./headers.ts";
-import { computeMaxRead } from "./limits.ts";
+import { computeMaxRead, MAX_HEAD_BYTES } from "./limits.ts";
 import type { ServerProtocol } from "./protocol.ts";
 import type { BackendRequest, BackendResult } from "./types.ts";
 
@@ -103,7 +103,10 @@
     method: request.method,
     path: request.path,
     headers,
+    maxHeaderSize: MAX_HEAD_BYTES,
   });
+  // Lines beyond a count are dropped unseen; the bound in bytes is enough.
+  clientRequest.maxHeadersCount = 0;
   const { signal } = controller;
   const abort = () => clientRequest.destroy(signal.reason);
   signal.addEventListener("abort", abort, { once: true });
