Refuse routes with regions at an entry that nobody answers

Callers: an entry that was cut off from the store and from all other entries, or had just woken from a suspension, kept sending requests of a route to the region that the route had left.

Cause: the age of what an entry knows was used to choose whom to follow, and not where requests of restricted routes may go; and the steady clock does not count a suspension.

Change: where neither the store nor any entry has answered within the time in which a change must be in force, requests of routes with regions are refused at once (not run, configuration-unconfirmed). Other routes are served as before, and so is everything while other entries answer, as in an outage of the store for all.

--- a/packages/daemon/edge/src/edge_fixture.ts
+++ b/packages/daemon/edge/src/edge_fixture.ts
@@ -275,6 +275,7 @@
       retryWindowMs: 10_000,
       graceMs: 1_500,
       lookupTtlMaxS: 5,
+      configurationApplyMs: 2_500,
     },
     logLevel: "silent",
     ...changes,
--- /dev/null
+++ b/packages/daemon/edge/src/isolation_test.ts
@@ -0,0 +1,78 @@
+import test from "ava";
+import type { ExecutionContext } from "ava";
+import {
+  buildDocument,
+  buildRoute,
+  buildServer,
+  callEdge,
+  createMemoryStore,
+} from "./edge_fixture.ts";
+import type { MemoryStore } from "./edge_fixture.ts";
+import { startBackends, startReady, waitUntil } from "./started_fixture.ts";
+
+const BOUNDS = {
+  retryRatio: 0.2,
+  retryExtra: 100,
+  retryWindowMs: 10_000,
+  graceMs: 1_500,
+  lookupTtlMaxS: 5,
+  configurationApplyMs: 2_500,
+};
+
+async function startStore(t: ExecutionContext): Promise<MemoryStore> {
+  const store = createMemoryStore();
+  const [backend] = await startBackends(t, [undefined]);
+  const document = buildDocument(1, [
+    buildRoute({ name: "bound", prefix: "/bound/", allowedRegions: ["a"] }),
+    buildRoute({ name: "free", prefix: "/free/" }),
+  ]);
+  store.put("orders", "config", { type: "document", document });
+  const record = buildServer("s0", backend!.address);
+  store.put("servers", record.id, { type: "server", record });
+  return store;
+}
+
+// Nobody can tell an isolated entry that a route's regions have moved.
+test("guards against a route's old regions at an entry that nobody answers", async (t) => {
+  const store = await startStore(t);
+  const { settings } = await startReady(t, store, { bounds: BOUNDS });
+  const call = async (path: string) =>
+    await callEdge(settings.callers, { path });
+  t.is((await call("/bound/x")).status, 200);
+  store.setDown(true);
+  const isRefused = async () => (await call("/bound/x")).status === 503;
+  await waitUntil(t, isRefused);
+  const refusal = await call("/bound/x");
+  t.is(refusal.body, "configuration-unconfirmed\n");
+  t.truthy(refusal.headers["retry-after"]);
+  t.is((await call("/free/x")).status, 200);
+  store.setDown(false);
+  await waitUntil(t, async () => (await call("/bound/x")).status === 200);
+});
+
+// With the store away for all, no change is accepted, and serving goes on.
+test("guards against refusals while other entries answer in an outage", async (t) => {
+  const store = await startStore(t);
+  const first = await startReady(t, store, { instance: "n1", bounds: BOUNDS });
+  const seeds = [`127.0.0.1:${first.settings.peers.port}`];
+  const second = await startReady(t, store, {
+    instance: "n2",
+    seeds,
+    bounds: BOUNDS,
+  });
+  // Each has heard of the other once one of them reads for both.
+  await waitUntil(t, async () => {
+    const before = store.countCalls("n2");
+    await new Promise((resolve) => setTimeout(resolve, 1_000));
+    return store.countCalls("n2") === before || store.countCalls("n1") === 0;
+  });
+  store.setDown(true);
+  const endAtMs = performance.now() + 2 * BOUNDS.configurationApplyMs;
+  while (performance.now() < endAtMs) {
+    for (const { settings } of [first, second]) {
+      const { status } = await callEdge(settings.callers, { path: "/bound/x" });
+      t.is(status, 200);
+    }
+    await new Promise((resolve) => setTimeout(resolve, 100));
+  }
+});
--- a/packages/daemon/edge/src/ports.ts
+++ b/packages/daemon/edge/src/ports.ts
@@ -92,6 +92,8 @@
   readonly graceMs: number;
   /** Longest time in seconds that callers may keep a look-up's answer. */
   readonly lookupTtlMaxS: number;
+  /** Time in milliseconds within which a change is to be in force. */
+  readonly configurationApplyMs: number;
 }
 
 /** Settings of one edge process. */
--- a/packages/daemon/edge/src/process/catalog_watch.ts
+++ b/packages/daemon/edge/src/process/catalog_watch.ts
@@ -10,6 +10,7 @@
 import type { CatalogMessage } from "@dotterelmoor/network.peering";
 import type { Logger } from "pino";
 import type { CatalogStore } from "../ports.ts";
+import { ContactClock } from "./contact_clock.ts";
 import { unpackDelta } from "./document_packing.ts";
 import { wait } from "./intervals.ts";
 import type { EdgeMetrics } from "./metrics.ts";
@@ -78,6 +79,9 @@
   readonly isReading: boolean;
   /** Time in milliseconds since the catalog was known to be current. */
   ageMs(): number;
+  /** Time in milliseconds, suspensions included, since the store or any entry
+   * answered. */
+  contactAgeMs(): number;
   /** Asks an entry that is ahead now. */
   pullNow(peerAddress: string): void;
 }
@@ -96,6 +100,7 @@
   readonly #readers: Readonly<Record<CatalogTable, TableReader>>;
   /** Latest time at which the catalog was current, as far as others told. */
   #followedAtMs = -Infinity;
+  readonly #contact = new ContactClock();
   #isReading = false;
   #isLoaded = false;
   #pulls: Promise<boolean> = Promise.resolve(true);
@@ -105,9 +110,16 @@
 
   constructor(options: CatalogWatchOptions) {
     this.#options = options;
+    const readerOptions = {
+      ...options,
+      onChanged: (source: string) => {
+        this.#contact.note();
+        options.onChanged(source);
+      },
+    };
     this.#readers = {
-      servers: new TableReader("servers", options),
-      orders: new TableReader("orders", options),
+      servers: new TableReader("servers", readerOptions),
+      orders: new TableReader("orders", readerOptions),
     };
   }
 
@@ -128,6 +140,10 @@
     );
   }
 
+  contactAgeMs(): number {
+    return this.#contact.ageMs();
+  }
+
   #readAgeMs(): number {
     const { servers, orders } = this.#readers;
     return Math.max(servers.ageMs(), orders.ageMs());
@@ -208,6 +224,7 @@
   async #followOnce(source: CatalogSource): Promise<boolean> {
     const { catalog, onChanged } = this.#options;
     const answer = await this.#options.pull(source);
+    if (answer !== undefined) this.#contact.note();
     // An entry that has just read itself still follows the reading one, or
     // the two would change places again and again.
     const acceptedMs = Math.max(STALE_MS, this.ageMs() + AGE_SLACK_MS);
--- a/packages/daemon/edge/src/process/retry_budgets_test.ts
+++ b/packages/daemon/edge/src/process/retry_budgets_test.ts
@@ -7,6 +7,7 @@
   retryWindowMs: 10_000,
   graceMs: 6_000,
   lookupTtlMaxS: 5,
+  configurationApplyMs: 2_500,
 };
 
 test("guards against entries that together retry more than the installation may", (t) => {
--- a/packages/daemon/edge/src/request/outcomes.ts
+++ b/packages/daemon/edge/src/request/outcomes.ts
@@ -8,6 +8,7 @@
 
 /** Why a request certainly did not run. */
 export type NotRunReason =
+  | "configuration-unconfirmed"
   | "leaving"
   | "no-configuration"
   | "no-server"
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -276,6 +276,10 @@
       budgets,
       protocol,
       metrics,
+      isInContact: () => {
+        const contactAgeMs = base.late.watch?.contactAgeMs() ?? Infinity;
+        return contactAgeMs <= settings.bounds.configurationApplyMs;
+      },
     }),
     protocol,
     metrics,
