Keep a server whose lapse and return are told twice

An entry sent nothing to a live server until its next report: a record that lapsed and returned was in two updates, as when an entry reads the store and follows another entry at once. The second update removed the server, and its return, known already, was refused as a delayed report.

A removal that a later report in the same update ends counts as a lapse.

catalog_test, "a server that is lost as an update tells its lapse again", failed first: no server instead of s1 after the second update.

--- a/packages/core/catalog/src/catalog.ts
+++ b/packages/core/catalog/src/catalog.ts
@@ -136,7 +136,7 @@
     this.#position[table] = version;
     if (known === 0) this.#logs[table].restart(version);
     const context = { version, nowMs };
-    for (const change of changes) {
+    for (const change of markReturning(changes)) {
       applyEvent(this.#handlers, change, context);
     }
     if (isComplete) this.#removeUnlisted[table](changes, context);
@@ -359,3 +359,19 @@
     return groups;
   }
 }
+
+/** Makes removals that a later report of the same server ends mere lapses. An
+ * update may begin before what is known, and the report, known already, would
+ * be refused after a removal as one that is delayed. */
+function markReturning(changes: readonly CatalogChange[]): CatalogChange[] {
+  const reported = new Map<string, number>();
+  changes.forEach((change, index) => {
+    if (change.type === "server") reported.set(change.record.id, index);
+  });
+  return changes.map((change, index) => {
+    if (change.type !== "server_removed") return change;
+    const { id } = change;
+    const returns = index < (reported.get(id) ?? -1);
+    return returns ? { type: "server_missing", id, forMs: 0 } : change;
+  });
+}
--- a/packages/core/catalog/src/catalog_test.ts
+++ b/packages/core/catalog/src/catalog_test.ts
@@ -280,6 +280,20 @@
   t.deepEqual(third.findServers("desk", 12_200), []);
 });
 
+// An entry that reads the store and follows another one meets this.
+test("guards against a server that is lost as an update tells its lapse again", (t) => {
+  const { catalog, ids } = createLoaded();
+  const changes: CatalogChange[] = [
+    { type: "server_removed", id: "s1" },
+    { type: "server", record: makeServer({ sequence: 6 }) },
+  ];
+  for (const version of [3, 4]) {
+    const update = { version, isComplete: false, changes };
+    catalog.applyTable("servers", update, version);
+    t.deepEqual(ids(version), ["s1"]);
+  }
+});
+
 test("guards against a shorter prefix that takes a longer one's requests", (t) => {
   const { catalog } = createLoaded();
   const routes = [
