Forget a server that restarts in an unknown zone

Requests would be sent to a server's old address, as one of its old region, after it had started again under the same id in a zone that the settings do not list: its new record was left out and the old one kept.

Such a record now ends the known one, and older reports stay refused.

The property that no older configuration is taken over, in any order of updates, held on the code before.

--- a/packages/core/catalog/src/catalog.ts
+++ b/packages/core/catalog/src/catalog.ts
@@ -237,10 +237,12 @@
 
   #applyRecord(
     record: ServerRecord,
-    { version, nowMs }: ChangeContext,
+    context: ChangeContext,
   ): void {
+    if (this.#isOutdated(record)) return;
     const region = this.#options.zones[record.zone];
-    if (region === undefined || this.#isOutdated(record)) return;
+    if (region === undefined) return this.#forgetServer(record, context);
+    const { version, nowMs } = context;
     const known = this.#servers.get(record.id);
     const isSameStart = known?.record.bornMs === record.bornMs;
     const isLeaving = isSameStart && known?.record.state === "draining";
@@ -262,6 +264,16 @@
     this.#logs.servers.add(record.id, change, version);
   }
 
+  /** A server that restarted where the zones do not tell its region is no
+   * longer where it was. */
+  #forgetServer(record: ServerRecord, { version, nowMs }: ChangeContext): void {
+    const { id } = record;
+    if (this.#servers.has(id)) {
+      this.#logs.servers.add(id, { type: "server_removed", id }, version);
+    }
+    this.#bury(record, nowMs);
+  }
+
   /** A delayed report must not bring back a server that left since. */
   #isOutdated(record: ServerRecord): boolean {
     const { bornMs, sequence } = record;
@@ -279,7 +291,7 @@
     const mayReturn = known.record.state === "ready" &&
       nowMs - this.#returnedAtMs <= AFTER_OUTAGE_MS;
     if (mayReturn) return this.#markMissing(id, 0, context);
-    this.#bury(known, nowMs);
+    this.#bury(known.record, nowMs);
     const change: CatalogChange = { type: "server_removed", id };
     this.#logs.servers.add(id, change, version);
   }
@@ -297,9 +309,10 @@
     this.#logs.servers.add(id, change, version);
   }
 
-  #bury({ record }: TrackedServer, atMs: number): void {
-    const { id, bornMs, sequence } = record;
+  #bury({ id, bornMs, sequence }: ServerRecord, atMs: number): void {
     this.#servers.delete(id);
+    // The oldest ones come first.
+    this.#tombstones.delete(id);
     this.#tombstones.set(id, { bornMs, sequence: sequence + 1, atMs });
     this.#byService = undefined;
   }
@@ -339,7 +352,7 @@
       const { missingSinceMs } = server;
       if (missingSinceMs === undefined) continue;
       if (nowMs - missingSinceMs < RETURN_MS) continue;
-      this.#bury(server, nowMs);
+      this.#bury(server.record, nowMs);
     }
     for (const [id, { atMs }] of this.#tombstones) {
       if (nowMs - atMs < TOMBSTONE_MS) break;
