Take a newer configuration from any entry, and contact from current ones only

Found by review, two faults of the same lines in the following of entries.

Callers: (1) an entry that woke from a suspension in an outage of the store refused the newer configuration of its peers for as long as the outage lasted, because their catalogs were older than it took its own to be, and sent requests to a region that their route had left. (2) Entries that were cut off together answered each other and so counted as in contact, and an answer that was received before a suspension counted when it was read after it.

Change: what an entry tells is always applied, as the catalog takes nothing older than it has; its age only decides whom to follow. Contact is an answer of the store, or of an entry that is current itself, from the moment at which it was asked; in an outage for all, which shows by live entries in every region, any entry's answer counts. A reading entry that fails asks others at once.

--- a/packages/daemon/edge/src/process/catalog_watch.ts
+++ b/packages/daemon/edge/src/process/catalog_watch.ts
@@ -57,6 +57,9 @@
   /** Time in milliseconds after a start in which others are looked for before
    * this entry reads the store. */
   readonly joinMs: number;
+  /** True if an entry whose catalog was current so long ago counts as contact
+   * with the installation. */
+  readonly isContact: (ageMs: number) => boolean;
   /** Asks an entry for what has changed in its catalog. */
   readonly pull: (
     source: CatalogSource,
@@ -79,8 +82,8 @@
   readonly isReading: boolean;
   /** Time in milliseconds since the catalog was known to be current. */
   ageMs(): number;
-  /** Time in milliseconds, suspensions included, since the store or any entry
-   * answered. */
+  /** Time in milliseconds, suspensions included, since the store or an entry
+   * in contact was asked and answered. */
   contactAgeMs(): number;
   /** Asks an entry that is ahead now. */
   pullNow(peerAddress: string): void;
@@ -110,13 +113,7 @@
 
   constructor(options: CatalogWatchOptions) {
     this.#options = options;
-    const readerOptions = {
-      ...options,
-      onChanged: (source: string) => {
-        this.#contact.note();
-        options.onChanged(source);
-      },
-    };
+    const readerOptions = { ...options, contact: this.#contact };
     this.#readers = {
       servers: new TableReader("servers", readerOptions),
       orders: new TableReader("orders", readerOptions),
@@ -181,9 +178,11 @@
       this.#setReading(true);
       const { servers, orders } = this.#readers;
       const isFailing = servers.isFailing || orders.isFailing;
-      if (!isFailing || this.#readAgeMs() < STALE_MS) return;
+      if (!isFailing) return;
       // Others that reach the store read for a while.
-      this.#choice.passOver(processId, nowMs);
+      if (this.#readAgeMs() >= STALE_MS) {
+        this.#choice.passOver(processId, nowMs);
+      }
       await this.#follow(ANY_SOURCE);
       return;
     }
@@ -222,36 +221,33 @@
   }
 
   async #followOnce(source: CatalogSource): Promise<boolean> {
-    const { catalog, onChanged } = this.#options;
+    const { catalog, onChanged, isContact } = this.#options;
+    const asked = this.#contact.mark();
     const answer = await this.#options.pull(source);
-    if (answer !== undefined) this.#contact.note();
+    const delta = answer === undefined ? undefined : unpackDelta(answer);
+    if (answer === undefined || delta === undefined) {
+      this.#warn(source, answer);
+      return false;
+    }
     // An entry that has just read itself still follows the reading one, or
     // the two would change places again and again.
     const acceptedMs = Math.max(STALE_MS, this.ageMs() + AGE_SLACK_MS);
-    if (answer === undefined || answer.ageMs > acceptedMs) {
-      this.#warn(source, answer?.ageMs);
-      return false;
-    }
-    const delta = unpackDelta(answer);
-    if (delta === undefined) {
-      this.#options.log.warn(
-        { source },
-        "Configuration of an entry unreadable.",
-      );
-      return false;
-    }
     const nowMs = performance.now();
+    // Also an entry that has not read lately may know what is newer.
     catalog.applyDelta(delta, nowMs);
     this.#followedAtMs = Math.max(this.#followedAtMs, nowMs - answer.ageMs);
+    if (isContact(answer.ageMs)) this.#contact.note(asked);
     onChanged(describeSource(source));
+    if (answer.ageMs > acceptedMs) this.#warn(source, answer);
     return answer.ageMs < STALE_MS;
   }
 
-  #warn(source: CatalogSource, ageMs: number | undefined): void {
+  #warn(source: CatalogSource, answer: CatalogMessage | undefined): void {
     const nowMs = performance.now();
     if (nowMs - this.#warnedAtMs < WARN_INTERVAL_MS) return;
     this.#warnedAtMs = nowMs;
     const entry = describeSource(source);
+    const ageMs = answer?.ageMs;
     this.#options.log.warn({ entry, ageMs }, "Entry not followed.");
   }
 }
--- a/packages/daemon/edge/src/process/catalog_watch_test.ts
+++ b/packages/daemon/edge/src/process/catalog_watch_test.ts
@@ -40,6 +40,7 @@
     onChanged: () => {},
     listRegion: () => [...members].sort(),
     joinMs: 0,
+    isContact: () => true,
     pull: () => Promise.resolve(answer),
   });
   while (!watch.isLoaded) await wait(20);
@@ -71,6 +72,7 @@
     onChanged: () => {},
     listRegion: () => ["p1", "p2"],
     joinMs: 0,
+    isContact: () => true,
     pull: (source) => {
       asked.push(source);
       return Promise.resolve(undefined);
--- a/packages/daemon/edge/src/process/contact_clock.ts
+++ b/packages/daemon/edge/src/process/contact_clock.ts
@@ -17,6 +17,12 @@
   wallMs: () => Date.now(),
 };
 
+/** A moment by both clocks. */
+export interface Moment {
+  readonly steadyMs: number;
+  readonly wallMs: number;
+}
+
 /**
  * Time since the last contact, by the clock that says more: the steady one
  * misses suspensions of the instance, the time of day is set back at times. One
@@ -24,24 +30,32 @@
  */
 export class ContactClock {
   readonly #clocks: Clocks;
-  #steadyMs = -Infinity;
-  #wallMs = -Infinity;
+  #last: Moment = { steadyMs: -Infinity, wallMs: -Infinity };
 
   constructor(clocks: Clocks = SYSTEM_CLOCKS) {
     this.#clocks = clocks;
   }
 
-  /** Notes a contact. */
-  note(): void {
-    this.#steadyMs = this.#clocks.steadyMs();
-    this.#wallMs = this.#clocks.wallMs();
+  /** The moment at which something is asked. */
+  mark(): Moment {
+    return {
+      steadyMs: this.#clocks.steadyMs(),
+      wallMs: this.#clocks.wallMs(),
+    };
+  }
+
+  /** Notes an answer by the moment at which it was asked for: it may have been
+   * received before a suspension, and be read after it. */
+  note(asked: Moment): void {
+    if (asked.steadyMs >= this.#last.steadyMs) this.#last = asked;
   }
 
   /** Milliseconds since the last contact; infinite before the first. */
   ageMs(): number {
+    const now = this.mark();
     return Math.max(
-      this.#clocks.steadyMs() - this.#steadyMs,
-      this.#clocks.wallMs() - this.#wallMs,
+      now.steadyMs - this.#last.steadyMs,
+      now.wallMs - this.#last.wallMs,
     );
   }
 }
--- a/packages/daemon/edge/src/process/contact_clock_test.ts
+++ b/packages/daemon/edge/src/process/contact_clock_test.ts
@@ -13,7 +13,7 @@
 // The steady clock does not count the time for which an instance is suspended.
 test("guards against knowledge that stays young while the instance is suspended", (t) => {
   const { now, clock } = startClock();
-  clock.note();
+  clock.note(clock.mark());
   now.steadyMs += 10;
   now.wallMs += 5_000;
   t.is(clock.ageMs(), 5_000);
@@ -21,7 +21,7 @@
 
 test("guards against knowledge that gets younger as the time of day is set back", (t) => {
   const { now, clock } = startClock();
-  clock.note();
+  clock.note(clock.mark());
   now.steadyMs += 4_000;
   now.wallMs -= 60_000;
   t.is(clock.ageMs(), 4_000);
--- /dev/null
+++ b/packages/daemon/edge/src/process/contact_test.ts
@@ -0,0 +1,126 @@
+import test from "ava";
+import type { ExecutionContext } from "ava";
+import { createCatalog } from "@dotterelmoor/core.catalog";
+import { DisposableStore } from "@dotterelmoor/core.types";
+import type { CatalogMessage } from "@dotterelmoor/network.peering";
+import { pino } from "pino";
+import {
+  buildDocument,
+  buildRoute,
+  createMemoryStore,
+} from "../edge_fixture.ts";
+import { startCatalogWatch } from "./catalog_watch.ts";
+import { createEdgeMetrics } from "./metrics.ts";
+
+const wait = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
+
+/** An entry that knows version 1, told by a peer that was current then. */
+async function start(
+  t: ExecutionContext,
+  pull: () => Promise<CatalogMessage | undefined>,
+  region: readonly string[] = ["p2"],
+) {
+  const store = new DisposableStore();
+  t.teardown(() => store.dispose());
+  const memory = createMemoryStore();
+  const document = buildDocument(1, [buildRoute({ allowedRegions: ["a"] })]);
+  memory.put("orders", "config", { type: "document", document });
+  const catalog = createCatalog({ zones: {} });
+  const watch = startCatalogWatch({
+    processId: "p2",
+    catalog,
+    source: memory.createClient("p2"),
+    store,
+    metrics: createEdgeMetrics({ address: undefined, store }),
+    log: pino({ level: "silent" }),
+    onChanged: () => {},
+    listRegion: () => region,
+    joinMs: 0,
+    isContact: (ageMs) => ageMs <= 2_500,
+    pull,
+  });
+  while (!watch.isLoaded) await wait(20);
+  return { watch, catalog, memory };
+}
+
+function tell(version: number, ageMs: number): CatalogMessage {
+  const document = buildDocument(version, [
+    buildRoute({ allowedRegions: ["b"] }),
+  ]);
+  return {
+    type: "catalog",
+    delta: {
+      servers: { version: 50, isComplete: false, changes: [] },
+      orders: {
+        version: 50,
+        isComplete: false,
+        changes: [{ type: "document", document }],
+      },
+    },
+    ageMs,
+  };
+}
+
+// An entry that was suspended while the configuration changed wakes in an
+// outage of the store: its steady clock says that it is younger than others.
+test("guards against a newer configuration that is refused because its teller has not read lately", async (t) => {
+  const { watch, catalog, memory } = await start(
+    t,
+    () => Promise.resolve(tell(2, 8_000)),
+  );
+  memory.setDown(true);
+  watch.pullNow("10.0.0.9:7620");
+  await wait(4_000);
+  t.is(catalog.document?.version, 2);
+});
+
+test("guards against contact that only entries out of contact give", async (t) => {
+  const { watch, memory } = await start(
+    t,
+    () => Promise.resolve(tell(1, 600_000)),
+  );
+  memory.setDown(true);
+  await wait(5_500);
+  t.true(watch.contactAgeMs() > 2_500, `${watch.contactAgeMs()} ms`);
+});
+
+test("guards against an answer from before a suspension that counts as contact", async (t) => {
+  let answer: (message: CatalogMessage) => void = () => {};
+  const { watch, memory } = await start(t, () =>
+    new Promise((resolve) => {
+      answer = resolve;
+    }));
+  memory.setDown(true);
+  watch.pullNow("10.0.0.9:7620");
+  await wait(50);
+  // The instance is suspended for 10 s: only the time of day goes on. The
+  // answer was received before, and is read after it.
+  const now = Date.now;
+  Date.now = () => now() + 10_000;
+  t.teardown(() => {
+    Date.now = now;
+  });
+  answer(tell(1, 0));
+  await wait(10);
+  t.true(watch.contactAgeMs() > 2_500, `${watch.contactAgeMs()} ms`);
+});
+
+// The first entry that is asked is dead; the others answer.
+test("guards against a reading entry that loses contact as the store goes away", async (t) => {
+  let asked = 0;
+  const { watch, memory } = await start(t, async () => {
+    asked += 1;
+    if (asked > 1) return tell(1, 500);
+    await wait(400);
+    return undefined;
+  }, ["p2", "p3"]);
+  await wait(700);
+  memory.setDown(true);
+  let longestMs = 0;
+  const endAtMs = performance.now() + 6_000;
+  while (performance.now() < endAtMs) {
+    longestMs = Math.max(longestMs, watch.contactAgeMs());
+    await wait(20);
+  }
+  t.true(longestMs < 2_500, `${longestMs} ms`);
+});
--- a/packages/daemon/edge/src/process/table_reader.ts
+++ b/packages/daemon/edge/src/process/table_reader.ts
@@ -12,6 +12,7 @@
 import type { DisposableStore } from "@dotterelmoor/core.types";
 import type { Logger } from "pino";
 import type { CatalogStore, StoreError } from "../ports.ts";
+import type { ContactClock } from "./contact_clock.ts";
 import { wait } from "./intervals.ts";
 import type { EdgeMetrics } from "./metrics.ts";
 
@@ -41,6 +42,8 @@
   readonly metrics: EdgeMetrics;
   readonly log: Logger;
   readonly onChanged: (source: string) => void;
+  /** Notes the answers of the store. */
+  readonly contact: ContactClock;
 }
 
 /** Reads one table while it is started. */
@@ -86,9 +89,12 @@
   }
 
   async #follow(run: number): Promise<void> {
+    const { contact } = this.#options;
     while (this.#run === run) {
+      const asked = contact.mark();
       const result = await this.#read();
       if (this.#run !== run) return;
+      if (result.isOk()) contact.note(asked);
       if (result.isOk()) this.#applyUpdate(result.value);
       else this.#recordFailure(result.error);
       await wait(
--- a/packages/daemon/edge/src/process/table_reader_test.ts
+++ b/packages/daemon/edge/src/process/table_reader_test.ts
@@ -5,6 +5,7 @@
 import { pino } from "pino";
 import type { CatalogStore } from "../ports.ts";
 import { createMemoryStore } from "../edge_fixture.ts";
+import { ContactClock } from "./contact_clock.ts";
 import { createEdgeMetrics } from "./metrics.ts";
 import { TableReader } from "./table_reader.ts";
 
@@ -40,6 +41,7 @@
     metrics: createEdgeMetrics({ address: undefined, store }),
     log: pino({ level: "silent" }),
     onChanged: () => {},
+    contact: new ContactClock(),
   });
   reader.start();
   while (waits.length < 4) {
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -314,6 +314,12 @@
       sortEntries(peers.membership.liveMembers(settings.region))
         .map((member) => member.processId),
     joinMs: getJoinMs(settings),
+    // While all regions are heard of, old catalogs mean an outage of the store.
+    isContact: (ageMs) =>
+      ageMs <= settings.bounds.configurationApplyMs ||
+      Object.values(settings.zones).every((region) =>
+        peers.membership.regionState(region) !== "lost"
+      ),
     pull: (source) => peers.pullCatalog(source),
     onChanged: (source) => {
       const { document } = catalog;
