Check all that is known before the first byte of a send

Callers: (1) a request that its server had failed, and that may run again by the route, ran a second time although the route came to forbid it while the second send waited for a connection (TWICE). (2) A send that waited for a connection went to a server that had left or whose zone was evacuated meanwhile, or by regions that an entry out of contact could not confirm.

Cause: a failed run did not count as a run in that check; and the check before the first byte looked at the route only.

Change: a failure counts as a run. The check also asks for the server in the catalog and for the contact that restricted routes need.

Tests: held_back_test, four tests that failed before (2 sends instead of 1; a send to an evacuated zone, to a draining server, and out of contact).

--- a/packages/daemon/edge/src/request/forwarding.ts
+++ b/packages/daemon/edge/src/request/forwarding.ts
@@ -35,9 +35,6 @@
 export interface ForwarderOptions
   extends TermsReaderOptions, Omit<RequestSenderOptions, "terms"> {
   readonly budgets: RetryBudgets;
-  /** False if neither the store nor an entry has answered for so long that the
-   * regions of a route may have moved unseen. */
-  readonly isInContact: () => boolean;
 }
 
 /** Serves requests through backend servers. */
@@ -99,7 +96,7 @@
     const terms = this.#terms.read();
     if (terms === undefined) return this.#stop("route-removed");
     const { service, route, repeatable } = terms;
-    if (!this.#isConfirmed(terms)) {
+    if (!this.#terms.isConfirmed(terms)) {
       return this.#stop("configuration-unconfirmed");
     }
     if (!this.#isCounted) budgets.recordRequest(service);
@@ -122,11 +119,6 @@
     return { type: "send", decision };
   }
 
-  /** Regions hold also where a change of them cannot be heard of. */
-  #isConfirmed({ route }: SendTerms): boolean {
-    return route.allowedRegions.length === 0 || this.#options.isInContact();
-  }
-
   #stop(reason: NotRunReason, retryAfterMs = REFUSED_RETRY_MS): Step {
     return { type: "end", outcome: this.#settle(reason, retryAfterMs) };
   }
@@ -184,7 +176,7 @@
   #startBackup(): OpenSend | undefined {
     const terms = this.#terms.read();
     const isOpen = terms !== undefined && terms.repeatable &&
-      this.#isConfirmed(terms) &&
+      this.#terms.isConfirmed(terms) &&
       !this.#request.signal.aborted &&
       this.#sender.tried.size < terms.route.maxAttempts;
     if (!isOpen) return undefined;
@@ -201,6 +193,7 @@
     const isFailure = result.type === "answered" && result.status >= 500;
     if (isFailure && this.#terms.read()?.repeatable) {
       // Another server may answer; if none does, the failure is the answer.
+      this.#mayHaveRun = true;
       this.#failure = this.#finish(result);
       return undefined;
     }
--- /dev/null
+++ b/packages/daemon/edge/src/request/held_back_test.ts
@@ -0,0 +1,154 @@
+import test from "ava";
+import { createCatalog, createSplitter } from "@dotterelmoor/core.catalog";
+import type { CatalogChange, TrackedServer } from "@dotterelmoor/core.catalog";
+import type { Placer, PlaceRequest } from "@dotterelmoor/core.placing";
+import { DisposableStore } from "@dotterelmoor/core.types";
+import type {
+  BackendClient,
+  BackendResult,
+} from "@dotterelmoor/network.backend";
+import { buildDocument, buildRoute, buildServer } from "../edge_fixture.ts";
+import { createEdgeMetrics } from "../process/metrics.ts";
+import { createForwarder } from "./forwarding.ts";
+
+/** One entry whose sends are played by `plays`, in order; a play may change
+ * the catalog while the send waits for a connection. */
+function setUp(plays: readonly ((apply: Apply) => BackendResult)[]) {
+  const catalog = createCatalog({ zones: { "a-1": "a", "b-1": "b" } });
+  let version = 0;
+  const apply: Apply = (table, change) => {
+    version += 1;
+    const update = { version, isComplete: false, changes: [change] };
+    catalog.applyTable(table, update, performance.now());
+  };
+  const written: string[] = [];
+  const contact = { isInContact: true };
+  const backend = {
+    send: (request) => {
+      const result = plays[Math.min(sends, plays.length - 1)]!(apply);
+      sends += 1;
+      const limitMs = request.workLimitMs?.() ?? Infinity;
+      if (limitMs <= 0) return Promise.resolve({ type: "not_authorized" });
+      written.push(request.headers!["target"] ?? request.address);
+      return Promise.resolve(result);
+    },
+  } as BackendClient;
+  let sends = 0;
+  const placer = {
+    recordArrival: () => {},
+    recordSend: () => {},
+    recordEnd: () => {},
+    place: (
+      { excluded }: PlaceRequest,
+      servers: readonly TrackedServer[],
+    ) => {
+      const server = servers.find(({ record }) => !excluded.has(record.id));
+      return server === undefined
+        ? { type: "refuse", reason: "no-server", retryAfterMs: 1 }
+        : { type: "send", server, rank: 0, expectedMs: 1_000, hasSlot: true };
+    },
+  } as unknown as Placer;
+  const store = new DisposableStore();
+  const forwarder = createForwarder({
+    catalog,
+    placer,
+    backend,
+    splitter: createSplitter(),
+    budgets: { recordRequest: () => {}, takeRetry: () => true },
+    protocol: { targetHeader: "target", readLoad: () => undefined } as never,
+    metrics: createEdgeMetrics({ address: undefined, store }),
+    isInContact: () => contact.isInContact,
+  });
+  const forward = () => {
+    const nowMs = performance.now();
+    return forwarder.forward({
+      route: catalog.routes!.get("r1") ?? buildRoute(),
+      host: "desk.example",
+      requestId: "q1",
+      object: undefined,
+      method: "POST",
+      path: "/a/x",
+      headers: {},
+      body: new Uint8Array(),
+      arrivedAtMs: nowMs,
+      deadlineAtMs: nowMs + 1_000,
+      signal: new AbortController().signal,
+    });
+  };
+  return { apply, forward, written, contact };
+}
+
+type Apply = (table: "orders" | "servers", change: CatalogChange) => void;
+
+const ANSWER: BackendResult = {
+  type: "answered",
+  status: 200,
+  headers: {},
+  body: new Uint8Array(),
+};
+
+function putRoute(apply: Apply, version: number, changes = {}): void {
+  const document = buildDocument(version, [
+    buildRoute({ maxAttempts: 3, ...changes }),
+  ]);
+  apply("orders", { type: "document", document });
+}
+
+function putServer(apply: Apply, id: string, changes = {}): void {
+  const record = buildServer(id, "127.0.0.1:9", changes);
+  apply("servers", { type: "server", record });
+}
+
+test("guards against a second run after a failure once the route forbids it while the send waits", async (t) => {
+  const { apply, forward, written } = setUp([
+    () => ({ ...ANSWER, status: 500 }) as BackendResult,
+    (change) => {
+      putRoute(change, 2, { repeatable: false });
+      return ANSWER;
+    },
+  ]);
+  putRoute(apply, 1, { repeatable: true });
+  putServer(apply, "s1");
+  putServer(apply, "s2");
+  await forward();
+  t.is(written.length, 1);
+});
+
+test("guards against a send to a server whose zone was evacuated while it waited", async (t) => {
+  const { apply, forward, written } = setUp([
+    (change) => {
+      change("orders", { type: "evacuation", zone: "a-1" });
+      return ANSWER;
+    },
+  ]);
+  putRoute(apply, 1);
+  putServer(apply, "s1");
+  await forward();
+  t.deepEqual(written, []);
+});
+
+test("guards against a send to a server that left while it waited", async (t) => {
+  const { apply, forward, written } = setUp([
+    (change) => {
+      putServer(change, "s1", { state: "draining", sequence: 9 });
+      return ANSWER;
+    },
+  ]);
+  putRoute(apply, 1);
+  putServer(apply, "s1");
+  await forward();
+  t.deepEqual(written, []);
+});
+
+test("guards against a send by old regions that waited through a suspension", async (t) => {
+  const { apply, forward, written, contact } = setUp([
+    () => {
+      contact.isInContact = false;
+      return ANSWER;
+    },
+  ]);
+  putRoute(apply, 1, { allowedRegions: ["a"] });
+  putServer(apply, "s1");
+  await forward();
+  t.deepEqual(written, []);
+});
--- a/packages/daemon/edge/src/request/send_terms.ts
+++ b/packages/daemon/edge/src/request/send_terms.ts
@@ -32,6 +32,9 @@
 export interface TermsReaderOptions {
   readonly catalog: Catalog;
   readonly splitter: Splitter;
+  /** False if neither the store nor an entry has answered for so long that the
+   * regions of a route may have moved unseen. */
+  readonly isInContact: () => boolean;
 }
 
 /** Reads the terms of one request. */
@@ -65,6 +68,11 @@
     return this.#terms;
   }
 
+  /** Regions hold also where a change of them cannot be heard of. */
+  isConfirmed({ route }: SendTerms): boolean {
+    return route.allowedRegions.length === 0 || this.#options.isInContact();
+  }
+
   #build(document: RoutingDocument): SendTerms | undefined {
     const { host, path, arrivedAtMs, deadlineAtMs } = this.#request;
     const [pathname] = path.split("?", 1);
--- a/packages/daemon/edge/src/request/sending.ts
+++ b/packages/daemon/edge/src/request/sending.ts
@@ -151,13 +151,14 @@
     return written.isHeldBack ? { type: "held_back" } : result;
   }
 
-  /** Notes what holds as the first byte is written; false if the configuration
+  /** Notes what holds as the first byte is written; false if what is known now
    * forbids the send since it was decided, as while it waited for a
    * connection. */
   #checkWrite(decision: SendDecision, written: WrittenSend): boolean {
     const { catalog, metrics, terms } = this.#options;
     const newest = terms.read();
-    written.isHeldBack = newest === undefined || !isAllowed(decision, newest);
+    written.isHeldBack = newest === undefined || !terms.isConfirmed(newest) ||
+      !isAllowed(decision, newest) || !this.#isListed(decision);
     if (written.isHeldBack) return false;
     written.configuration = catalog.document?.version;
     written.place = findPlace(decision, newest!.route);
@@ -167,6 +168,14 @@
     return true;
   }
 
+  /** False if the server left, or its zone was evacuated. */
+  #isListed({ placement, terms }: SendDecision): boolean {
+    const { id } = placement.server.record;
+    return this.#options.catalog
+      .findServers(terms.service, performance.now())
+      .some(({ record }) => record.id === id);
+  }
+
   #record(
     { placement, terms }: SendDecision,
     end: Pick<
