Pass on that a server became cold again while it was cold

Found by review.

Callers: requests beyond the rate of a cold server, which crashes above it, once its first cold time was over while a second one ran (FAILBACK).

Cause: a report changed the catalog only if the server turned from warm to cold or back, so a later end of the cold time was dropped at the reading entry, for servers looked up before, and never told to followers.

Change: an end that is over a second later counts as a change.

--- a/packages/core/catalog/src/catalog.ts
+++ b/packages/core/catalog/src/catalog.ts
@@ -35,6 +35,10 @@
 /** Time in milliseconds for which a removed server's reports are refused. */
 const TOMBSTONE_MS = 60_000;
 
+/** Time in milliseconds by which reports of one cold time may differ; a later
+ * end means that the server became cold again. */
+const COLD_SLACK_MS = 1_000;
+
 /** Options of `createCatalog`. */
 export interface CatalogOptions {
   /** Region of each availability zone. */
@@ -270,7 +274,8 @@
       missingSinceMs: undefined,
     });
     const isNews = known === undefined || known.missingSinceMs !== undefined ||
-      hasChanged(known.record, kept);
+      hasChanged(known.record, kept) ||
+      untilMs > known.coldUntilMs + COLD_SLACK_MS;
     if (isNews) this.#byService = undefined;
     if (!isNews && !isRelayed) return;
     const change: CatalogChange = { type: "server", record: kept };
