Pack the list of all servers for entries that follow

Found by review.

Cause: since followers get the whole list of servers after a whole read, 101 KB for 693 servers, a pull carries that beside the configuration, to all entries of a region within half a second, and encoding it for each of 47 entries takes longer than a pull may.

The module is named after deltas now.

Test: delta_packing_test, guards against a list of all servers that small instances cannot pull in time (the list was not packed before).

--- a/packages/daemon/edge/src/process/catalog_watch.ts
+++ b/packages/daemon/edge/src/process/catalog_watch.ts
@@ -11,7 +11,7 @@
 import type { Logger } from "pino";
 import type { CatalogStore } from "../ports.ts";
 import { ContactClock } from "./contact_clock.ts";
-import { unpackDelta } from "./document_packing.ts";
+import { unpackDelta } from "./delta_packing.ts";
 import { wait } from "./intervals.ts";
 import type { EdgeMetrics } from "./metrics.ts";
 import { createReaderChoice } from "./reader_choice.ts";
--- a/packages/daemon/edge/src/process/document_packing_test.ts
+++ b/packages/daemon/edge/src/process/delta_packing_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { createCatalog } from "@dotterelmoor/core.catalog";
-import { buildDocument, buildRoute } from "../edge_fixture.ts";
-import { createDocumentPacker, unpackDelta } from "./document_packing.ts";
+import { buildDocument, buildRoute, buildServer } from "../edge_fixture.ts";
+import { createDeltaPacker, unpackDelta } from "./delta_packing.ts";
 
 /** Routes that `big_config` days of a grown installation add, and some more. */
 const ROUTES = 1_500;
@@ -33,14 +33,14 @@
 
 // Entries whose link takes longer than a pull would never learn of a change.
 test("guards against a large configuration that small instances cannot pull in time", (t) => {
-  const { document } = createDocumentPacker().pack(describeChanges());
+  const { document } = createDeltaPacker().pack(describeChanges());
   t.log(`${document?.byteLength} bytes`);
   t.true((document?.byteLength ?? Infinity) <= MAX_BYTES);
 });
 
 test("guards against changes that are lost or altered on the way", (t) => {
   const delta = describeChanges();
-  const packed = createDocumentPacker().pack(delta);
+  const packed = createDeltaPacker().pack(delta);
   const copy = structuredClone(packed);
   const byType = (changes: readonly { readonly type: string }[]) =>
     [...changes].sort((a, b) => a.type < b.type ? -1 : 1);
@@ -54,7 +54,7 @@
 
 // Packing takes milliseconds, and each entry of a region asks.
 test("guards against a configuration that is packed for each entry that asks", (t) => {
-  const packer = createDocumentPacker();
+  const packer = createDeltaPacker();
   const document = buildLargeDocument();
   const first = packer.pack(describeChanges(document));
   t.is(packer.pack(describeChanges(document)).document, first.document);
@@ -62,8 +62,35 @@
   t.not(packer.pack(describeChanges(next)).document, first.document);
 });
 
-test("guards against bytes that are no configuration", (t) => {
-  const delta = { ...describeChanges() };
+test("guards against bytes that are no configuration or list", (t) => {
+  const delta = describeChanges();
   const bytes = new Uint8Array([1, 2, 3]);
   t.is(unpackDelta({ delta, document: bytes }), undefined);
+  t.is(unpackDelta({ delta, servers: bytes }), undefined);
+});
+
+/** Servers of a grown installation. */
+const SERVERS = 693;
+
+function describeServers() {
+  const catalog = createCatalog({ zones: { "a-1": "a" } });
+  const changes = [...Array(SERVERS).keys()].map((index) => ({
+    type: "server" as const,
+    record: buildServer(`i-${index * 40_503}`, `10.0.0.${index % 250}:9100`),
+  }));
+  catalog.applyTable("servers", { version: 9, isComplete: true, changes }, 0);
+  return catalog.changesSince({ servers: 1, orders: 0 }, 0);
+}
+
+// After the store has dropped its history, all entries get the whole list, and
+// a configuration that comes with it must not wait.
+test("guards against a list of all servers that small instances cannot pull in time", (t) => {
+  const packer = createDeltaPacker();
+  const delta = describeServers();
+  const packed = packer.pack(delta);
+  t.log(`${packed.servers?.byteLength} bytes`);
+  t.true((packed.servers?.byteLength ?? Infinity) <= MAX_BYTES);
+  t.deepEqual(packed.delta.servers.changes, []);
+  t.is(packer.pack(describeServers()).servers, packed.servers);
+  t.deepEqual(unpackDelta(structuredClone(packed)), delta);
 });
--- a/packages/daemon/edge/src/process/peers.ts
+++ b/packages/daemon/edge/src/process/peers.ts
@@ -32,7 +32,7 @@
 import type { Logger } from "pino";
 import type { ListenAddress } from "../ports.ts";
 import type { CatalogSource } from "./catalog_watch.ts";
-import { createDocumentPacker } from "./document_packing.ts";
+import { createDeltaPacker } from "./delta_packing.ts";
 
 /** Interval in milliseconds of membership's ticks. */
 const TICK_MS = 100;
@@ -131,7 +131,7 @@
   readonly membership: Membership;
   readonly #options: PeersOptions;
   readonly #pool: PeerPool;
-  readonly #packer = createDocumentPacker();
+  readonly #packer = createDeltaPacker();
   readonly #handlers: EventHandlers<MembershipAction, void>;
 
   constructor(options: PeersOptions, pool: PeerPool) {
--- a/packages/network/peering/src/guards.ts
+++ b/packages/network/peering/src/guards.ts
@@ -243,6 +243,7 @@
   catalog: {
     delta: isDelta,
     document: isOptionalBytes,
+    servers: isOptionalBytes,
     ageMs: isAmount,
   },
   load_report: {
--- a/packages/network/peering/src/messages.ts
+++ b/packages/network/peering/src/messages.ts
@@ -162,10 +162,12 @@
 /** Answer to a `catalog_pull`. */
 export interface CatalogMessage {
   readonly type: "catalog";
-  /** What has changed, the configuration left out. */
+  /** What has changed, without the packed parts. */
   readonly delta: CatalogDelta;
   /** The configuration if it has changed, packed by `packValue`. */
-  readonly document?: Uint8Array;
+  readonly document?: Uint8Array | undefined;
+  /** All servers if the whole list is told, packed in the same way. */
+  readonly servers?: Uint8Array | undefined;
   /** Time in milliseconds since the sender's catalog was known to be current. */
   readonly ageMs: number;
 }
