--- a/packages/testing/soak/src/installation.ts
+++ b/packages/testing/soak/src/installation.ts
@@ -210,6 +210,19 @@
       bounds: BOUNDS,
     });
     writeFileSync(file, text);
+    let starting: Promise<void> | undefined;
+    const launch = async () => {
+      const running = await startProcess({
+        script: MAIN,
+        args: ["--listen-ip", listenIp],
+        env: { DOTTERELMOOR_CONFIG: file },
+        isReady: ({ msg }) => msg === "[edge] Listening.",
+      });
+      entry.process = running;
+      void running.exited.then(() => {
+        if (entry.process === running) entry.process = undefined;
+      });
+    };
     const entry: SoakEntry = {
       name,
       zone,
@@ -218,18 +231,11 @@
       process: undefined,
       links,
       storeLink,
-      start: async () => {
-        const running = await startProcess({
-          script: MAIN,
-          args: ["--listen-ip", listenIp],
-          env: { DOTTERELMOOR_CONFIG: file },
-          isReady: ({ msg }) => msg === "[edge] Listening.",
-        });
-        entry.process = running;
-        void running.exited.then(() => {
-          if (entry.process === running) entry.process = undefined;
-        });
-      },
+      // Two faults of one entry may end at once.
+      start: () =>
+        starting ??= launch().finally(() => {
+          starting = undefined;
+        }),
     };
     this.entries.push(entry);
   }
