Move the regions of routes in the soak and check where requests run

The soak had no route with allowed regions. Two routes are bound to regions now, which move with configurations that follow each other during faults and after them; some requests on them send their bodies slowly. The servers' side checks that a request runs in a region of a version that was in force as it arrived there: those from the last one acknowledged more than 3 s before to the newest. Entries that a fault disturbed, and stalls of the soak itself, are left out.

--- a/packages/testing/soak/src/callers.ts
+++ b/packages/testing/soak/src/callers.ts
@@ -12,12 +12,10 @@
   encodeRequestHeaders,
   HEADERS,
 } from "@dotterelmoor/platform";
+import { BOUND_PATHS, BOUND_TIMEOUT_MS, HOST } from "./documents.ts";
 import type { Installation } from "./installation.ts";
 import type { Records, RequestRecord } from "./records.ts";
 
-/** Host of all routes. */
-export const HOST = "desk.example";
-
 /** Time in milliseconds that callers wait for an answer. */
 const WAIT_MS = 1_500;
 
@@ -30,6 +28,17 @@
 /** Share of the requests that ask for the route of the newest version. */
 const PROBE_SHARE = 0.15;
 
+/** Share of the requests on routes that are bound to regions, and of those
+ * with a body the share whose body comes slowly. */
+const BOUND_SHARE = 0.25;
+const SLOW_SHARE = 0.4;
+
+/** Longest time in milliseconds that a body takes; routes change meanwhile. */
+const SLOWEST_MS = 5_500;
+
+/** Paths of the other lasting routes. */
+const LASTING_PATHS = ["/desk/r/", "/desk/o/"] as const;
+
 /** Different objects that callers ask for. */
 const OBJECTS = 20;
 
@@ -98,21 +107,20 @@
   }
 
   async #send(): Promise<void> {
-    const { installation, records, random, name, getVersion } = this.#options;
+    const { installation, records, random, name } = this.#options;
     const index = Math.floor(random() * this.#addresses.length);
     const address = this.#addresses[index];
     if (address === undefined) return;
     const entry = installation.entries.find(({ callers }) =>
       callers === address
     )!;
-    const isProbe = random() < PROBE_SHARE;
-    const repeatable = isProbe || random() >= ONCE_SHARE;
+    const { path, repeatable } = this.#pickPath();
     this.#count += 1;
     const record: RequestRecord = {
       id: `${name}-${this.#count}`,
       entry: entry.name,
       pid: entry.process?.pid,
-      path: isProbe ? `/v${getVersion()}/` : `/desk/${repeatable ? "r" : "o"}/`,
+      path,
       repeatable,
       sentAtMs: performance.now(),
       endedAtMs: Infinity,
@@ -121,23 +129,46 @@
       wasSent: false,
     };
     records.requests.push(record);
-    const answer = await call(`http://${address}${record.path}`, {
+    const answer = await this.#exchange(address, record);
+    record.endedAtMs = performance.now();
+    record.status = answer?.status;
+    record.isWhole = answer?.body === buildAnswer(record.id) &&
+      String(answer.headers[HEADERS.stamp]).endsWith(`.${record.id}`);
+  }
+
+  #exchange(
+    address: string,
+    record: RequestRecord,
+  ): Promise<CallAnswer | undefined> {
+    const { random } = this.#options;
+    const { id, path, repeatable } = record;
+    const isBound = path.startsWith("/bound/");
+    const isSlow = isBound && !repeatable && random() < SLOW_SHARE;
+    const waitMs = isBound ? BOUND_TIMEOUT_MS : WAIT_MS;
+    const object = String(Math.floor(random() * OBJECTS));
+    return call(`http://${address}${path}`, {
       agent: this.#agent,
       method: repeatable ? "GET" : "POST",
+      bodyMs: isSlow ? random() * SLOWEST_MS : 0,
+      waitMs,
       headers: {
         host: HOST,
-        ...encodeRequestHeaders({
-          requestId: record.id,
-          waitMs: WAIT_MS,
-          object: String(Math.floor(random() * OBJECTS)),
-        }),
+        ...encodeRequestHeaders({ requestId: id, waitMs, object }),
       },
       onSent: () => record.wasSent = true,
     });
-    record.endedAtMs = performance.now();
-    record.status = answer?.status;
-    record.isWhole = answer?.body === buildAnswer(record.id) &&
-      String(answer.headers[HEADERS.stamp]).endsWith(`.${record.id}`);
+  }
+
+  /** A path of the newest version's own route, of a bound one, or another. */
+  #pickPath(): { readonly path: string; readonly repeatable: boolean } {
+    const { random, getVersion } = this.#options;
+    if (random() < PROBE_SHARE) {
+      return { path: `/v${getVersion()}/`, repeatable: true };
+    }
+    const repeatable = random() >= ONCE_SHARE;
+    const index = repeatable ? 0 : 1;
+    const paths = random() < BOUND_SHARE ? BOUND_PATHS : LASTING_PATHS;
+    return { path: paths[index], repeatable };
   }
 }
 
@@ -155,9 +186,14 @@
     readonly method?: string;
     readonly headers?: Readonly<Record<string, string>>;
     readonly onSent?: () => void;
+    /** Time in milliseconds from the first byte of a body to the last one;
+     * without it there is no body. */
+    readonly bodyMs?: number;
+    readonly waitMs?: number;
   },
 ): Promise<CallAnswer | undefined> {
-  const { agent, method, headers, onSent } = options;
+  const { agent, method, headers, onSent, bodyMs = 0, waitMs = WAIT_MS } =
+    options;
   return new Promise((resolve) => {
     const request = openRequest(url, { agent, method, headers }, (response) => {
       const chunks: Buffer[] = [];
@@ -170,7 +206,7 @@
         resolve({ status, headers, body });
       });
     });
-    const timer = setTimeout(() => request.destroy(), WAIT_MS);
+    const timer = setTimeout(() => request.destroy(), waitMs);
     request.once("socket", (socket) => {
       if (socket.connecting) socket.once("connect", () => onSent?.());
       else onSent?.();
@@ -179,6 +215,8 @@
       clearTimeout(timer);
       resolve(undefined);
     });
-    request.end();
+    if (bodyMs === 0) return request.end();
+    request.write("first part ");
+    setTimeout(() => request.end("second part"), bodyMs);
   });
 }
--- a/packages/testing/soak/src/checks.ts
+++ b/packages/testing/soak/src/checks.ts
@@ -4,12 +4,23 @@
  * @module
  */
 
-import type { FaultRecord, Records, RequestRecord } from "./records.ts";
+import { getBoundRegions } from "./documents.ts";
+import type {
+  ChangeRecord,
+  FaultRecord,
+  Records,
+  RequestRecord,
+  RunRecord,
+} from "./records.ts";
 
 /** Time in milliseconds in which a change is in force at an entry that nothing
  * disturbs: the bound that today's installations state. */
 const IN_FORCE_MS = 2_500;
 
+/** Time in milliseconds after which a route's regions of an older version are
+ * left: the bound that today's installations state. */
+const REGIONS_LEFT_MS = 3_000;
+
 /** Time in milliseconds for which an entry must be undisturbed to be bound. */
 const CALM_MS = 4_000;
 
@@ -62,7 +73,7 @@
   "proper requests are accepted": (records) =>
     records.requests
       .filter(({ path, status = 0 }) =>
-        path.startsWith("/desk/") && status >= 400 && status < 500 &&
+        !path.startsWith("/v") && status >= 400 && status < 500 &&
         status !== 429
       )
       .map((request) => violate("proper requests are accepted", request)),
@@ -100,6 +111,21 @@
         })),
     ),
 
+  "requests run in a region of their route": (records) => {
+    const requests = new Map(records.requests.map((one) => [one.id, one]));
+    const documents = records.changes.filter(({ kind }) => kind === "document");
+    return records.runs.flatMap((run) => {
+      const request = requests.get(run.requestId);
+      if (request === undefined) return [];
+      const allowed = listRegions(documents, request, run);
+      const isInside = allowed.length === 0 || allowed.includes(run.region);
+      return isInside || !isInTouch(records, request, run) ? [] : [{
+        promise: "requests run in a region of their route",
+        detail: JSON.stringify({ run, allowed, request }),
+      }];
+    });
+  },
+
   "planned stops cut off no request": (records) =>
     records.faults.filter(({ kind }) => kind === "terminate").flatMap((stop) =>
       records.requests.filter((request) =>
@@ -123,6 +149,38 @@
   },
 };
 
+/** Regions of all versions that may be in force as a request arrives at a
+ * server, also if it was sent long before; empty if its route has none. */
+function listRegions(
+  documents: readonly ChangeRecord[],
+  { path }: RequestRecord,
+  { arrivedAtMs }: RunRecord,
+): string[] {
+  const known = documents.filter(({ atMs }) => atMs <= arrivedAtMs);
+  const left = known.findLastIndex(({ atMs }) =>
+    atMs < arrivedAtMs - REGIONS_LEFT_MS
+  );
+  return known.slice(Math.max(0, left))
+    .flatMap(({ subject }) => getBoundRegions(path, Number(subject)));
+}
+
+/** True if an entry could learn of each version in time; troubled servers do
+ * not keep it from that, but a stall of the store does. */
+function isInTouch(
+  { faults, stalls }: Records,
+  { entry }: RequestRecord,
+  { arrivedAtMs }: RunRecord,
+): boolean {
+  const fromMs = arrivedAtMs - REGIONS_LEFT_MS - CALM_MS;
+  const disturbed = faults.filter(({ kind, entries }) =>
+    !kind.startsWith("server_") &&
+    (entries.length === 0 || entries.includes(entry))
+  );
+  return ![...disturbed, ...stalls].some((span) =>
+    span.fromMs <= arrivedAtMs && span.untilMs >= fromMs
+  );
+}
+
 /** True if nothing else disturbed a request's entry, nor any server. */
 function isOnlyFault(
   records: Records,
--- a/packages/testing/soak/src/documents.ts
+++ b/packages/testing/soak/src/documents.ts
@@ -5,15 +5,42 @@
  */
 
 import type { RouteRecord, RoutingDocument } from "@dotterelmoor/core.catalog";
-import { HOST } from "./callers.ts";
 
-/** Builds a version: two lasting routes, and one that only this version has. */
+/** Host of all routes. */
+export const HOST = "desk.example";
+
+/** Regions of routes that are bound to some, by version in turn. */
+const BOUND_REGIONS = [["a"], ["b"], ["a", "b"], ["b"]] as const;
+
+/** Paths of the bound routes; the second one's regions are a version ahead. */
+export const BOUND_PATHS = ["/bound/r/", "/bound/o/"] as const;
+
+/** Time in milliseconds for answers on bound routes: bodies take some. */
+export const BOUND_TIMEOUT_MS = 7_000;
+
+/** Regions of a path's route in a version; empty if the route is not bound. */
+export function getBoundRegions(
+  path: string,
+  version: number,
+): readonly string[] {
+  const index = BOUND_PATHS.findIndex((bound) => bound === path);
+  if (index < 0) return [];
+  return BOUND_REGIONS[(version + index) % BOUND_REGIONS.length]!;
+}
+
+/** Builds a version: lasting routes, of which those that are bound to regions
+ * move, and one that only this version has. */
 export function buildDocument(version: number): RoutingDocument {
   return {
     version,
     routes: [
       buildRoute("repeatable", "/desk/r/", true),
       buildRoute("once", "/desk/o/", false),
+      ...BOUND_PATHS.map((path) => ({
+        ...buildRoute(path, path, path === "/bound/r/"),
+        timeoutMs: BOUND_TIMEOUT_MS,
+        allowedRegions: getBoundRegions(path, version),
+      })),
       buildRoute(`version-${version}`, `/v${version}/`, true),
     ],
     services: [{ name: "desk", maxConnections: 500, coldPerSecond: 50 }],
--- a/packages/testing/soak/src/installation.ts
+++ b/packages/testing/soak/src/installation.ts
@@ -23,11 +23,13 @@
 import type { RunningProcess } from "@dotterelmoor/testing.demo";
 import { startFaultProxy } from "./fault_proxy.ts";
 import type { FaultProxy } from "./fault_proxy.ts";
+import type { RunRecord } from "./records.ts";
 
 const MAIN = fileURLToPath(import.meta.resolve("@dotterelmoor/platform"))
   .replace(/mod\.[jt]s$/, "main.js");
 
 const ZONES = { "a-1": "a", "a-2": "a", "b-1": "b", "b-2": "b" } as const;
+const ZONE_NAMES = ["a-1", "a-2", "b-1", "b-2"] as const;
 
 /** Interval in milliseconds of servers' reports. */
 const HEARTBEAT_MS = 500;
@@ -50,7 +52,7 @@
   readonly servers: number;
   readonly random: () => number;
   /** Told when a request begins to run at a server. */
-  readonly onRun: (requestId: string, serverId: string) => void;
+  readonly onRun: (run: RunRecord) => void;
 }
 
 /** One entry with the proxies in front of it. */
@@ -114,6 +116,7 @@
   async addServer(index: number): Promise<void> {
     const { random, onRun } = this.#options;
     const id = `i-${index}`;
+    const zone = ZONE_NAMES[index % ZONE_NAMES.length]!;
     const server = await startStandInServer({
       id,
       service: "desk",
@@ -121,7 +124,14 @@
       queue: 9,
       workMs: 40,
       random,
-      onRun: (requestId) => onRun(requestId, id),
+      onRun: (requestId, arrivedAtMs) =>
+        onRun({
+          requestId,
+          serverId: id,
+          region: ZONES[zone],
+          arrivedAtMs,
+          atMs: performance.now(),
+        }),
     });
     const link = await startFaultProxy(
       { host: "127.0.0.1", port: 0 },
@@ -131,7 +141,7 @@
       id,
       service: "desk",
       address: link.address,
-      zone: Object.keys(ZONES)[index % 4]!,
+      zone,
       slots: 3,
       state: "ready",
       coldMs: 0,
@@ -182,7 +192,7 @@
   async #addEntry(index: number): Promise<void> {
     const { network, firstPort } = this.#options;
     const name = `entry-${index}`;
-    const zone = Object.keys(ZONES)[index % 4]!;
+    const zone = ZONE_NAMES[index % ZONE_NAMES.length]!;
     // Others reach the entry through proxies at its public address.
     const ip = `${network}.1.${index + 1}`;
     const listenIp = `${network}.2.${index + 1}`;
--- a/packages/testing/soak/src/records.ts
+++ b/packages/testing/soak/src/records.ts
@@ -26,6 +26,9 @@
 export interface RunRecord {
   readonly requestId: string;
   readonly serverId: string;
+  readonly region: string;
+  /** When the server got the request, and when it began to run it. */
+  readonly arrivedAtMs: number;
   readonly atMs: number;
 }
 
@@ -46,12 +49,19 @@
   readonly atMs: number;
 }
 
+/** A time in which the soak itself did not run, as on a busy machine. */
+export interface StallRecord {
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
 /** Everything that was seen. */
 export class Records {
   readonly requests: RequestRecord[] = [];
   readonly runs: RunRecord[] = [];
   readonly faults: FaultRecord[] = [];
   readonly changes: ChangeRecord[] = [];
+  readonly stalls: StallRecord[] = [];
 
   /** True if nothing disturbed an entry or the store in a span. */
   isCalm(entry: string, fromMs: number, untilMs: number): boolean {
--- a/packages/testing/soak/src/soak.ts
+++ b/packages/testing/soak/src/soak.ts
@@ -24,6 +24,15 @@
 const FAULT_MS = [200, 4_000] as const;
 const GAP_MS = [150, 1_500] as const;
 
+/** Shortest and longest time in milliseconds between configurations; they come
+ * also without faults, when their bounds hold at every entry. */
+const CHANGE_MS = [800, 4_500] as const;
+
+/** Interval in milliseconds at which stalls are looked for, and the least one:
+ * store and servers answer late for as long. */
+const WATCH_MS = 50;
+const STALL_MS = 300;
+
 const CALLERS = 6;
 
 /** Options of `runSoak`. */
@@ -58,15 +67,16 @@
   const installation = await startInstallation({
     ...options,
     random,
-    onRun: (requestId, serverId) =>
-      records.runs.push({ requestId, serverId, atMs: performance.now() }),
+    onRun: (run) => records.runs.push(run),
   });
+  const watch = watchStalls(records);
   try {
     const context = { installation, records, random, version: 0 };
     const calmFromMs = await runCallers(context, options);
     const violations = checkPromises(records, { calmFromMs });
     return { ...describe(records), seed: options.seed, violations, records };
   } finally {
+    clearInterval(watch);
     await installation.close();
   }
 }
@@ -89,15 +99,39 @@
       getVersion: () => context.version,
     })
   );
+  const stopChanges = startChanges(context);
   await wait(LEAD_MS);
   await runFaults(context, durationMs);
   await reviveAll(installation);
   const calmFromMs = performance.now();
   await wait(CALM_MS);
+  stopChanges();
   await Promise.all(stops.map((stop) => stop()));
   return calmFromMs;
 }
 
+function watchStalls({ stalls }: Records): NodeJS.Timeout {
+  let fromMs = performance.now();
+  return setInterval(() => {
+    const untilMs = performance.now();
+    if (untilMs - fromMs > STALL_MS) stalls.push({ fromMs, untilMs });
+    fromMs = untilMs;
+  }, WATCH_MS);
+}
+
+/** Puts configurations one after another; the result stops it. */
+function startChanges(context: FaultContext): () => void {
+  let timer: NodeJS.Timeout;
+  const putLater = () => {
+    timer = setTimeout(() => {
+      putDocument(context);
+      putLater();
+    }, pickBetween(CHANGE_MS, context.random));
+  };
+  putLater();
+  return () => clearTimeout(timer);
+}
+
 async function runFaults(
   context: FaultContext,
   durationMs: number,
