--- a/packages/daemon/edge/src/isolation_test.ts
+++ b/packages/daemon/edge/src/isolation_test.ts
@@ -42,7 +42,8 @@
   await waitUntil(t, async () => (await call("/bound/x")).status === 200);
 });
 
-// With the store away for all, no change is accepted, and serving goes on.
+// An outage of the store for all shows by live entries in every region.
+// Refusing restricted routes then would fail callers for seconds.
 test("guards against refusals while other entries answer in an outage", async (t) => {
   const store = await startStore(t);
   const first = await startReady(t, store, { instance: "n1" });
--- a/packages/daemon/edge/src/process/catalog_watch.ts
+++ b/packages/daemon/edge/src/process/catalog_watch.ts
@@ -18,7 +18,7 @@
 import { TableReader } from "./table_reader.ts";
 
 /** Interval in milliseconds at which the reading entry is asked. If it is cut
- * off at the moment of a change, the change is known to all within 2.5 s. */
+ * off at the moment of a change, others read the change within 2.5 s. */
 const FOLLOW_INTERVAL_MS = 400;
 
 /** Age in milliseconds above which an entry's catalog is not followed; it
@@ -48,8 +48,8 @@
   readonly store: DisposableStore;
   readonly metrics: EdgeMetrics;
   readonly log: Logger;
-  /** The catalog was brought up to date by the store, or by the entry with
-   * this process id. */
+  /** The catalog was brought up to date by `store` or by an entry, named by its
+   * process id or its address, or as `any entry`. */
   readonly onChanged: (source: string) => void;
   /** Process ids of the live entries of the region, this one included, in
    * the order in which they are to read. */
--- a/packages/daemon/edge/src/process/configuration_log.ts
+++ b/packages/daemon/edge/src/process/configuration_log.ts
@@ -12,7 +12,8 @@
 
 /** Notes each version once. */
 export interface ConfigurationLog {
-  /** `source` is `store`, or the process id of the entry that told it. */
+  /** `source` is `store`, or what is known of the entry that told it: its
+   * process id, its address, or `any entry`. */
   record(document: RoutingDocument, source: string): void;
 }
 
--- a/packages/daemon/edge/src/process/table_reader.ts
+++ b/packages/daemon/edge/src/process/table_reader.ts
@@ -18,7 +18,8 @@
 
 /** How each table is followed. Servers report every second or two, so waiting
  * for a change would end at once; a leaving server must be known in 2.5 s.
- * Orders are rare, and a wait that ends within 4 s shows a dead connection. */
+ * Orders are rare; a wait of 4 s and the time for an answer show a dead
+ * connection after 4.6 s. */
 const READING: Readonly<
   Record<CatalogTable, { readonly pauseMs: number; readonly waitMs: number }>
 > = {
--- a/packages/daemon/edge/src/request/sending.ts
+++ b/packages/daemon/edge/src/request/sending.ts
@@ -79,7 +79,8 @@
     this.#options = options;
   }
 
-  /** True if a server was tried; a send that was held back tries none. */
+  /** True if a server was tried, also one that refused the connection: it counts
+   * against the retry budget. A send that was held back tries none. */
   get hasSent(): boolean {
     return this.sends.some(({ result }) => result !== "held_back");
   }
