--- a/packages/daemon/edge/src/endless_answers_test.ts
+++ b/packages/daemon/edge/src/endless_answers_test.ts
@@ -3,16 +3,14 @@
 import type { ExecutionContext } from "ava";
 import {
   buildDocument,
-  buildPlatform,
   buildRoute,
   buildServer,
-  buildSettings,
   callEdge,
   createMemoryStore,
   startBackend,
 } from "./edge_fixture.ts";
-import type { CallerAnswer, MemoryStore, TestBackend } from "./edge_fixture.ts";
-import { startEdge } from "./mod.ts";
+import type { CallerAnswer, TestBackend } from "./edge_fixture.ts";
+import { startReady } from "./started_fixture.ts";
 
 /** Longer than the edge needs on a loaded machine to give an answer up. */
 const TIMEOUT_MS = 20_000;
@@ -59,20 +57,6 @@
   write();
 }
 
-/** Another process may take a port between its choice and the start. */
-async function startOnFreePorts(store: MemoryStore) {
-  for (let attempt = 0;; attempt++) {
-    const settings = await buildSettings("n1");
-    const platform = buildPlatform(store.createClient("n1"));
-    try {
-      return { settings, edge: await startEdge(settings, platform) };
-    } catch (error) {
-      const { code } = error as NodeJS.ErrnoException;
-      if (code !== "EADDRINUSE" || attempt === 4) throw error;
-    }
-  }
-}
-
 /** Starts an edge before the given servers; returns a call by its id. */
 async function startBefore(
   t: ExecutionContext,
@@ -88,15 +72,7 @@
     store.put("servers", record.id, { type: "server", record });
     t.teardown(() => backends[index]!.close());
   });
-  const { settings, edge } = await startOnFreePorts(store);
-  t.teardown(() => edge.leave());
-  const endAtMs = performance.now() + TIMEOUT_MS;
-  const isReady = async () =>
-    (await callEdge(settings.readiness, { path: "/ready" })).status === 200;
-  while (!await isReady()) {
-    if (performance.now() > endAtMs) throw new Error("The edge is not ready");
-    await new Promise((resolve) => setTimeout(resolve, 20));
-  }
+  const { settings } = await startReady(t, store);
   return (id) =>
     callEdge(settings.callers, {
       id,
