Refuse answers with a status that no caller can get

Callers saw: no answer at all, and every request of that entry was cut off. A server's status line `HTTP/1.1 099 Odd` (or `000`) was taken as an answer; writing it threw ERR_HTTP_INVALID_STATUS_CODE, as an unhandled rejection, and the process ended.

Cause: the client of the backend servers checked for 101 only. It now takes no status under 200 as final.

--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -22,9 +22,9 @@
  * connection is given up, so that no request crosses the server's close. */
 const IDLE_MARGIN_MS = 1_500;
 
-/** Status that ends HTTP on the connection and is no final answer. No request
- * asks for it, since `upgrade` is a header of one connection only. */
-const SWITCHING_PROTOCOLS = 101;
+/** Least status of a final answer. Lower ones are not valid, or, as 101, end
+ * HTTP on the connection, which no request asks for. */
+const LEAST_FINAL_STATUS = 200;
 
 /** Bounds and progress of one exchange. */
 export interface Exchange {
@@ -65,10 +65,10 @@
     ? connection.watchEnd()
     : Promise.resolve(true);
   exchange.answerBegan = true;
-  if (response.statusCode === SWITCHING_PROTOCOLS) closeRejected(exchange);
+  const { statusCode = 0, headers } = response;
+  if (statusCode < LEAST_FINAL_STATUS) closeRejected(exchange);
   if (!isOwnAnswer(response, exchange)) closeRejected(exchange);
   if (!hasKnownEnd(response, exchange)) closeRejected(exchange);
-  const { statusCode = 0, headers } = response;
   if (!exchange.answerRejected) exchange.request.onHead?.(statusCode, headers);
   const body = await readBody(response, exchange);
   if (!await ended) exchange.answerRejected = true;
--- /dev/null
+++ b/packages/network/backend/src/odd_status_test.ts
@@ -0,0 +1,43 @@
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import test from "ava";
+import { createBackendClient, OWN_PROTOCOL } from "./mod.ts";
+
+/** Sends one request to a server that answers with a status line. */
+async function sendTo(statusLine: string) {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => {
+      socket.write(`${statusLine}\r\ncontent-length: 2\r\n\r\nok`);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const client = createBackendClient({ protocol: OWN_PROTOCOL });
+  const result = await client.send({
+    address: `127.0.0.1:${port}`,
+    method: "GET",
+    path: "/",
+    headers: {},
+    deadlineMs: 2_000,
+    requestId: "r1",
+  });
+  client.close();
+  server.close();
+  return result;
+}
+
+// A status below 100 cannot be written to the caller.
+for (const statusLine of ["HTTP/1.1 099 Odd", "HTTP/1.1 000 None"]) {
+  test(`guards against an answer that no caller can get: ${statusLine}`, async (t) => {
+    t.is((await sendTo(statusLine)).type, "incomplete_answer");
+  });
+}
+
+test("guards against the refusal of a status that is only unusual", async (t) => {
+  const result = await sendTo("HTTP/1.1 599 Odd");
+  t.is(result.type, "answered");
+  if (result.type === "answered") t.is(result.status, 599);
+});
