Answer 502 when a request fails unexpectedly

Callers saw: a closed connection after an error in the forwarder, and the end of the whole process after an error while an answer was written: that one was thrown outside the promise whose failures were handled.

Change: errors of both kinds are logged, and the caller is answered 502, which promises nothing about the run. The connection is closed only if a part of an answer has left.

--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -78,13 +78,9 @@
       if (!response.writableFinished) controller.abort();
     });
     const context = { request, arrivedAtMs, signal: controller.signal };
-    this.#run(context).then(
-      (end) => this.#answer(end, response, context),
-      (error) => {
-        this.#options.log.part("request").error({ err: error }, "Failed.");
-        response.destroy();
-      },
-    );
+    this.#run(context)
+      .then((end) => this.#answer(end, response, context))
+      .catch((error) => this.#answerError(error, response, context));
   }
 
   async #run(context: RequestContext): Promise<RequestEnd> {
@@ -146,6 +142,25 @@
     });
   }
 
+  /** Answers that the outcome is unknown; no error of one request may end the
+   * process, or keep its caller waiting. */
+  #answerError(
+    error: unknown,
+    response: ServerResponse,
+    context: RequestContext,
+  ): void {
+    this.#options.log.part("request").error({ err: error }, "Failed.");
+    if (response.headersSent || response.destroyed) {
+      response.destroy();
+      return;
+    }
+    this.#answer(
+      { outcome: { type: "unknown", reason: "internal-error" }, sends: [] },
+      response,
+      context,
+    );
+  }
+
   #record(
     end: RequestEnd,
     requestId: string | undefined,
--- /dev/null
+++ b/packages/daemon/edge/src/request/front_fixture.ts
@@ -0,0 +1,45 @@
+/**
+ * A front on loopback, with a forwarder that tests choose.
+ *
+ * @module
+ */
+
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { ExecutionContext } from "ava";
+import { createCatalog } from "@dotterelmoor/core.catalog";
+import { DisposableStore } from "@dotterelmoor/core.types";
+import { buildDocument, buildPlatform, buildRoute } from "../edge_fixture.ts";
+import { createMemoryStore } from "../edge_fixture.ts";
+import { createEdgeLog } from "../process/logging.ts";
+import { createEdgeMetrics } from "../process/metrics.ts";
+import type { Forwarder } from "./forwarding.ts";
+import { createFront } from "./front.ts";
+
+/** Starts a front that knows one route; its server closes after the test. */
+export async function startFront(t: ExecutionContext, forwarder: Forwarder) {
+  const catalog = createCatalog({ zones: {} });
+  const document = buildDocument(1, [buildRoute()]);
+  const changes = [{ type: "document", document } as const];
+  catalog.applyTable("orders", { version: 1, isComplete: true, changes }, 0);
+  const store = new DisposableStore();
+  const front = createFront({
+    catalog,
+    forwarder,
+    protocol: buildPlatform(createMemoryStore().createClient("n1")).callers,
+    metrics: createEdgeMetrics({ address: undefined, store }),
+    log: createEdgeLog({ level: "silent", instance: "n1", region: "a" }),
+  });
+  const server = createServer((request, response) =>
+    front.handle(request, response)
+  );
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const { port } = server.address() as AddressInfo;
+  return { front, address: { host: "127.0.0.1", port } };
+}
--- a/packages/daemon/edge/src/request/outcomes.ts
+++ b/packages/daemon/edge/src/request/outcomes.ts
@@ -25,7 +25,7 @@
   | "no-route";
 
 /** Why it cannot be told whether a request ran. */
-export type UnknownReason = "answer-lost" | "timed-out";
+export type UnknownReason = "answer-lost" | "internal-error" | "timed-out";
 
 /** The end of one request. */
 export type RequestOutcome =
@@ -53,6 +53,7 @@
 
 const UNKNOWN_STATUS: Readonly<Record<UnknownReason, number>> = {
   "answer-lost": 502,
+  "internal-error": 502,
   "timed-out": 504,
 };
 
