Keep pipelined requests when an entry leaves

Callers saw: of three requests in one write to an entry that began to leave, the first was answered with `connection: close` and the others were cut off, although servers ran them.

Cause: every answer of a leaving entry closed its connection, also with newer requests waiting behind it; Node.js ends the connection after such an answer.

Change: only the newest request's answer ends a connection. A request that arrives after that answer was written is not passed on, since its answer could not reach the caller.

pipelined_test: both cases failed before (1 of 3 answers; q2 was passed on), both pass.

--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -13,6 +13,7 @@
 import type { ForwardResult } from "./forward_types.ts";
 import type { Forwarder } from "./forwarding.ts";
 import { answer } from "./outcomes.ts";
+import { Pipelines } from "./pipelines.ts";
 
 /** Time in milliseconds after which callers come back to a starting entry. */
 const STARTING_RETRY_MS = 500;
@@ -58,6 +59,7 @@
 
 class CallerFront implements Front {
   readonly #options: FrontOptions;
+  readonly #pipelines = new Pipelines();
   #refusesAtMs: number | undefined;
   inFlight = 0;
 
@@ -70,6 +72,10 @@
   }
 
   handle(request: IncomingMessage, response: ServerResponse): void {
+    if (!this.#pipelines.admit(request)) {
+      this.#options.log.decide("Request behind the last answer.", {});
+      return;
+    }
     const arrivedAtMs = performance.now();
     const controller = new AbortController();
     this.inFlight += 1;
@@ -135,10 +141,11 @@
     if (response.destroyed) return;
     // An unread body would be taken for the next request.
     const isUnread = !context.request.complete;
+    const isLast = this.#refusesAtMs !== undefined || isUnread;
     answer(end.outcome, response, {
       requestId,
       requestIdHeader: protocol.requestIdHeader,
-      closes: this.#refusesAtMs !== undefined || isUnread,
+      closes: isLast && this.#pipelines.end(context.request),
     });
   }
 
--- /dev/null
+++ b/packages/daemon/edge/src/request/pipelined_test.ts
@@ -0,0 +1,78 @@
+import { once } from "node:events";
+import { connect } from "node:net";
+import test from "ava";
+import type { ForwardResult } from "./forward_types.ts";
+import { startFront } from "./front_fixture.ts";
+
+function writeRequest(id: string): string {
+  return `GET /a/${id} HTTP/1.1\r\nhost: desk.example\r\n` +
+    `dotterelmoor-request-id: ${id}\r\n\r\n`;
+}
+
+/** Holds each request until the test ends it. */
+function createHeldForwarder() {
+  const ends = new Map<string, (body: string) => void>();
+  let markForwarded = () => {};
+  return {
+    ends,
+    /** Resolves when so many requests were forwarded. */
+    waitFor: async (count: number) => {
+      while (ends.size < count) {
+        await new Promise<void>((resolve) => markForwarded = resolve);
+      }
+    },
+    forward: ({ requestId }: { readonly requestId: string }) =>
+      new Promise<ForwardResult>((resolve) => {
+        ends.set(requestId, (text) =>
+          resolve({
+            outcome: {
+              type: "answered",
+              status: 200,
+              headers: {},
+              body: Buffer.from(text),
+            },
+            sends: [],
+          }));
+        markForwarded();
+      }),
+  };
+}
+
+// Servers run what was passed on, so its answers must reach the caller.
+test("guards against pipelined requests that the first answer of a leaving entry cuts off", async (t) => {
+  const forwarder = createHeldForwarder();
+  const { front, address } = await startFront(t, forwarder);
+  const socket = connect(address);
+  let received = "";
+  socket.on("data", (chunk) => received += chunk);
+  socket.write(["q1", "q2", "q3"].map(writeRequest).join(""));
+  await forwarder.waitFor(3);
+  front.startLeaving(60_000);
+  for (const [id, end] of forwarder.ends) end(`answer to ${id}`);
+  await once(socket, "end");
+  const bodies = received.match(/answer to q\d/g);
+  t.deepEqual(bodies, ["answer to q1", "answer to q2", "answer to q3"]);
+  t.is(received.match(/connection: close/gi)?.length, 1);
+  t.regex(received, /connection: close[^]*answer to q3$/i);
+});
+
+// The caller cannot get an answer to it: the connection ends before.
+test("guards against a request that is passed on behind an answer which ends its connection", async (t) => {
+  const forwarder = createHeldForwarder();
+  const { front, address } = await startFront(t, forwarder);
+  const socket = connect(address);
+  socket.write(writeRequest("q1"));
+  await forwarder.waitFor(1);
+  front.startLeaving(60_000);
+  // More than the sockets' buffers take, so that its end waits for the caller.
+  const body = "x".repeat(32 * 1_024 * 1_024);
+  forwarder.ends.get("q1")!(body);
+  await once(socket, "readable");
+  socket.write(writeRequest("q2"));
+  let bytes = 0;
+  socket.on("data", (chunk) => bytes += chunk.length);
+  socket.on("error", () => {});
+  await once(socket, "close");
+  t.true(bytes >= body.length);
+  t.deepEqual([...forwarder.ends.keys()], ["q1"]);
+});
