Refuse an answer without an id on a connection in use again

Callers saw: 200 with the body of the caller before. A server sent a second copy of its answer late, without the request id, when its connection carried the next request.

Cause: an answer without an id counted as the request's own, also where servers echo ids. It still does on a connection's first request, where no copy can come before; on later ones it is incomplete, and the connection is closed.

late_copy_test: 1 of 4 cases failed before ("answered" with the first body), all pass.

--- a/packages/network/backend/src/connection.ts
+++ b/packages/network/backend/src/connection.ts
@@ -70,6 +70,7 @@
   readonly agent: Agent;
   readonly #socket: Socket;
   #idleMs: number;
+  #isReused = false;
   #idleTimer: NodeJS.Timeout | undefined;
   #handleAnswerData: () => void = () => {};
 
@@ -96,8 +97,14 @@
       this.#socket.readable;
   }
 
+  /** True if the connection carried an answer before. */
+  get isReused(): boolean {
+    return this.#isReused;
+  }
+
   /** Takes the connection out of its idle state for one request. */
   markBusy(): void {
+    this.#isReused = true;
     clearTimeout(this.#idleTimer);
     this.#socket.removeListener("data", this.#handleUnaskedData);
   }
--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -67,7 +67,8 @@
   exchange.answerBegan = true;
   const { statusCode = 0, headers } = response;
   if (statusCode < LEAST_FINAL_STATUS) closeRejected(exchange);
-  if (!isOwnAnswer(response, exchange)) closeRejected(exchange);
+  const isOwn = isOwnAnswer(response, exchange, connection.isReused);
+  if (!isOwn) closeRejected(exchange);
   if (!hasKnownEnd(response, exchange)) closeRejected(exchange);
   if (!exchange.answerRejected) exchange.request.onHead?.(statusCode, headers);
   const body = await readBody(response, exchange);
@@ -147,12 +148,16 @@
   });
 }
 
-/** A late answer to an earlier request is told by its id. */
-function isOwnAnswer(response: IncomingMessage, exchange: Exchange): boolean {
-  const { protocol, request } = exchange;
+/** A late answer to an earlier request of the connection is told by its id; one
+ * without an id may be a copy of an earlier one. */
+function isOwnAnswer(
+  response: IncomingMessage,
+  { protocol, request }: Exchange,
+  isReused: boolean,
+): boolean {
+  if (!protocol.echoesRequestId) return true;
   const echoed = response.headers[protocol.requestIdHeader];
-  return !protocol.echoesRequestId || echoed === undefined ||
-    echoed === request.requestId;
+  return echoed === undefined ? !isReused : echoed === request.requestId;
 }
 
 function limitIdle(connection: Connection, response: IncomingMessage): void {
--- /dev/null
+++ b/packages/network/backend/src/late_copy_test.ts
@@ -0,0 +1,75 @@
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import type { ExecutionContext } from "ava";
+import test from "ava";
+import { createBackendClient, OWN_PROTOCOL } from "./mod.ts";
+
+const PROTOCOL = { ...OWN_PROTOCOL, echoesRequestId: true };
+
+/** Sends two requests, one after the other, on one connection to a server that
+ * answers each with the given text. */
+async function sendTwo(t: ExecutionContext, answers: readonly string[]) {
+  let connections = 0;
+  const server = createServer((socket) => {
+    connections += 1;
+    let requests = 0;
+    socket.on("error", () => {});
+    socket.on("data", () => {
+      const answer = answers[requests];
+      requests += 1;
+      if (answer !== undefined) socket.write(answer);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const client = createBackendClient({ protocol: PROTOCOL });
+  t.teardown(() => {
+    client.close();
+    server.close();
+  });
+  const send = (requestId: string) =>
+    client.send({
+      address: `127.0.0.1:${port}`,
+      method: "GET",
+      path: "/",
+      headers: {},
+      deadlineMs: 2_000,
+      requestId,
+    });
+  const results = [await send("r1"), await send("r2")];
+  t.is(connections, 1);
+  return results;
+}
+
+function buildAnswer(body: string, header = ""): string {
+  return `HTTP/1.1 200 OK\r\n${header}content-length: ${body.length}\r\n\r\n` +
+    body;
+}
+
+const FIRST = buildAnswer("first", "dotterelmoor-request-id: r1\r\n");
+const SECOND = buildAnswer("second", "dotterelmoor-request-id: r2\r\n");
+
+// A server repeats its answer late, when the connection carries another request.
+test("guards against a late copy without an id that the next caller gets", async (t) => {
+  const copy = buildAnswer("first");
+  const [first, second] = await sendTwo(t, [FIRST, copy + SECOND]);
+  t.is(first!.type, "answered");
+  t.is(second!.type, "incomplete_answer");
+});
+
+test("guards against a late copy with the first id that the next caller gets", async (t) => {
+  const [, second] = await sendTwo(t, [FIRST, FIRST + SECOND]);
+  t.is(second!.type, "incomplete_answer");
+});
+
+test("guards against the refusal of the only answer that a connection carries", async (t) => {
+  const [first] = await sendTwo(t, [buildAnswer("first"), SECOND]);
+  t.is(first!.type, "answered");
+});
+
+test("guards against the refusal of a second answer with its own id", async (t) => {
+  const [, second] = await sendTwo(t, [FIRST, SECOND]);
+  t.is(second!.type, "answered");
+});
