Go on with the loops of an entry after a failed step

Callers saw: nothing yet. An error thrown while an entry took over another one's catalog ended the process; without that, the loop would have ended, and every later pull would have failed with the first one's error, so the entry would serve by the catalog of that moment.

A pull that fails no longer fails those behind it.

--- a/packages/daemon/edge/src/process/catalog_watch.ts
+++ b/packages/daemon/edge/src/process/catalog_watch.ts
@@ -12,7 +12,7 @@
 import type { CatalogStore } from "../ports.ts";
 import { ContactClock } from "./contact_clock.ts";
 import { unpackDelta } from "./delta_packing.ts";
-import { wait } from "./intervals.ts";
+import { runRepeatedly } from "./intervals.ts";
 import type { EdgeMetrics } from "./metrics.ts";
 import { createReaderChoice } from "./reader_choice.ts";
 import { TableReader } from "./table_reader.ts";
@@ -150,7 +150,11 @@
     this.#options.store.add(() => {
       this.#stopped = true;
     });
-    void this.#run();
+    const isStopped = () => this.#stopped;
+    void runRepeatedly(async () => {
+      await this.#step();
+      return this.isLoaded ? FOLLOW_INTERVAL_MS : START_INTERVAL_MS;
+    }, { isStopped, log: this.#options.log });
   }
 
   pullNow(peerAddress: string): void {
@@ -161,13 +165,6 @@
     });
   }
 
-  async #run(): Promise<void> {
-    while (!this.#stopped) {
-      await this.#step();
-      await wait(this.isLoaded ? FOLLOW_INTERVAL_MS : START_INTERVAL_MS);
-    }
-  }
-
   async #step(): Promise<void> {
     const { processId, listRegion, joinMs } = this.#options;
     const nowMs = performance.now();
@@ -214,9 +211,16 @@
   }
 
   /** Takes over an entry's catalog; false if it cannot be relied on. Pulls
-   * follow each other, so that changes are applied in their order. */
+   * follow each other, so that changes are applied in their order; one that
+   * fails unexpectedly must not end those behind it. */
   #follow(source: CatalogSource): Promise<boolean> {
-    this.#pulls = this.#pulls.then(() => this.#followOnce(source));
+    this.#pulls = this.#pulls
+      .then(() => this.#followOnce(source))
+      .catch((error: unknown) => {
+        const entry = describeSource(source);
+        this.#options.log.error({ entry, err: error }, "Pull failed.");
+        return false;
+      });
     return this.#pulls;
   }
 
--- a/packages/daemon/edge/src/process/keeping.ts
+++ b/packages/daemon/edge/src/process/keeping.ts
@@ -15,7 +15,7 @@
 import type { Logger } from "pino";
 import type { CatalogStore } from "../ports.ts";
 import type { Assignments } from "./assignments.ts";
-import { wait } from "./intervals.ts";
+import { runRepeatedly } from "./intervals.ts";
 
 /** Interval in milliseconds between looks for what others know. */
 const LOOK_MS = 50;
@@ -67,16 +67,20 @@
     this.#options.store.add(() => {
       this.#stopped = true;
     });
-    void this.#run();
+    const { log } = this.#options;
+    const isStopped = () => this.#stopped;
+    void runRepeatedly(() => this.#step(), { isStopped, log });
   }
 
-  async #run(): Promise<void> {
-    while (!this.#stopped && !await this.#restore()) await wait(LOOK_MS);
-    this.isRestored = true;
-    while (!this.#stopped) {
-      await wait(KEEP_MS);
-      if (!this.#stopped) await this.#keep();
+  /** Restores, then keeps; returns the pause in milliseconds after it. */
+  async #step(): Promise<number> {
+    if (this.isRestored) {
+      await this.#keep();
+      return KEEP_MS;
     }
+    if (!await this.#restore()) return LOOK_MS;
+    this.isRestored = true;
+    return KEEP_MS;
   }
 
   /** True once nothing more is to be expected. */
--- a/packages/daemon/edge/src/process/load_exchange.ts
+++ b/packages/daemon/edge/src/process/load_exchange.ts
@@ -35,7 +35,7 @@
 import type { Logger } from "pino";
 import type { Assignments } from "./assignments.ts";
 import { sortEntries } from "./entry_order.ts";
-import { wait } from "./intervals.ts";
+import { runRepeatedly } from "./intervals.ts";
 import { createReaderChoice } from "./reader_choice.ts";
 
 /** Interval in milliseconds of reports for each entry of the region, so that
@@ -148,7 +148,13 @@
     this.#options.store.add(() => {
       this.#stopped = true;
     });
-    void this.#run();
+    const { random, log } = this.#options;
+    const isStopped = () => this.#stopped;
+    void runRepeatedly(async () => {
+      await this.#step();
+      // Entries that started together do not all report at once.
+      return this.#intervalMs * (0.9 + 0.2 * random());
+    }, { isStopped, log });
   }
 
   answer(
@@ -186,14 +192,6 @@
     for (const key of keys) this.#foreignUses.add(key);
   }
 
-  async #run(): Promise<void> {
-    while (!this.#stopped) {
-      await this.#step();
-      // Entries that started together do not all report at once.
-      await wait(this.#intervalMs * (0.9 + 0.2 * this.#options.random()));
-    }
-  }
-
   async #step(): Promise<void> {
     const { processId, region, listEntries, placer, assignments, isRestored } =
       this.#options;
@@ -219,7 +217,9 @@
     this.#addUses(placer.takeObservations().uses);
     if (nowMs - this.#regionsAtMs < REGION_INTERVAL_MS) return;
     this.#regionsAtMs = nowMs;
-    void this.#pullRegions(entries);
+    this.#pullRegions(entries).catch((error: unknown) =>
+      this.#options.log.error({ err: error }, "Regions not asked.")
+    );
   }
 
   #setFirst(first: MemberRecord | undefined): void {
--- a/packages/daemon/edge/src/process/registration.ts
+++ b/packages/daemon/edge/src/process/registration.ts
@@ -10,6 +10,7 @@
 import type { DisposableStore } from "@dotterelmoor/core.types";
 import type { Logger } from "pino";
 import type { CatalogStore } from "../ports.ts";
+import { runRepeatedly } from "./intervals.ts";
 
 /** Pauses in milliseconds before looks: seeds answer within the first few
  * hundred; later looks join entries that know only some of the others. */
@@ -31,24 +32,25 @@
 
 /** Starts to register and to look for others. */
 export function startRegistration(options: RegistrationOptions): void {
-  const { store } = options;
-  let timer: NodeJS.Timeout | undefined;
+  const { store, log } = options;
   let looks = 0;
   let isRegistered = false;
+  let stopped = false;
   const look = async () => {
+    const pauseMs = PAUSES_MS[Math.min(looks, PAUSES_MS.length - 1)]!;
+    looks += 1;
+    // Seeds answer before the first look.
+    if (looks === 1) return pauseMs;
     if (options.isReading() && !isRegistered) {
       isRegistered = await register(options);
     }
     if (options.isReading() || options.isAlone()) await findOthers(options);
-    schedule();
-  };
-  const schedule = () => {
-    const pauseMs = PAUSES_MS[Math.min(looks, PAUSES_MS.length - 1)]!;
-    looks += 1;
-    timer = setTimeout(() => void look(), pauseMs);
+    return pauseMs;
   };
-  schedule();
-  store.add(() => clearTimeout(timer));
+  void runRepeatedly(look, { isStopped: () => stopped, log });
+  store.add(() => {
+    stopped = true;
+  });
 }
 
 async function register(options: RegistrationOptions): Promise<boolean> {
--- a/packages/daemon/edge/src/process/table_reader.ts
+++ b/packages/daemon/edge/src/process/table_reader.ts
@@ -13,7 +13,7 @@
 import type { Logger } from "pino";
 import type { CatalogStore, StoreError } from "../ports.ts";
 import type { ContactClock } from "./contact_clock.ts";
-import { wait } from "./intervals.ts";
+import { runRepeatedly } from "./intervals.ts";
 import type { EdgeMetrics } from "./metrics.ts";
 
 /** How each table is followed. Servers report every second or two, so waiting
@@ -81,7 +81,10 @@
     this.#run += 1;
     this.#isContinued = this.#version > 0;
     this.#failingSinceMs = undefined;
-    void this.#follow(this.#run);
+    const run = this.#run;
+    const isStopped = () => this.#run !== run;
+    const { log } = this.#options;
+    void runRepeatedly(() => this.#step(isStopped), { isStopped, log });
   }
 
   stop(): void {
@@ -89,19 +92,19 @@
     this.#answeredAtMs = -Infinity;
   }
 
-  async #follow(run: number): Promise<void> {
+  /** Reads once; returns the pause in milliseconds until the next read. */
+  async #step(isStopped: () => boolean): Promise<number> {
     const { contact } = this.#options;
-    while (this.#run === run) {
-      const asked = contact.mark();
-      const result = await this.#read();
-      if (this.#run !== run) return;
-      if (result.isOk()) contact.note(asked);
-      if (result.isOk()) this.#applyUpdate(result.value);
-      else this.#recordFailure(result.error);
-      await wait(
-        result.isOk() ? READING[this.#table].pauseMs : FAILED_PAUSE_MS,
-      );
+    const asked = contact.mark();
+    const result = await this.#read();
+    if (isStopped()) return 0;
+    if (result.isErr()) {
+      this.#recordFailure(result.error);
+      return FAILED_PAUSE_MS;
     }
+    contact.note(asked);
+    this.#applyUpdate(result.value);
+    return READING[this.#table].pauseMs;
   }
 
   get #version(): number {
