Serve on after an error that no part handled

Callers saw: all requests in flight cut off when any callback threw, for example an error event without a listener on one socket or listener.

Cause: unhandled errors and rejections ended the process, the default of Node.js. Requests and entries' messages are independent of each other, and an entry keeps nothing on disk, so one of them is no reason to end the others.

--- a/packages/daemon/edge/src/process/metrics.ts
+++ b/packages/daemon/edge/src/process/metrics.ts
@@ -35,6 +35,7 @@
   readonly storeCalls: Counter<"table" | "outcome">;
   readonly members: Gauge<"region">;
   readonly configuration: Gauge;
+  readonly unexpectedErrors: Counter;
 }
 
 /** Creates the measures and serves them if an address is set. */
@@ -94,6 +95,11 @@
       help: "Version of the configuration in force",
       registers,
     }),
+    unexpectedErrors: new Counter({
+      name: "dotterelmoor_unexpected_errors_total",
+      help: "Errors that no part of the process handled",
+      registers,
+    }),
   };
   if (options.address !== undefined) {
     serveMetrics(registry, options.address, options.store);
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -75,6 +75,8 @@
   leave(): Promise<void>;
   /** Notes that the settings changed; they are read at a start only. */
   noteReload(): void;
+  /** Notes an error that no part handled; the process serves on. */
+  noteError(error: unknown): void;
 }
 
 /** Starts an edge on its platform; rejects if it cannot listen. */
@@ -184,6 +186,10 @@
     },
     noteReload: () =>
       log.part("edge").info("Settings changed; kept until a restart."),
+    noteError: (error) => {
+      metrics.unexpectedErrors.inc();
+      log.decide("Unexpected error.", { err: error }, "edge");
+    },
   };
 }
 
