Read what arrived during a stall before sending to servers

Callers saw: nothing; servers got requests of callers that had left. After the process had stood still (paused, or short of processor time), it accepted the connections of that time, and passed their requests on before it read that the callers had closed them. Timers came first as well: a backup send was started while the first server's answer was already in the socket.

Change: for a time after a stall as long as the stall itself, and 1 s at most, each send waits some turns of the event loop, about 20 ms, in which the ends of connections, answers and changes are read.

--- /dev/null
+++ b/packages/daemon/edge/src/process/stalls.ts
@@ -0,0 +1,72 @@
+/**
+ * Tells when the process has just stood still.
+ *
+ * Pattern: a process that was paused, or short of processor time, finds its
+ * timers due and its sockets full at once, and timers come first. Callers that
+ * left, answers and changes of that time are known only after its sockets were
+ * read, so what would be sent to servers waits until then.
+ *
+ * @module
+ */
+
+import type { DisposableStore } from "@dotterelmoor/core.types";
+import { wait } from "./intervals.ts";
+
+/** Interval in milliseconds at which the event loop is known to turn. */
+const TICK_MS = 100;
+
+/** Delay of a tick in milliseconds that counts as a stall; ticks of a busy
+ * instance are some ten milliseconds late. */
+const STALL_MS = 150;
+
+/** Turns of the event loop, and the least length of each in milliseconds, after
+ * which the end of a caller's connection behind its request is handled. */
+const SETTLING_TURNS = 4;
+const TURN_MS = 5;
+
+/** Longest time in milliseconds after a stall in which callers are still
+ * accepted that came during it: the loop accepts one at a time. */
+const LONGEST_BACKLOG_MS = 1_000;
+
+/** Stalls of one process. */
+export interface Stalls {
+  /** Undefined unless the process has just stood still; else resolves once what
+   * is in the sockets at the time of the call has been read. */
+  settle(): Promise<void> | undefined;
+}
+
+/** Starts to look for stalls. */
+export function startStalls(store: DisposableStore): Stalls {
+  const stalls = new TickedStalls();
+  const timer = setInterval(() => stalls.tick(), TICK_MS);
+  store.add(() => clearInterval(timer));
+  return stalls;
+}
+
+class TickedStalls implements Stalls {
+  #tickedAtMs = performance.now();
+  #settledAtMs = -Infinity;
+
+  tick(): void {
+    this.#check();
+    this.#tickedAtMs = performance.now();
+  }
+
+  settle(): Promise<void> | undefined {
+    this.#check();
+    const isSettled = performance.now() >= this.#settledAtMs;
+    return isSettled ? undefined : waitTurns();
+  }
+
+  #check(): void {
+    const nowMs = performance.now();
+    const stalledMs = nowMs - this.#tickedAtMs - TICK_MS;
+    if (stalledMs < STALL_MS) return;
+    this.#tickedAtMs = nowMs;
+    this.#settledAtMs = nowMs + Math.min(stalledMs, LONGEST_BACKLOG_MS);
+  }
+}
+
+async function waitTurns(): Promise<void> {
+  for (let turn = 0; turn < SETTLING_TURNS; turn++) await wait(TURN_MS);
+}
--- a/packages/daemon/edge/src/request/forwarding.ts
+++ b/packages/daemon/edge/src/request/forwarding.ts
@@ -11,6 +11,7 @@
 } from "@dotterelmoor/core.placing";
 import { wait } from "../process/intervals.ts";
 import type { RetryBudgets } from "../process/retry_budgets.ts";
+import type { Stalls } from "../process/stalls.ts";
 import type { ForwardRequest, ForwardResult } from "./forward_types.ts";
 import type { NotRunReason, RequestOutcome } from "./outcomes.ts";
 import {
@@ -35,6 +36,7 @@
 export interface ForwarderOptions
   extends TermsReaderOptions, Omit<RequestSenderOptions, "terms"> {
   readonly budgets: RetryBudgets;
+  readonly stalls: Stalls;
 }
 
 /** Serves requests through backend servers. */
@@ -78,7 +80,10 @@
 
   async run(): Promise<ForwardResult> {
     this.#options.placer.recordArrival();
+    const { stalls } = this.#options;
     while (true) {
+      const settling = stalls.settle();
+      if (settling !== undefined) await settling;
       const step = this.#decide();
       if (step.type === "end") return this.#end(step.outcome);
       const result = await this.#sendWithBackup(step.decision);
@@ -162,7 +167,7 @@
     const { expectedMs } = decision.placement;
     const isEarly = await Promise.race([
       first.result.then(() => true),
-      wait(computeBackupDelay(expectedMs)).then(() => false),
+      this.#waitForOverdue(expectedMs).then(() => false),
     ]);
     first.progress.isOverdue = !isEarly;
     const backup = isEarly ? undefined : this.#startBackup();
@@ -173,6 +178,12 @@
     return result;
   }
 
+  /** Resolves when an answer is overdue, and not already in the socket. */
+  async #waitForOverdue(expectedMs: number): Promise<void> {
+    await wait(computeBackupDelay(expectedMs));
+    await this.#options.stalls.settle();
+  }
+
   #startBackup(): OpenSend | undefined {
     const terms = this.#terms.read();
     const isOpen = terms !== undefined && terms.repeatable &&
--- a/packages/daemon/edge/src/request/held_back_test.ts
+++ b/packages/daemon/edge/src/request/held_back_test.ts
@@ -54,6 +54,7 @@
     placer,
     backend,
     splitter: createSplitter(),
+    stalls: { settle: () => undefined },
     budgets: { recordRequest: () => {}, takeRetry: () => true },
     protocol: { targetHeader: "target", readLoad: () => undefined } as never,
     metrics: createEdgeMetrics({ address: undefined, store }),
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -37,6 +37,7 @@
 import { startRegistration } from "./process/registration.ts";
 import { startReports } from "./process/reports.ts";
 import { createRetryBudgets } from "./process/retry_budgets.ts";
+import { startStalls } from "./process/stalls.ts";
 import { createForwarder } from "./request/forwarding.ts";
 import { createFront } from "./request/front.ts";
 import type { Front } from "./request/front.ts";
@@ -280,6 +281,7 @@
       placer,
       backend,
       budgets,
+      stalls: startStalls(store),
       protocol,
       metrics,
       isInContact: () => {
