Count a suspension against the time of the requests in flight

Callers saw: nothing; servers were told to work for callers that had given up. The monotonic clock stands still while an instance is suspended, so a request that waited through it was sent on with the time that it had left before.

Change: the look for stalls compares both clocks, as the one for contact does. What the monotonic clock missed is taken off the deadline of requests that are in flight, also at their first byte, and a suspension counts as a stall. A time of day that is set forward does the same to the requests of that moment.

held_back_test and stalls_test have a case each: the send is not written and the request is answered as not run; before, nothing told a suspension here.

--- a/packages/daemon/edge/src/process/contact_clock.ts
+++ b/packages/daemon/edge/src/process/contact_clock.ts
@@ -12,7 +12,8 @@
   readonly wallMs: () => number;
 }
 
-const SYSTEM_CLOCKS: Clocks = {
+/** The clocks of this process. */
+export const SYSTEM_CLOCKS: Clocks = {
   steadyMs: () => performance.now(),
   wallMs: () => Date.now(),
 };
--- a/packages/daemon/edge/src/process/stalls.ts
+++ b/packages/daemon/edge/src/process/stalls.ts
@@ -10,6 +10,8 @@
  */
 
 import type { DisposableStore } from "@dotterelmoor/core.types";
+import { SYSTEM_CLOCKS } from "./contact_clock.ts";
+import type { Clocks, Moment } from "./contact_clock.ts";
 import { wait } from "./intervals.ts";
 
 /** Interval in milliseconds at which the event loop is known to turn. */
@@ -33,37 +35,64 @@
   /** Undefined unless the process has just stood still; else resolves once what
    * is in the sockets at the time of the call has been read. */
   settle(): Promise<void> | undefined;
+  /** Time in milliseconds, since the start, that the monotonic clock missed
+   * because the instance was suspended. */
+  suspendedMs(): number;
 }
 
 /** Starts to look for stalls. */
-export function startStalls(store: DisposableStore): Stalls {
-  const stalls = new TickedStalls();
+export function startStalls(
+  store: DisposableStore,
+  clocks: Clocks = SYSTEM_CLOCKS,
+): Stalls {
+  const stalls = new TickedStalls(clocks);
   const timer = setInterval(() => stalls.tick(), TICK_MS);
   store.add(() => clearInterval(timer));
   return stalls;
 }
 
 class TickedStalls implements Stalls {
-  #tickedAtMs = performance.now();
+  readonly #clocks: Clocks;
+  #ticked: Moment;
   #settledAtMs = -Infinity;
+  #suspendedMs = 0;
+
+  constructor(clocks: Clocks) {
+    this.#clocks = clocks;
+    this.#ticked = this.#mark();
+  }
 
   tick(): void {
     this.#check();
-    this.#tickedAtMs = performance.now();
+    this.#ticked = this.#mark();
   }
 
   settle(): Promise<void> | undefined {
     this.#check();
-    const isSettled = performance.now() >= this.#settledAtMs;
+    const isSettled = this.#clocks.steadyMs() >= this.#settledAtMs;
     return isSettled ? undefined : waitTurns();
   }
 
+  suspendedMs(): number {
+    this.#check();
+    return this.#suspendedMs;
+  }
+
+  #mark(): Moment {
+    const { steadyMs, wallMs } = this.#clocks;
+    return { steadyMs: steadyMs(), wallMs: wallMs() };
+  }
+
   #check(): void {
-    const nowMs = performance.now();
-    const stalledMs = nowMs - this.#tickedAtMs - TICK_MS;
+    const now = this.#mark();
+    const steadyMs = now.steadyMs - this.#ticked.steadyMs;
+    const wallMs = now.wallMs - this.#ticked.wallMs;
+    const stalledMs = Math.max(steadyMs, wallMs) - TICK_MS;
     if (stalledMs < STALL_MS) return;
-    this.#tickedAtMs = nowMs;
-    this.#settledAtMs = nowMs + Math.min(stalledMs, LONGEST_BACKLOG_MS);
+    this.#ticked = now;
+    this.#suspendedMs += Math.max(0, wallMs - steadyMs);
+    const backlogMs = Math.min(stalledMs, LONGEST_BACKLOG_MS);
+    this.#settledAtMs = now.steadyMs + backlogMs;
   }
 }
 
--- a/packages/daemon/edge/src/process/stalls_test.ts
+++ b/packages/daemon/edge/src/process/stalls_test.ts
@@ -42,6 +42,25 @@
   }
 });
 
+// The monotonic clock does not count the time for which an instance is suspended.
+test.serial("guards against a suspension that goes unnoticed", async (t) => {
+  const store = new DisposableStore();
+  t.teardown(() => store.dispose());
+  const now = { steadyMs: 1_000, wallMs: 1_700_000_000_000 };
+  const stalls = startStalls(store, {
+    steadyMs: () => now.steadyMs,
+    wallMs: () => now.wallMs,
+  });
+  now.steadyMs += 100;
+  now.wallMs += 5_100;
+  const settling = stalls.settle();
+  t.not(settling, undefined);
+  await settling;
+  t.is(stalls.suspendedMs(), 5_000);
+  now.wallMs -= 60_000;
+  t.is(stalls.suspendedMs(), 5_000);
+});
+
 // The connections are in the listener's queue, and their ends behind their
 // requests, when the process goes on.
 test.serial("guards against requests that are sent on long after their callers left", async (t) => {
--- a/packages/daemon/edge/src/request/forwarding.ts
+++ b/packages/daemon/edge/src/request/forwarding.ts
@@ -11,7 +11,6 @@
 } from "@dotterelmoor/core.placing";
 import { wait } from "../process/intervals.ts";
 import type { RetryBudgets } from "../process/retry_budgets.ts";
-import type { Stalls } from "../process/stalls.ts";
 import type { ForwardRequest, ForwardResult } from "./forward_types.ts";
 import type { NotRunReason, RequestOutcome } from "./outcomes.ts";
 import {
@@ -36,7 +35,6 @@
 export interface ForwarderOptions
   extends TermsReaderOptions, Omit<RequestSenderOptions, "terms"> {
   readonly budgets: RetryBudgets;
-  readonly stalls: Stalls;
 }
 
 /** Serves requests through backend servers. */
--- a/packages/daemon/edge/src/request/held_back_test.ts
+++ b/packages/daemon/edge/src/request/held_back_test.ts
@@ -23,6 +23,7 @@
   };
   const written: string[] = [];
   const contact = { isInContact: true };
+  const suspended = { ms: 0 };
   const backend = {
     send: (request) => {
       const result = plays[Math.min(sends, plays.length - 1)]!(apply);
@@ -54,7 +55,7 @@
     placer,
     backend,
     splitter: createSplitter(),
-    stalls: { settle: () => undefined },
+    stalls: { settle: () => undefined, suspendedMs: () => suspended.ms },
     budgets: { recordRequest: () => {}, takeRetry: () => true },
     protocol: { targetHeader: "target", readLoad: () => undefined } as never,
     metrics: createEdgeMetrics({ address: undefined, store }),
@@ -76,7 +77,7 @@
       signal: new AbortController().signal,
     });
   };
-  return { apply, forward, written, contact };
+  return { apply, forward, written, contact, suspended };
 }
 
 type Apply = (table: "orders" | "servers", change: CatalogChange) => void;
@@ -153,3 +154,18 @@
   await forward();
   t.deepEqual(written, []);
 });
+
+// The monotonic clock stood still, and the caller has given up.
+test("guards against work beyond the caller's time after a suspension", async (t) => {
+  const { apply, forward, written, suspended } = setUp([
+    () => {
+      suspended.ms = 5_000;
+      return ANSWER;
+    },
+  ]);
+  putRoute(apply, 1);
+  putServer(apply, "s1");
+  const { outcome } = await forward();
+  t.deepEqual(written, []);
+  t.is(outcome.type, "not-run");
+});
--- a/packages/daemon/edge/src/request/send_terms.ts
+++ b/packages/daemon/edge/src/request/send_terms.ts
@@ -14,6 +14,7 @@
   RoutingDocument,
   Splitter,
 } from "@dotterelmoor/core.catalog";
+import type { Stalls } from "../process/stalls.ts";
 import type { ForwardRequest } from "./forward_types.ts";
 
 /** What holds for a request's sends by one configuration. */
@@ -35,6 +36,7 @@
   /** False if neither the store nor an entry has answered for so long that the
    * regions of a route may have moved unseen. */
   readonly isInContact: () => boolean;
+  readonly stalls: Stalls;
 }
 
 /** Reads the terms of one request. */
@@ -46,11 +48,13 @@
   /** Kept while a route is gone, which may return. */
   #service: string | undefined;
   #repeatable: boolean;
+  readonly #suspendedMs: number;
 
   constructor(request: ForwardRequest, options: TermsReaderOptions) {
     this.#request = request;
     this.#options = options;
     this.#repeatable = request.route.repeatable;
+    this.#suspendedMs = options.stalls.suspendedMs();
   }
 
   /** Service that was chosen last, if any was. */
@@ -65,7 +69,11 @@
       this.#document = document;
       this.#terms = document && this.#build(document);
     }
-    return this.#terms;
+    const terms = this.#terms;
+    const lostMs = this.#options.stalls.suspendedMs() - this.#suspendedMs;
+    if (terms === undefined || lostMs === 0) return terms;
+    // Callers waited on while this instance was suspended.
+    return { ...terms, deadlineAtMs: terms.deadlineAtMs - lostMs };
   }
 
   /** Regions hold also where a change of them cannot be heard of. */
--- a/packages/daemon/edge/src/request/sending.ts
+++ b/packages/daemon/edge/src/request/sending.ts
@@ -143,7 +143,7 @@
       deadlineMs: deadlineAtMs - performance.now() - ANSWER_MARGIN_MS,
       requestId,
       signal: controller.signal,
-      workLimitMs: () => this.#checkWrite(decision, written) ? Infinity : 0,
+      workLimitMs: () => this.#checkWrite(decision, written),
       onHead: (status: number, headers: IncomingHttpHeaders) => {
         written.load = protocol.readLoad(headers);
         written.isMisdirected = status === 421;
@@ -152,21 +152,21 @@
     return written.isHeldBack ? { type: "held_back" } : result;
   }
 
-  /** Notes what holds as the first byte is written; false if what is known now
-   * forbids the send since it was decided, as while it waited for a
-   * connection. */
-  #checkWrite(decision: SendDecision, written: WrittenSend): boolean {
+  /** Notes what holds as the first byte is written; returns the time in
+   * milliseconds that the server may work, none if what is known now forbids
+   * the send since it was decided, as while it waited for a connection. */
+  #checkWrite(decision: SendDecision, written: WrittenSend): number {
     const { catalog, metrics, terms } = this.#options;
     const newest = terms.read();
     written.isHeldBack = newest === undefined || !terms.isConfirmed(newest) ||
       !isAllowed(decision, newest) || !this.#isListed(decision);
-    if (written.isHeldBack) return false;
+    if (written.isHeldBack) return 0;
     written.configuration = catalog.document?.version;
     written.place = findPlace(decision, newest!.route);
     if (written.place !== undefined) {
       metrics.boundSends.inc({ place: written.place });
     }
-    return true;
+    return newest!.deadlineAtMs - performance.now() - ANSWER_MARGIN_MS;
   }
 
   /** False if the server left, or its zone was evacuated. */
--- a/packages/daemon/edge/src/request/stalled_backup_test.ts
+++ b/packages/daemon/edge/src/request/stalled_backup_test.ts
@@ -63,6 +63,7 @@
           return wait(1);
         });
       },
+      suspendedMs: () => 0,
     },
     protocol: { targetHeader: "target", readLoad: () => undefined } as never,
     metrics: createEdgeMetrics({
