Learn the run times of requests without an object apart

Cause: a request that concerns no object was expected to run as long as a cold run of its route, 1,250 to 1,800 ms there; the log shows that such requests ran 84 to 223 ms when they were sent. Their short runs were taken for warm runs of the route's objects, so the estimate never changed. A new route also took over its service's run times as if they had been learned on it.

Change: requests without an object have run times of their own, by the mean of their runs. A new kind of request starts from its service's run times as a guess, by which nothing is refused at a free server; its first runs replace it.

placer_test: two cases failed before ("too-late"), both pass.

--- a/packages/core/placing/src/candidates.ts
+++ b/packages/core/placing/src/candidates.ts
@@ -62,10 +62,12 @@
   const busy = load.estimateLoad(nowMs);
   const waiting = Math.max(0, busy - slots + RESIDUAL_RUNS);
   const waitMs = waiting / slots * meanRunMs;
-  const longerMs = isWarm(inputs, request, nowMs)
+  const key = getObjectKey(request);
+  const longerMs = key === undefined || isWarm(inputs, key, nowMs)
     ? 0
     : work.coldMs - work.warmMs;
-  const runMs = work.warmMs + longerMs;
+  // Without an object, runs are neither warm nor cold.
+  const runMs = key === undefined ? work.meanMs : work.warmMs + longerMs;
   const expectedMs = getRttMs(server, homeRegion) +
     (waitMs + runMs) * load.slowness(nowMs);
   const failureMs = load.failureShare(nowMs) * FAILURE_COST *
@@ -80,11 +82,10 @@
  * sent it to lately. */
 function isWarm(
   { load, rank }: EstimateInputs,
-  request: PlaceRequest,
+  key: string,
   nowMs: number,
 ): boolean {
-  const key = getObjectKey(request);
-  return key !== undefined && (rank === 0 || load.isWarm(key, nowMs));
+  return rank === 0 || load.isWarm(key, nowMs);
 }
 
 /** Round trip in milliseconds to a server. */
--- a/packages/core/placing/src/object_key.ts
+++ b/packages/core/placing/src/object_key.ts
@@ -1,5 +1,5 @@
 /**
- * Names objects; those of two services or routes differ.
+ * Names objects, those of two services or routes differ, and kinds of requests.
  *
  * @module
  */
@@ -16,6 +16,12 @@
   return `${service}${SEPARATOR}${route} ${object}`;
 }
 
+/** Names the run times that a request goes by. Requests of a route that concern
+ * no object may run far shorter, or longer, than its others. */
+export function getWorkName({ route, object }: PlaceRequest): string {
+  return object === undefined ? `${route}${SEPARATOR}` : route;
+}
+
 /** What a key names besides the object itself. */
 export interface ObjectKeyParts {
   readonly service: string;
--- a/packages/core/placing/src/placer.ts
+++ b/packages/core/placing/src/placer.ts
@@ -14,7 +14,7 @@
 import type { Random } from "@dotterelmoor/core.types";
 import { computeCandidate, getRttMs, isCold } from "./candidates.ts";
 import type { Candidate } from "./candidates.ts";
-import { getObjectKey } from "./object_key.ts";
+import { getObjectKey, getWorkName } from "./object_key.ts";
 import { ObservationLog } from "./observing.ts";
 import { chooseRegion } from "./region_choice.ts";
 import { ServerLoads } from "./server_loads.ts";
@@ -183,11 +183,12 @@
     const mayHaveWaited = !hasSlot || (end.load?.waiting ?? 0) > 0;
     if (end.outcome === "answered" && !mayHaveWaited && runMs > 0) {
       const service = this.#services.get(request.service);
-      const work = service.getWork(request.route, request.targetLatencyMs);
+      const name = getWorkName(request);
+      const work = service.getWork(name, request.targetLatencyMs);
       load.recordSlowness(runMs / work.coldMs, nowMs);
       const run: RunObservation = {
         service: request.service,
-        route: request.route,
+        work: name,
         runMs,
       };
       service.recordRun(run, nowMs);
@@ -250,7 +251,7 @@
   ): PlannedPlace {
     const { homeRegion, random, findAssigned } = this.#options;
     const service = this.#services.get(request.service);
-    service.getWork(request.route, request.targetLatencyMs);
+    service.getWork(getWorkName(request), request.targetLatencyMs);
     const key = getObjectKey(request);
     if (key !== undefined) this.#observations.addUse(key);
     const id = key === undefined ? undefined : findAssigned(key);
@@ -339,9 +340,8 @@
     nowMs: number,
   ): Candidate | undefined {
     const { homeRegion } = this.#options;
-    const { route, targetLatencyMs } = request;
     const service = this.#services.get(request.service);
-    const work = service.getWork(route, targetLatencyMs);
+    const work = service.getWork(getWorkName(request), request.targetLatencyMs);
     const { meanRunMs } = service;
     let best: Candidate | undefined;
     for (const [rank, server] of order.entries()) {
@@ -363,7 +363,7 @@
   ): boolean {
     if (load.estimateLoad(nowMs) >= server.record.slots) return true;
     const work = this.#services.get(request.service)
-      .getWork(request.route, request.targetLatencyMs);
+      .getWork(getWorkName(request), request.targetLatencyMs);
     return work.isLearned && expectedMs > request.remainingMs;
   }
 
--- a/packages/core/placing/src/placer_test.ts
+++ b/packages/core/placing/src/placer_test.ts
@@ -166,6 +166,43 @@
   t.regex(run(fresh, HOME, { request, nowMs: 100 }), /^h/);
 });
 
+// A route that is refused at free servers is never learnt, so it stays refused.
+test("guards against refusals of a new route by the run times of its service", (t) => {
+  const placer = createHome();
+  const end: SendEnd = { ...ANSWERED, elapsedMs: 1_300 };
+  const common = { object: undefined, targetLatencyMs: 800 };
+  for (let index = 0; index < 20; index++) {
+    const request = makeRequest({ ...common, remainingMs: 6_000 });
+    t.regex(run(placer, HOME, { request, nowMs: index * 2_000, end }), /^h/);
+  }
+  const known = makeRequest({ ...common, remainingMs: 600 });
+  t.is(run(placer, HOME, { request: known, nowMs: 50_000 }), "too-late");
+  const added = makeRequest({ ...known, route: "r2" });
+  t.regex(run(placer, HOME, { request: added, nowMs: 50_000 }), /^h/);
+});
+
+// Their runs are short, and were taken for warm ones of the route's objects.
+test("guards against refusals of requests without an object by the cold runs of others", (t) => {
+  const placer = createHome();
+  const cold: SendEnd = { ...ANSWERED, elapsedMs: 1_300 };
+  const short: SendEnd = { ...ANSWERED, elapsedMs: 150 };
+  const common = { targetLatencyMs: 800, remainingMs: 6_000 };
+  for (let index = 0; index < 40; index++) {
+    const nowMs = index * 2_000;
+    const request = makeRequest({ ...common, object: String(index) });
+    t.regex(run(placer, HOME, { request, nowMs, end: cold }), /^h/);
+  }
+  for (let index = 0; index < 40; index++) {
+    const nowMs = 90_000 + index * 100;
+    const request = makeRequest({
+      ...common,
+      object: undefined,
+      remainingMs: 900,
+    });
+    t.regex(run(placer, HOME, { request, nowMs, end: short }), /^h/);
+  }
+});
+
 test("guards against a pause that ends at a server which stays unreachable", (t) => {
   const placer = createHome();
   const request = makeRequest();
--- a/packages/core/placing/src/service_state.ts
+++ b/packages/core/placing/src/service_state.ts
@@ -23,7 +23,7 @@
 export interface ServicePlan {
   /** Run times of all requests of the service. */
   readonly all: RunTimes;
-  /** Run times by route. */
+  /** Run times by kind of request, as `getWorkName` gives it. */
   readonly routes: Readonly<Record<string, RunTimes>>;
 }
 
@@ -37,23 +37,24 @@
 
   /** Takes over what the region's entries learnt. */
   adopt({ all, routes }: ServicePlan): void {
-    this.#all = new WorkModel(all, true);
+    this.#all = new WorkModel(all, "runs");
     for (const [route, times] of Object.entries(routes)) {
-      this.#work.set(route, new WorkModel(times, true));
+      this.#work.set(route, new WorkModel(times, "runs"));
     }
   }
 
-  /** Run times of a route. A new route is taken to be like the others of its
-   * service, since its target says little of its work. */
-  getWork(route: string, targetLatencyMs: number): WorkModel {
-    let work = this.#work.get(route);
+  /** Run times of a kind of request. A new kind is taken to be like the others
+   * of its service, since its target says little of its work; that is still a
+   * guess, and nothing is refused by it at a free server. */
+  getWork(name: string, targetLatencyMs: number): WorkModel {
+    let work = this.#work.get(name);
     if (work === undefined) {
       const guess = guessRunTimes(targetLatencyMs);
-      this.#all ??= new WorkModel(guess, false);
+      this.#all ??= new WorkModel(guess, "target");
       work = this.#all.isLearned
-        ? new WorkModel(this.#all, true)
-        : new WorkModel(guess, false);
-      this.#work.set(route, work);
+        ? new WorkModel(this.#all, "service")
+        : new WorkModel(guess, "target");
+      this.#work.set(name, work);
     }
     return work;
   }
@@ -89,9 +90,9 @@
     return { all: this.#all.times, routes };
   }
 
-  /** Adds a run; one of a route that is not known here tells nothing. */
-  recordRun({ route, runMs }: RunObservation, nowMs: number): void {
-    const work = this.#work.get(route);
+  /** Adds a run; one of a kind that is not known here tells nothing. */
+  recordRun({ work: name, runMs }: RunObservation, nowMs: number): void {
+    const work = this.#work.get(name);
     if (work === undefined || this.#all === undefined) return;
     work.observe(runMs, nowMs);
     this.#all.observe(runMs, nowMs);
--- a/packages/core/placing/src/types.ts
+++ b/packages/core/placing/src/types.ts
@@ -91,7 +91,8 @@
 /** A run that did not wait at its server. */
 export interface RunObservation {
   readonly service: string;
-  readonly route: string;
+  /** Name of the kind of request, as `getWorkName` gives it. */
+  readonly work: string;
   readonly runMs: number;
 }
 
--- a/packages/core/placing/src/work_model.ts
+++ b/packages/core/placing/src/work_model.ts
@@ -21,6 +21,10 @@
 /** Samples before the averages are relied on. */
 const LEAST_SAMPLES = 3;
 
+/** Where the first run times of a model come from: from the target latency,
+ * from other kinds of request of the service, or from runs of this kind. */
+export type RunTimesOrigin = "target" | "service" | "runs";
+
 /** Average run times in milliseconds. */
 export interface RunTimes {
   /** For an object that the server handled lately. */
@@ -44,15 +48,17 @@
   #warmMs: number;
   #coldMs: number;
   #meanMs: number;
+  readonly #origin: RunTimesOrigin;
   #samples: number;
   /** Monotonic time of the last run. */
   observedAtMs = -Infinity;
 
-  constructor(initial: RunTimes, isLearned: boolean) {
+  constructor(initial: RunTimes, origin: RunTimesOrigin) {
+    this.#origin = origin;
     this.#coldMs = initial.coldMs;
     this.#warmMs = initial.warmMs;
     this.#meanMs = initial.meanMs;
-    this.#samples = isLearned ? LEAST_SAMPLES : 0;
+    this.#samples = origin === "runs" ? LEAST_SAMPLES : 0;
   }
 
   get times(): RunTimes {
@@ -92,10 +98,19 @@
     else if (runMs < 2 * this.#coldMs) {
       this.#coldMs = blend(this.#coldMs, runMs);
     }
-    this.#meanMs = blend(this.#meanMs, Math.min(runMs, 2 * this.#coldMs));
+    const weight = this.#origin === "service"
+      // The first runs replace the mean of other kinds.
+      ? Math.max(SAMPLE_WEIGHT, 1 / this.#samples)
+      : SAMPLE_WEIGHT;
+    const sampleMs = Math.min(runMs, 2 * this.#coldMs);
+    this.#meanMs = blend(this.#meanMs, sampleMs, weight);
   }
 }
 
-function blend(average: number, sample: number): number {
-  return average + SAMPLE_WEIGHT * (sample - average);
+function blend(
+  average: number,
+  sample: number,
+  weight = SAMPLE_WEIGHT,
+): number {
+  return average + weight * (sample - average);
 }
--- a/packages/daemon/edge/src/process/load_exchange_test.ts
+++ b/packages/daemon/edge/src/process/load_exchange_test.ts
@@ -82,7 +82,7 @@
         setOtherLoads: (counts) => entry.others = counts,
         takeObservations: () => ({
           uses: [`desk\nr1 ${processId}`],
-          runs: [{ service: "desk", route: "r1", runMs: 1 }],
+          runs: [{ service: "desk", work: "r1", runMs: 1 }],
         }),
         addObservations: ({ runs }) => entry.runs += runs.length,
         exportPlans: () => PLANS,
--- a/packages/network/peering/src/guards.ts
+++ b/packages/network/peering/src/guards.ts
@@ -191,7 +191,7 @@
 function isRun(value: unknown): boolean {
   return hasFields(value, {
     service: isString,
-    route: isString,
+    work: isString,
     runMs: isAmount,
   });
 }
