Share the rate of a cold server from its first moment

Cause: each entry started with one whole send of its part of the rate, and had one again after each pause.

Change: an entry starts, also after a second without a look at the server, with a random part of a send. All entries together then keep the rate from the start.

placer_test: the case failed before (65 in the first second, bound 20), passes.

--- a/packages/core/placing/src/placer.ts
+++ b/packages/core/placing/src/placer.ts
@@ -120,7 +120,7 @@
   readonly #options: PlacerOptions;
   readonly #services: ServiceStates;
   readonly #order: ServerOrder;
-  readonly #loads = new ServerLoads();
+  readonly #loads: ServerLoads;
   readonly #observations = new ObservationLog();
   /** Requests that may leave their planned region now. */
   #escapes = 0;
@@ -129,6 +129,7 @@
     this.#options = options;
     this.#services = new ServiceStates();
     this.#order = new ServerOrder(options.random);
+    this.#loads = new ServerLoads(options.random);
   }
 
   recordArrival(): void {
--- a/packages/core/placing/src/placer_test.ts
+++ b/packages/core/placing/src/placer_test.ts
@@ -47,8 +47,8 @@
   };
 }
 
-function createHome(countEntries = 1) {
-  const generator = xoroshiro128plus(SEED);
+function createHome(countEntries = 1, seed = SEED) {
+  const generator = xoroshiro128plus(seed);
   const random = () => uniformFloat64(generator);
   return createPlacer({
     homeRegion: "home",
@@ -255,6 +255,35 @@
   t.true(sent >= 8);
 });
 
+// Each entry had one send free, however many entries share the rate.
+test("guards against a burst at a server that becomes cold, by many entries", (t) => {
+  const entries = 65;
+  const placers = Array.from(
+    { length: entries },
+    // Neighbouring seeds give similar first numbers.
+    (_, index) => createHome(entries, Math.imul(SEED, 2 * index + 1)),
+  );
+  const request = makeRequest({ coldPerSecond: 10 });
+  const countSends = (cold: TrackedServer, fromMs: number) => {
+    let sent = 0;
+    for (let nowMs = fromMs; nowMs < fromMs + 1_000; nowMs += 50) {
+      for (const placer of placers) {
+        if (run(placer, [cold], { request, nowMs }) === "h1") sent += 1;
+      }
+    }
+    return sent;
+  };
+  const first = { ...makeServer("h1"), coldUntilMs: 5_000 };
+  // The rate for one second, one and a half times, and five more.
+  const bound = 10 * 1.5 + 5;
+  const sent = countSends(first, 1_000);
+  t.true(sent <= bound, `${sent} in the first second`);
+  t.true(sent > 0);
+  const again = { ...makeServer("h1"), coldUntilMs: 25_000 };
+  const sentAgain = countSends(again, 20_000);
+  t.true(sentAgain <= bound, `${sentAgain} after it became cold again`);
+});
+
 test("guards against servers of regions that a route does not allow", (t) => {
   const placer = createHome();
   const servers = [...HOME, makeServer("x1", "away")];
--- a/packages/core/placing/src/server_load.ts
+++ b/packages/core/placing/src/server_load.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { Random } from "@dotterelmoor/core.types";
 import type { SendEnd, SendOutcome, ServerLoadReport } from "./types.ts";
 
 /** Time in milliseconds for which the load that other entries told counts in
@@ -37,6 +38,10 @@
 /** Requests beyond its slots that a server that shed is taken to hold. */
 const SHED_WAITING = 4;
 
+/** Time in milliseconds without a look at a cold server's rate after which it is
+ * taken to have become cold again. */
+const COLD_AGAIN_MS = 1_000;
+
 /** Time in milliseconds for which a server keeps an object warm. */
 const WARM_MS = 1_500;
 
@@ -56,9 +61,14 @@
   #pauseMs = 0;
   #pausedUntilMs = -Infinity;
   #restartedUntilMs = -Infinity;
-  #coldTokens = 1;
-  #coldTokensAtMs = 0;
+  #coldTokens = 0;
+  #coldTokensAtMs = -Infinity;
   readonly #objects = new Map<string, number>();
+  readonly #random: Random;
+
+  constructor(random: Random) {
+    this.#random = random;
+  }
 
   /** Requests running or waiting at the server, this entry's included. */
   estimateLoad(nowMs: number): number {
@@ -96,10 +106,14 @@
     return atMs !== undefined && nowMs - atMs < WARM_MS;
   }
 
-  /** True if the rate allows one send to a cold server. */
+  /** True if this entry's part of the rate allows one send to a cold server.
+   * Each entry starts with a random part of a send: with a whole one, all of
+   * them would send at once. */
   hasCold(perSecond: number, nowMs: number): boolean {
-    const gained = (nowMs - this.#coldTokensAtMs) / 1_000 * perSecond;
-    this.#coldTokens = Math.min(1, this.#coldTokens + gained);
+    const sinceMs = nowMs - this.#coldTokensAtMs;
+    this.#coldTokens = sinceMs > COLD_AGAIN_MS
+      ? this.#random()
+      : Math.min(1, this.#coldTokens + sinceMs / 1_000 * perSecond);
     this.#coldTokensAtMs = nowMs;
     return this.#coldTokens >= 1;
   }
--- a/packages/core/placing/src/server_loads.ts
+++ b/packages/core/placing/src/server_loads.ts
@@ -5,6 +5,7 @@
  */
 
 import type { TrackedServer } from "@dotterelmoor/core.catalog";
+import type { Random } from "@dotterelmoor/core.types";
 import { ServerLoad } from "./server_load.ts";
 
 /** Servers unused for this time in milliseconds are forgotten. */
@@ -22,6 +23,11 @@
   /** What other entries have in flight, as they told last. */
   #others: ReadonlyMap<string, number> = new Map();
   #toldAtMs = -Infinity;
+  readonly #random: Random;
+
+  constructor(random: Random) {
+    this.#random = random;
+  }
 
   get({ record }: TrackedServer, nowMs: number): ServerLoad {
     const key = `${record.id} ${record.bornMs}`;
@@ -30,7 +36,7 @@
       known.usedAtMs = nowMs;
       return known.load;
     }
-    const load = new ServerLoad();
+    const load = new ServerLoad(this.#random);
     const { id } = record;
     load.setOthers(this.#others.get(id) ?? 0, this.#toldAtMs);
     this.#entries.set(key, { id, load, usedAtMs: nowMs });
