Test that a lapsed record does not end or repeat a run

Operators of similar systems saw running work given up or started again when a machine was slow to report.

--- /dev/null
+++ b/packages/daemon/edge/src/silent_server_test.ts
@@ -0,0 +1,43 @@
+import test from "ava";
+import { buildRoute, callEdge, createMemoryStore } from "./edge_fixture.ts";
+import {
+  putAll,
+  startBackends,
+  startReady,
+  waitUntil,
+} from "./started_fixture.ts";
+
+const RUN_MS = 1_500;
+
+// A server that is slow to report loses its record, and still runs requests.
+for (const repeatable of [false, true]) {
+  test(`guards against a run that is given up, or started elsewhere, as its server's record lapses, repeatable ${repeatable}`, async (t) => {
+    const store = createMemoryStore();
+    const backends = await startBackends(
+      t,
+      [0, 1].map(() => (_, response) => {
+        setTimeout(() => response.end("whole"), RUN_MS);
+      }),
+    );
+    // The answer is expected well after the lapse.
+    const route = buildRoute({
+      repeatable,
+      timeoutMs: 8_000,
+      targetLatencyMs: 6_000,
+    });
+    putAll(store, backends, route);
+    const { settings } = await startReady(t, store);
+    const answer = callEdge(settings.callers, {
+      headers: { "dotterelmoor-deadline-ms": "8000" },
+    });
+    const countRuns = () => backends.flatMap(({ requests }) => requests).length;
+    await waitUntil(t, () => Promise.resolve(countRuns() === 1));
+    for (const id of ["s0", "s1"]) {
+      store.drop("servers", id, { type: "server_removed", id });
+    }
+    const { status, body } = await answer;
+    t.is(status, 200);
+    t.is(body, "whole");
+    t.is(countRuns(), 1);
+  });
+}
