Pack the sums of loads of large installations

Cause: the first entry of a region answers each report of the others, five a second, with one byte for each server, whatever changed.

--- a/packages/daemon/edge/src/process/load_exchange.ts
+++ b/packages/daemon/edge/src/process/load_exchange.ts
@@ -36,6 +36,7 @@
 import type { Assignments } from "./assignments.ts";
 import { sortEntries } from "./entry_order.ts";
 import { runRepeatedly } from "./intervals.ts";
+import { createLoadPacker, unpackLoads } from "./load_packing.ts";
 import { createReaderChoice } from "./reader_choice.ts";
 
 /** Interval in milliseconds of reports for each entry of the region, so that
@@ -123,6 +124,7 @@
   readonly #board: LoadBoard;
   readonly #choice = createReaderChoice();
   readonly #reader = createLoadReader();
+  readonly #packer = createLoadPacker();
   /** Readers and addresses of the other regions' first entries. */
   readonly #regions = new Map<string, LoadReader>();
   readonly #addresses = new Map<string, string>();
@@ -173,15 +175,17 @@
       assignments.addUses(peer.region, report.uses);
       const sums = this.#board.sumRegion(nowMs);
       const loads = this.#board.pack(sums, report.known);
-      return { type: "load_sums", loads, table };
+      const packed = createLoadPacker().pack(loads, sums);
+      return { type: "load_sums", ...packed, table };
     }
     this.#board.recordReport(peer.processId, readReport(report), nowMs);
     placer.addObservations(report, nowMs);
     this.#addUses(report.uses);
     const sums = this.#sumAll(nowMs);
     const loads = this.#board.pack(sums, report.known);
+    const packed = this.#packer.pack(loads, sums);
     const plans = report.wantsPlans ? placer.exportPlans(nowMs) : undefined;
-    return { type: "load_sums", loads, table, plans };
+    return { type: "load_sums", ...packed, table, plans };
   }
 
   #addUses(keys: readonly string[]): void {
@@ -243,7 +247,7 @@
     const nowMs = performance.now();
     if (answer === undefined) this.#choice.passOver(first.processId, nowMs);
     if (answer?.type !== "load_sums") return;
-    const sums = this.#reader.read(answer.loads);
+    const sums = readSums(answer, this.#reader);
     if (sums !== undefined) placer.setOtherLoads(subtract(sums, own), nowMs);
     this.#options.assignments.apply(answer.table);
     if (answer.plans === undefined) return;
@@ -287,7 +291,7 @@
     if (answer?.type !== "load_sums") return;
     this.#addresses.set(region, address);
     if (isAssigning) assignments.apply(answer.table);
-    const sums = reader.read(answer.loads);
+    const sums = readSums(answer, reader);
     if (sums === undefined) return;
     this.#board.recordRegion(region, sums, performance.now());
   }
@@ -311,6 +315,14 @@
   }
 }
 
+function readSums(
+  answer: LoadSumsMessage,
+  reader: LoadReader,
+): LoadCounts | undefined {
+  const loads = unpackLoads(answer);
+  return loads === undefined ? undefined : reader.read(loads);
+}
+
 function computeInterval(entries: number): number {
   const intervalMs = INTERVAL_PER_ENTRY_MS * entries;
   return Math.max(LEAST_INTERVAL_MS, Math.min(LONGEST_INTERVAL_MS, intervalMs));
--- a/packages/network/peering/src/guards.ts
+++ b/packages/network/peering/src/guards.ts
@@ -257,6 +257,7 @@
   },
   load_sums: {
     loads: isPackedLoads,
+    counts: isOptionalBytes,
     table: isOptionalChanges,
     plans: isOptionalPlans,
   },
--- a/packages/network/peering/src/messages.ts
+++ b/packages/network/peering/src/messages.ts
@@ -205,6 +205,9 @@
 export interface LoadSumsMessage {
   readonly type: "load_sums";
   readonly loads: PackedLoads;
+  /** The counts of many servers, packed by `packValue`; those of `loads` are
+   * empty then. */
+  readonly counts?: Uint8Array | undefined;
   /** What the receiver lacks of the table of objects. */
   readonly table?: TableChanges;
   readonly plans?: PlacingPlans;
