Tell an outage of the store by the age of the catalog

Cause: records of live servers lapse while the store is away, and count for 2 s after its return. An entry told an outage by how long it had failed to read itself. Entries take turns to read during an outage, so each had failed for 0.6 s at most, and the lapsed servers were dropped at once. Objects moved with them, and were cold elsewhere.

Change: what counts is the time since the catalog was known to be current, by the entry itself or by those that it followed. An entry that the store alone turns away follows others, and takes that for no outage any more.

catalog_watch_test: the case failed before (0 of 1 servers).

--- a/packages/daemon/edge/src/process/catalog_watch.ts
+++ b/packages/daemon/edge/src/process/catalog_watch.ts
@@ -113,7 +113,11 @@
 
   constructor(options: CatalogWatchOptions) {
     this.#options = options;
-    const readerOptions = { ...options, contact: this.#contact };
+    const readerOptions = {
+      ...options,
+      contact: this.#contact,
+      getCatalogAgeMs: () => this.ageMs(),
+    };
     this.#readers = {
       servers: new TableReader("servers", readerOptions),
       orders: new TableReader("orders", readerOptions),
--- a/packages/daemon/edge/src/process/catalog_watch_test.ts
+++ b/packages/daemon/edge/src/process/catalog_watch_test.ts
@@ -6,6 +6,7 @@
 import {
   buildDocument,
   buildRoute,
+  buildServer,
   createMemoryStore,
 } from "../edge_fixture.ts";
 import { startCatalogWatch } from "./catalog_watch.ts";
@@ -83,3 +84,54 @@
   const teller = { type: "address", peerAddress: "10.0.0.9:7620" };
   t.deepEqual(asked.find(({ type }) => type !== "process"), teller);
 });
+
+// Records of live servers lapse while the store is away, and are back within two
+// seconds of its return. Entries take turns to read meanwhile.
+test("guards against servers that are dropped after an outage in which the reading entry changed", async (t) => {
+  const store = new DisposableStore();
+  t.teardown(() => store.dispose());
+  const memory = createMemoryStore();
+  const document = buildDocument(1, [buildRoute()]);
+  memory.put("orders", "config", { type: "document", document });
+  const record = buildServer("s1", "127.0.0.1:9");
+  memory.put("servers", "s1", { type: "server", record });
+  const catalog = createCatalog({ zones: { "a-1": "a" } });
+  const members = ["p2"];
+  let downSinceMs = Infinity;
+  const watch = startCatalogWatch({
+    processId: "p2",
+    catalog,
+    source: memory.createClient("p2"),
+    store,
+    metrics: createEdgeMetrics({ address: undefined, store }),
+    log: pino({ level: "silent" }),
+    onChanged: () => {},
+    listRegion: () => [...members].sort(),
+    joinMs: 0,
+    isContact: () => true,
+    pull: () =>
+      Promise.resolve({
+        type: "catalog",
+        delta: {
+          servers: { version: 1, isComplete: false, changes: [] },
+          orders: { version: 1, isComplete: false, changes: [] },
+        },
+        ageMs: Math.max(0, performance.now() - downSinceMs),
+      }),
+  });
+  while (!watch.isLoaded) await wait(20);
+  // Another entry, first in the order, reads until the store goes away.
+  members.push("p1");
+  while (watch.isReading) await wait(20);
+  downSinceMs = performance.now();
+  memory.setDown(true);
+  await wait(6_000);
+  while (watch.isReading) await wait(20);
+  memory.drop("servers", "s1", { type: "server_removed", id: "s1" });
+  memory.setDown(false);
+  const before = catalog.position.servers;
+  while (catalog.position.servers === before) await wait(5);
+  t.is(catalog.findServers("desk", performance.now()).length, 1);
+  await wait(2_500);
+  t.is(catalog.findServers("desk", performance.now()).length, 0);
+});
--- a/packages/daemon/edge/src/process/table_reader.ts
+++ b/packages/daemon/edge/src/process/table_reader.ts
@@ -43,6 +43,9 @@
   readonly metrics: EdgeMetrics;
   readonly log: Logger;
   readonly onChanged: (source: string) => void;
+  /** Time in milliseconds since the catalog was known to be current, by this
+   * reader or by an entry that was followed. */
+  readonly getCatalogAgeMs: () => number;
   /** Notes the answers of the store. */
   readonly contact: ContactClock;
 }
@@ -139,13 +142,17 @@
     onChanged("store");
   }
 
+  /** Entries take turns to read during an outage, so how long this one has
+   * failed says less than how old the catalog is. */
   #noteReturn(nowMs: number): void {
-    if (this.#failingSinceMs === undefined) return;
-    const failedMs = nowMs - this.#failingSinceMs;
-    if (failedMs > OUTAGE_MS) this.#options.catalog.markStoreReturned(nowMs);
+    const { catalog, log, getCatalogAgeMs } = this.#options;
+    const ageMs = getCatalogAgeMs();
+    const wasAway = ageMs > OUTAGE_MS && Number.isFinite(ageMs);
+    if (wasAway) catalog.markStoreReturned(nowMs);
+    if (this.#failingSinceMs === undefined && !wasAway) return;
     this.#failingSinceMs = undefined;
     const table = this.#table;
-    this.#options.log.info({ table, failedMs }, "Store answers again.");
+    log.info({ table, ageMs, wasAway }, "Store answers again.");
   }
 
   #recordFailure(error: StoreError): void {
--- a/packages/daemon/edge/src/process/table_reader_test.ts
+++ b/packages/daemon/edge/src/process/table_reader_test.ts
@@ -42,6 +42,7 @@
     log: pino({ level: "silent" }),
     onChanged: () => {},
     contact: new ContactClock(),
+    getCatalogAgeMs: () => Infinity,
   });
   reader.start();
   while (waits.length < 4) {
