Let entries that seldom look at a cold server use its rate

In a large fleet most entries look less often.

Change: what starts anew is told by the end of the cold time, not by a pause, and begins with a second of the entry's part of the rate.

placer_test: 65 entries with one request each in a second sent 0 before, at least 3 and at most the bound of 20 now; the burst's cases hold.

--- a/packages/core/placing/src/placer.ts
+++ b/packages/core/placing/src/placer.ts
@@ -382,7 +382,7 @@
     const perSecond = request.coldPerSecond / Math.max(1, countEntries());
     return server.region === homeRegion &&
       load.estimateLoad(nowMs) < server.record.slots &&
-      load.hasCold(perSecond, nowMs);
+      load.hasCold({ perSecond, untilMs: server.coldUntilMs }, nowMs);
   }
 
   #refuse(
--- a/packages/core/placing/src/placer_test.ts
+++ b/packages/core/placing/src/placer_test.ts
@@ -264,9 +264,9 @@
     (_, index) => createHome(entries, Math.imul(SEED, 2 * index + 1)),
   );
   const request = makeRequest({ coldPerSecond: 10 });
-  const countSends = (cold: TrackedServer, fromMs: number) => {
+  const countSends = (cold: TrackedServer, fromMs: number, gapMs = 50) => {
     let sent = 0;
-    for (let nowMs = fromMs; nowMs < fromMs + 1_000; nowMs += 50) {
+    for (let nowMs = fromMs; nowMs < fromMs + 1_000; nowMs += gapMs) {
       for (const placer of placers) {
         if (run(placer, [cold], { request, nowMs }) === "h1") sent += 1;
       }
@@ -282,6 +282,11 @@
   const again = { ...makeServer("h1"), coldUntilMs: 25_000 };
   const sentAgain = countSends(again, 20_000);
   t.true(sentAgain <= bound, `${sentAgain} after it became cold again`);
+  // Each entry of a large fleet has one request for the server in that second.
+  const seldom = { ...makeServer("h1"), coldUntilMs: 45_000 };
+  const sentSeldom = countSends(seldom, 40_000, 1_000);
+  t.true(sentSeldom <= bound, `${sentSeldom} by entries that look seldom`);
+  t.true(sentSeldom >= 3, `${sentSeldom} by entries that look seldom`);
 });
 
 test("guards against servers of regions that a route does not allow", (t) => {
--- a/packages/core/placing/src/server_load.ts
+++ b/packages/core/placing/src/server_load.ts
@@ -38,9 +38,13 @@
 /** Requests beyond its slots that a server that shed is taken to hold. */
 const SHED_WAITING = 4;
 
-/** Time in milliseconds without a look at a cold server's rate after which it is
- * taken to have become cold again. */
-const COLD_AGAIN_MS = 1_000;
+/** Time in milliseconds by which reports of one cold time may differ; a later
+ * end means that the server became cold again. */
+const COLD_SLACK_MS = 1_000;
+
+/** Time in milliseconds of the rate that entries share at once when a server
+ * becomes cold. */
+const FIRST_COLD_MS = 1_000;
 
 /** Time in milliseconds for which a server keeps an object warm. */
 const WARM_MS = 1_500;
@@ -61,8 +65,10 @@
   #pauseMs = 0;
   #pausedUntilMs = -Infinity;
   #restartedUntilMs = -Infinity;
+  /** End of the cold time that the tokens are for. */
+  #coldUntilMs = -Infinity;
   #coldTokens = 0;
-  #coldTokensAtMs = -Infinity;
+  #coldTokensAtMs = 0;
   readonly #objects = new Map<string, number>();
   readonly #random: Random;
 
@@ -106,14 +112,22 @@
     return atMs !== undefined && nowMs - atMs < WARM_MS;
   }
 
-  /** True if this entry's part of the rate allows one send to a cold server.
-   * Each entry starts with a random part of a send: with a whole one, all of
-   * them would send at once. */
-  hasCold(perSecond: number, nowMs: number): boolean {
-    const sinceMs = nowMs - this.#coldTokensAtMs;
-    this.#coldTokens = sinceMs > COLD_AGAIN_MS
-      ? this.#random()
-      : Math.min(1, this.#coldTokens + sinceMs / 1_000 * perSecond);
+  /** True if this entry's part of the rate allows one send to a server that is
+   * cold until a time. Each entry starts with a random part of a send: with a
+   * whole one, all of them would send at once. */
+  hasCold(
+    { perSecond, untilMs }: {
+      readonly perSecond: number;
+      readonly untilMs: number;
+    },
+    nowMs: number,
+  ): boolean {
+    const coldUntilMs = Math.max(untilMs, this.#restartedUntilMs);
+    const isAgain = coldUntilMs > this.#coldUntilMs + COLD_SLACK_MS;
+    const kept = isAgain ? this.#random() : this.#coldTokens;
+    const gainedMs = isAgain ? FIRST_COLD_MS : nowMs - this.#coldTokensAtMs;
+    this.#coldUntilMs = coldUntilMs;
+    this.#coldTokens = Math.min(1, kept + gainedMs / 1_000 * perSecond);
     this.#coldTokensAtMs = nowMs;
     return this.#coldTokens >= 1;
   }
