--- a/packages/daemon/edge/src/process/load_exchange.ts
+++ b/packages/daemon/edge/src/process/load_exchange.ts
@@ -175,6 +175,7 @@
       assignments.addUses(peer.region, report.uses);
       const sums = this.#board.sumRegion(nowMs);
       const loads = this.#board.pack(sums, report.known);
+      // Only the first entry of each other region asks for these.
       const packed = createLoadPacker().pack(loads, sums);
       return { type: "load_sums", ...packed, table };
     }
