Report stalls and the load of the event loop

Callers saw: nothing yet; this is what on-call engineers lacked to tell why requests are sent on long after their callers left.

Cause of the gap: a stall was heeded and left no line, and a busy event loop left none either. A process that stood still and one that is short of processor time in short turns looked the same.

Change: a line and a counter for each stall, with the part for which the instance was suspended; every 5 s the event loop's utilization and the longest delay of a timer, as a line and as gauges.

stalls_test: the suspension's case asks for the report too (the field is new).

--- a/packages/daemon/edge/src/process/metrics.ts
+++ b/packages/daemon/edge/src/process/metrics.ts
@@ -36,6 +36,9 @@
   readonly members: Gauge<"region">;
   readonly configuration: Gauge;
   readonly unexpectedErrors: Counter;
+  readonly stalledSeconds: Counter;
+  readonly eventLoopUse: Gauge;
+  readonly eventLoopDelay: Gauge;
 }
 
 /** Creates the measures and serves them if an address is set. */
@@ -100,6 +103,22 @@
       help: "Errors that no part of the process handled",
       registers,
     }),
+    stalledSeconds: new Counter({
+      name: "dotterelmoor_stalled_seconds_total",
+      help: "Time for which the process stood still",
+      registers,
+    }),
+    eventLoopUse: new Gauge({
+      name: "dotterelmoor_event_loop_utilization",
+      help:
+        "Share of the last report interval in which the event loop was busy",
+      registers,
+    }),
+    eventLoopDelay: new Gauge({
+      name: "dotterelmoor_event_loop_delay_seconds",
+      help: "Longest delay of a timer in the last report interval",
+      registers,
+    }),
   };
   if (options.address !== undefined) {
     serveMetrics(registry, options.address, options.store);
--- a/packages/daemon/edge/src/process/reports.ts
+++ b/packages/daemon/edge/src/process/reports.ts
@@ -4,11 +4,13 @@
  * @module
  */
 
+import { performance } from "node:perf_hooks";
 import type { Placer } from "@dotterelmoor/core.placing";
 import type { DisposableStore } from "@dotterelmoor/core.types";
 import type { EdgeLog } from "./logging.ts";
 import type { EdgeMetrics } from "./metrics.ts";
 import type { Peers } from "./peers.ts";
+import type { MeasuredStalls } from "./stalls.ts";
 
 /** Interval in milliseconds of reports. */
 const REPORT_INTERVAL_MS = 5_000;
@@ -20,16 +22,19 @@
   readonly log: EdgeLog;
   readonly peers: Peers;
   readonly metrics: EdgeMetrics;
+  readonly stalls: MeasuredStalls;
 }
 
 /** Starts the reports. */
 export function startReports(options: ReportsOptions): void {
   const { placer, store, log, peers, metrics } = options;
   const planLog = log.part("plan");
+  const reportEventLoop = createEventLoopReport(options);
   const timer = setInterval(() => {
     const nowMs = performance.now();
     placer.expire(nowMs);
     planLog.info({ services: placer.describe(nowMs) }, "Run times.");
+    reportEventLoop();
     metrics.members.reset();
     for (const { region } of peers.membership.liveMembers()) {
       metrics.members.inc({ region });
@@ -37,3 +42,25 @@
   }, REPORT_INTERVAL_MS);
   store.add(() => clearInterval(timer));
 }
+
+/** Tells a busy process, whose requests wait unread, from one that stood still:
+ * both send late, and only the latter has a long delay. */
+function createEventLoopReport(
+  { log, metrics, stalls }: ReportsOptions,
+): () => void {
+  const edgeLog = log.part("edge");
+  let last = performance.eventLoopUtilization();
+  return () => {
+    const now = performance.eventLoopUtilization();
+    const { utilization } = performance.eventLoopUtilization(now, last);
+    last = now;
+    const delayMs = stalls.takeLongestDelay();
+    metrics.eventLoopUse.set(utilization);
+    metrics.eventLoopDelay.set(delayMs / 1_000);
+    const fields = {
+      utilization: Number(utilization.toFixed(3)),
+      delayMs: Math.round(delayMs),
+    };
+    edgeLog.info(fields, "Event loop.");
+  };
+}
--- a/packages/daemon/edge/src/process/stalls.ts
+++ b/packages/daemon/edge/src/process/stalls.ts
@@ -40,31 +40,60 @@
   suspendedMs(): number;
 }
 
+/** Stalls of one process, with what reports tell of them. */
+export interface MeasuredStalls extends Stalls {
+  /** Longest delay of a tick in milliseconds since the last call. */
+  takeLongestDelay(): number;
+}
+
+/** A time for which the process stood still. */
+export interface Stall {
+  readonly stalledMs: number;
+  /** The part of it for which the instance was suspended. */
+  readonly suspendedMs: number;
+}
+
+/** Options of `startStalls`. */
+export interface StallsOptions {
+  readonly store: DisposableStore;
+  readonly clocks?: Clocks;
+  readonly onStall?: (stall: Stall) => void;
+}
+
 /** Starts to look for stalls. */
-export function startStalls(
-  store: DisposableStore,
-  clocks: Clocks = SYSTEM_CLOCKS,
-): Stalls {
-  const stalls = new TickedStalls(clocks);
+export function startStalls(options: StallsOptions): MeasuredStalls {
+  const stalls = new TickedStalls(options);
   const timer = setInterval(() => stalls.tick(), TICK_MS);
-  store.add(() => clearInterval(timer));
+  options.store.add(() => clearInterval(timer));
   return stalls;
 }
 
-class TickedStalls implements Stalls {
+class TickedStalls implements MeasuredStalls {
   readonly #clocks: Clocks;
+  readonly #onStall: (stall: Stall) => void;
   #ticked: Moment;
   #settledAtMs = -Infinity;
   #suspendedMs = 0;
+  #longestDelayMs = 0;
 
-  constructor(clocks: Clocks) {
+  constructor({ clocks = SYSTEM_CLOCKS, onStall }: StallsOptions) {
     this.#clocks = clocks;
+    this.#onStall = onStall ?? (() => {});
     this.#ticked = this.#mark();
   }
 
   tick(): void {
     this.#check();
-    this.#ticked = this.#mark();
+    const now = this.#mark();
+    const delayMs = now.steadyMs - this.#ticked.steadyMs - TICK_MS;
+    this.#longestDelayMs = Math.max(this.#longestDelayMs, delayMs);
+    this.#ticked = now;
+  }
+
+  takeLongestDelay(): number {
+    const longestMs = this.#longestDelayMs;
+    this.#longestDelayMs = 0;
+    return longestMs;
   }
 
   settle(): Promise<void> | undefined {
@@ -90,7 +119,10 @@
     const stalledMs = Math.max(steadyMs, wallMs) - TICK_MS;
     if (stalledMs < STALL_MS) return;
     this.#ticked = now;
-    this.#suspendedMs += Math.max(0, wallMs - steadyMs);
+    const suspendedMs = Math.max(0, wallMs - steadyMs);
+    this.#suspendedMs += suspendedMs;
+    this.#longestDelayMs = Math.max(this.#longestDelayMs, stalledMs);
+    this.#onStall({ stalledMs, suspendedMs });
     const backlogMs = Math.min(stalledMs, LONGEST_BACKLOG_MS);
     this.#settledAtMs = now.steadyMs + backlogMs;
   }
--- a/packages/daemon/edge/src/process/stalls_test.ts
+++ b/packages/daemon/edge/src/process/stalls_test.ts
@@ -6,6 +6,7 @@
 import { DisposableStore } from "@dotterelmoor/core.types";
 import { wait } from "./intervals.ts";
 import { startStalls } from "./stalls.ts";
+import type { Stall } from "./stalls.ts";
 
 /** Sends requests in a thread of its own and closes each connection before it
  * got an answer; then wakes the thread that waits for it. */
@@ -31,7 +32,7 @@
 function start(t: ExecutionContext) {
   const store = new DisposableStore();
   t.teardown(() => store.dispose());
-  return startStalls(store);
+  return startStalls({ store });
 }
 
 test.serial("guards against requests that wait although the process runs", async (t) => {
@@ -47,9 +48,11 @@
   const store = new DisposableStore();
   t.teardown(() => store.dispose());
   const now = { steadyMs: 1_000, wallMs: 1_700_000_000_000 };
-  const stalls = startStalls(store, {
-    steadyMs: () => now.steadyMs,
-    wallMs: () => now.wallMs,
+  const told: Stall[] = [];
+  const stalls = startStalls({
+    store,
+    clocks: { steadyMs: () => now.steadyMs, wallMs: () => now.wallMs },
+    onStall: (stall) => told.push(stall),
   });
   now.steadyMs += 100;
   now.wallMs += 5_100;
@@ -59,6 +62,9 @@
   t.is(stalls.suspendedMs(), 5_000);
   now.wallMs -= 60_000;
   t.is(stalls.suspendedMs(), 5_000);
+  t.deepEqual(told, [{ stalledMs: 5_000, suspendedMs: 5_000 }]);
+  t.is(stalls.takeLongestDelay(), 5_000);
+  t.is(stalls.takeLongestDelay(), 0);
 });
 
 // The connections are in the listener's queue, and their ends behind their
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -38,6 +38,7 @@
 import { startReports } from "./process/reports.ts";
 import { createRetryBudgets } from "./process/retry_budgets.ts";
 import { startStalls } from "./process/stalls.ts";
+import type { MeasuredStalls, Stalls } from "./process/stalls.ts";
 import { createForwarder } from "./request/forwarding.ts";
 import { createFront } from "./request/front.ts";
 import type { Front } from "./request/front.ts";
@@ -159,7 +160,8 @@
 async function startParts(base: Base): Promise<Edge> {
   const { settings, platform, store, log, placer, metrics } = base;
   const peers = await connectPeers(base);
-  const front = createRequests(base, peers);
+  const stalls = createStalls(base);
+  const front = createRequests(base, { peers, stalls });
   const callers = createCallerServer(front);
   const watch = watchCatalog(base, { peers, callers });
   startRegistration({
@@ -173,7 +175,7 @@
     log: log.part("member"),
   });
   const keeping = startExchange(base, peers);
-  startReports({ placer, store, log, peers, metrics });
+  startReports({ placer, store, log, peers, metrics, stalls });
   let isLeaving = false;
   await listenAll(base, {
     callers,
@@ -260,7 +262,21 @@
   return late.peers;
 }
 
-function createRequests(base: Base, peers: Peers): Front {
+function createStalls({ store, log, metrics }: Base): MeasuredStalls {
+  const edgeLog = log.part("edge");
+  return startStalls({
+    store,
+    onStall: (stall) => {
+      metrics.stalledSeconds.inc(stall.stalledMs / 1_000);
+      edgeLog.warn(stall, "The process stood still.");
+    },
+  });
+}
+
+function createRequests(
+  base: Base,
+  { peers, stalls }: { readonly peers: Peers; readonly stalls: Stalls },
+): Front {
   const { settings, platform, store, log, placer, catalog, metrics } = base;
   const protocol = platform.callers;
   const backend = createBackendClient({
@@ -281,7 +297,7 @@
       placer,
       backend,
       budgets,
-      stalls: startStalls(store),
+      stalls,
       protocol,
       metrics,
       isInContact: () => {
