Read the sockets before each send, also without a stall

Cause: a decision by what was read, while what contradicts it is not read yet. libuv takes one connection from the listener's queue in each turn of the event loop. A busy entry so reads requests long after they came, with the ends of their connections behind them, and sent each one in the turn in which it read it.

Change: each send, and each overdue answer, first lets the event loop turn four times, which reads what is in the sockets. Without a stall these turns take no time of their own; after one, they are at least 5 ms long, as before.

left_callers_test: 40 of 40 requests were sent on before, none now; its clocks stand still, so that no stall is seen.

--- a/packages/daemon/edge/src/process/stalls.ts
+++ b/packages/daemon/edge/src/process/stalls.ts
@@ -1,9 +1,12 @@
 /**
- * Tells when the process has just stood still.
+ * Lets the process read its sockets before it acts, and tells when it has just
+ * stood still.
  *
- * Pattern: a process that was paused, or short of processor time, finds its
- * timers due and its sockets full at once, and timers come first. Callers that
- * left, answers and changes of that time are known only after its sockets were
+ * Pattern: a process that was paused finds its timers due and its sockets full
+ * at once, and timers come first. One that is short of processor time takes a
+ * connection from the listener's queue in each turn of its event loop, and so
+ * reads requests long after they came, although no turn is long. Callers that
+ * left, answers and changes of that time are known only after the sockets were
  * read, so what would be sent to servers waits until then.
  *
  * @module
@@ -21,10 +24,13 @@
  * instance are some ten milliseconds late. */
 const STALL_MS = 150;
 
-/** Turns of the event loop, and the least length of each in milliseconds, after
- * which the end of a caller's connection behind its request is handled. */
+/** Turns of the event loop after which the end of a caller's connection behind
+ * its request is handled: one reads it, two close the connection. */
 const SETTLING_TURNS = 4;
-const TURN_MS = 5;
+
+/** Least length of such a turn in milliseconds after a stall, as what arrived
+ * meanwhile is delivered over several turns. */
+const STALLED_TURN_MS = 5;
 
 /** Longest time in milliseconds after a stall in which callers are still
  * accepted that came during it: the loop accepts one at a time. */
@@ -32,9 +38,9 @@
 
 /** Stalls of one process. */
 export interface Stalls {
-  /** Undefined unless the process has just stood still; else resolves once what
-   * is in the sockets at the time of the call has been read. */
-  settle(): Promise<void> | undefined;
+  /** Resolves once what is in the sockets at the time of the call has been
+   * read; at the next turns of the event loop unless it has just stood still. */
+  settle(): Promise<void>;
   /** Time in milliseconds, since the start, that the monotonic clock missed
    * because the instance was suspended. */
   suspendedMs(): number;
@@ -96,10 +102,10 @@
     return longestMs;
   }
 
-  settle(): Promise<void> | undefined {
+  settle(): Promise<void> {
     this.#check();
     const isSettled = this.#clocks.steadyMs() >= this.#settledAtMs;
-    return isSettled ? undefined : waitTurns();
+    return isSettled ? waitTurns(waitTurn) : waitTurns(waitStalledTurn);
   }
 
   suspendedMs(): number {
@@ -128,6 +134,14 @@
   }
 }
 
-async function waitTurns(): Promise<void> {
-  for (let turn = 0; turn < SETTLING_TURNS; turn++) await wait(TURN_MS);
+async function waitTurns(waitForOne: () => Promise<void>): Promise<void> {
+  for (let turn = 0; turn < SETTLING_TURNS; turn++) await waitForOne();
+}
+
+function waitTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+function waitStalledTurn(): Promise<void> {
+  return wait(STALLED_TURN_MS);
 }
--- a/packages/daemon/edge/src/process/stalls_test.ts
+++ b/packages/daemon/edge/src/process/stalls_test.ts
@@ -1,33 +1,12 @@
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
-import { Worker } from "node:worker_threads";
 import type { ExecutionContext } from "ava";
 import test from "ava";
 import { DisposableStore } from "@dotterelmoor/core.types";
+import { blockWhileCallersLeave } from "../leaving_callers_fixture.ts";
 import { wait } from "./intervals.ts";
 import { startStalls } from "./stalls.ts";
-import type { Stall } from "./stalls.ts";
-
-/** Sends requests in a thread of its own and closes each connection before it
- * got an answer; then wakes the thread that waits for it. */
-const LEAVING_CALLERS = `
-const { connect } = require("node:net");
-const { workerData } = require("node:worker_threads");
-const { port, done, callers } = workerData;
-let open = callers;
-for (let index = 0; index < callers; index++) {
-  const socket = connect(port, "127.0.0.1", () => {
-    socket.write("GET / HTTP/1.1\\r\\nhost: a\\r\\n\\r\\n");
-    setTimeout(() => socket.destroy(), 400);
-  });
-  socket.once("close", () => {
-    open -= 1;
-    if (open > 0) return;
-    Atomics.store(done, 0, 1);
-    Atomics.notify(done, 0);
-  });
-}
-`;
+import type { Stall, Stalls } from "./stalls.ts";
 
 function start(t: ExecutionContext) {
   const store = new DisposableStore();
@@ -35,11 +14,25 @@
   return startStalls({ store });
 }
 
+/** Turns that the event loop takes while it settles. */
+async function countTurns(stalls: Stalls): Promise<number> {
+  let turns = 0;
+  let isOpen = true;
+  const count = () => {
+    turns += 1;
+    if (isOpen) setImmediate(count);
+  };
+  setImmediate(count);
+  await stalls.settle();
+  isOpen = false;
+  return turns;
+}
+
 test.serial("guards against requests that wait although the process runs", async (t) => {
   const stalls = start(t);
   for (let index = 0; index < 10; index++) {
     await wait(30);
-    t.is(stalls.settle(), undefined);
+    t.true(await countTurns(stalls) <= 5);
   }
 });
 
@@ -56,9 +49,10 @@
   });
   now.steadyMs += 100;
   now.wallMs += 5_100;
-  const settling = stalls.settle();
-  t.not(settling, undefined);
-  await settling;
+  const startedAtMs = performance.now();
+  await stalls.settle();
+  // Four turns of at least 5 ms; timers may round down.
+  t.true(performance.now() - startedAtMs >= 16);
   t.is(stalls.suspendedMs(), 5_000);
   now.wallMs -= 60_000;
   t.is(stalls.suspendedMs(), 5_000);
@@ -72,11 +66,11 @@
 test.serial("guards against requests that are sent on long after their callers left", async (t) => {
   const callers = 40;
   const stalls = start(t);
-  let seen = 0;
+  let settled = 0;
   let present = 0;
   const server = createServer(async (_request, response) => {
-    seen += 1;
     await stalls.settle();
+    settled += 1;
     if (!response.destroyed) present += 1;
     response.end();
   });
@@ -88,15 +82,7 @@
     server.close();
   });
   const { port } = server.address() as AddressInfo;
-  const done = new Int32Array(new SharedArrayBuffer(4));
-  const worker = new Worker(LEAVING_CALLERS, {
-    eval: true,
-    workerData: { port, done, callers },
-  });
-  t.teardown(() => worker.terminate());
-  Atomics.wait(done, 0, 0, 10_000);
-  t.is(done[0], 1);
-  while (seen < callers) await wait(10);
-  while (stalls.settle() !== undefined) await wait(10);
+  blockWhileCallersLeave(t, { port, callers });
+  while (settled < callers) await wait(10);
   t.is(present, 0);
 });
--- a/packages/daemon/edge/src/request/forwarding.ts
+++ b/packages/daemon/edge/src/request/forwarding.ts
@@ -80,8 +80,7 @@
     this.#options.placer.recordArrival();
     const { stalls } = this.#options;
     while (true) {
-      const settling = stalls.settle();
-      if (settling !== undefined) await settling;
+      await stalls.settle();
       const step = this.#decide();
       if (step.type === "end") return this.#end(step.outcome);
       const result = await this.#sendWithBackup(step.decision);
--- a/packages/daemon/edge/src/request/held_back_test.ts
+++ b/packages/daemon/edge/src/request/held_back_test.ts
@@ -55,7 +55,10 @@
     placer,
     backend,
     splitter: createSplitter(),
-    stalls: { settle: () => undefined, suspendedMs: () => suspended.ms },
+    stalls: {
+      settle: () => Promise.resolve(),
+      suspendedMs: () => suspended.ms,
+    },
     budgets: { recordRequest: () => {}, takeRetry: () => true },
     protocol: { targetHeader: "target", readLoad: () => undefined } as never,
     metrics: createEdgeMetrics({ address: undefined, store }),
--- /dev/null
+++ b/packages/daemon/edge/src/request/left_callers_test.ts
@@ -0,0 +1,36 @@
+import test from "ava";
+import { DisposableStore } from "@dotterelmoor/core.types";
+import { blockWhileCallersLeave } from "../leaving_callers_fixture.ts";
+import { wait } from "../process/intervals.ts";
+import { startStalls } from "../process/stalls.ts";
+import { ANSWER, createTestForwarder } from "./forwarder_fixture.ts";
+import { startFront } from "./front_fixture.ts";
+
+const CALLERS = 40;
+
+// A busy entry takes one connection from the listener's queue in each turn of
+// its event loop, so requests are read late although no turn is a stall.
+test("guards against requests of callers that left which a busy entry sends on", async (t) => {
+  const store = new DisposableStore();
+  t.teardown(() => store.dispose());
+  // Clocks that stand still show no stall, whatever this thread does.
+  const clocks = { steadyMs: () => 0, wallMs: () => 0 };
+  const forwarder = createTestForwarder({
+    stalls: startStalls({ store, clocks }),
+    send: () => {
+      sent += 1;
+      return Promise.resolve(ANSWER);
+    },
+  });
+  let sent = 0;
+  let ended = 0;
+  const { address } = await startFront(t, {
+    forward: (request) =>
+      forwarder.forward(request).finally(() => {
+        ended += 1;
+      }),
+  });
+  blockWhileCallersLeave(t, { port: address.port, callers: CALLERS });
+  while (ended < CALLERS) await wait(10);
+  t.is(sent, 0);
+});
