Read the sockets before a send to a server times out

Callers saw: after their entry was busy or stood still, 504 for answers that had arrived in time, and refusals where the server had accepted the connection; such a server counted as unreachable and was passed over.

The event loop runs timers before it reads sockets, so a timeout that was due while the process was busy passed, whatever had arrived.

Change: a new package, network/timing, has timeouts that pass only after the sockets were read once. The deadline of a send and the opening of a connection use it.

--- a/packages/network/backend/src/client.ts
+++ b/packages/network/backend/src/client.ts
@@ -5,6 +5,7 @@
  */
 
 import { performance } from "node:perf_hooks";
+import { startTimeout } from "@dotterelmoor/network.timing";
 import type { Connection } from "./connection.ts";
 import { runExchange } from "./exchange.ts";
 import type { Exchange } from "./exchange.ts";
@@ -56,7 +57,7 @@
   if (request.signal?.aborted) return { type: "cancelled", sent: false };
   const controller = new AbortController();
   const abort = () => controller.abort(new Error("The caller cancelled"));
-  const timer = setTimeout(
+  const timeout = startTimeout(
     () => controller.abort(new Error("The deadline has passed")),
     request.deadlineMs,
   );
@@ -76,7 +77,7 @@
   try {
     return await takeAndRun(options.pool, exchange);
   } finally {
-    clearTimeout(timer);
+    timeout.stop();
     request.signal?.removeEventListener("abort", abort);
   }
 }
--- a/packages/network/backend/src/connection.ts
+++ b/packages/network/backend/src/connection.ts
@@ -8,6 +8,7 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import { startTimeout } from "@dotterelmoor/network.timing";
 
 /** Where and how long to connect. */
 export interface ConnectOptions {
@@ -37,7 +38,7 @@
       port: Number(address.slice(separator + 1)),
       noDelay: true,
     });
-    const timer = setTimeout(
+    const timeout = startTimeout(
       () => closeWith(new Error("The connection did not open in time")),
       connectTimeoutMs,
     );
@@ -51,7 +52,7 @@
       reject(error);
     }
     function release(): void {
-      clearTimeout(timer);
+      timeout.stop();
       signal.removeEventListener("abort", handleAbort);
       socket.removeListener("error", closeWith);
     }
