Read the sockets before a call to a peer times out

Callers saw: nothing by itself; an entry that was busy took peers that had answered for silent, and passed over the reading entry for 2 s.

Change: a call to a peer, and the wait for its connection, use the same timeouts.

peering_test, "passed over because its caller was busy": 'lost' before, although the peer had answered.

--- a/packages/network/peering/src/link.ts
+++ b/packages/network/peering/src/link.ts
@@ -6,6 +6,7 @@
 
 import { connect } from "node:net";
 import type { Socket } from "node:net";
+import { startTimeout } from "@dotterelmoor/network.timing";
 import { parseFrameValue } from "./envelope.ts";
 import { FrameSocket } from "./frame_socket.ts";
 import { buildHello, checkHello } from "./hello.ts";
@@ -108,7 +109,7 @@
     return new Promise((resolve) => {
       const settle: Settle = (result) => {
         if (!this.#calls.delete(id)) return;
-        clearTimeout(timer);
+        timeout.stop();
         signal?.removeEventListener("abort", abort);
         resolve(result);
       };
@@ -117,7 +118,7 @@
         settle(result);
       };
       const abort = () => cancel({ type: "cancelled", sent: true });
-      const timer = setTimeout(() => cancel({ type: "lost" }), timeoutMs);
+      const timeout = startTimeout(() => cancel({ type: "lost" }), timeoutMs);
       signal?.addEventListener("abort", abort, { once: true });
       this.#calls.set(id, settle);
     });
--- a/packages/network/peering/src/peering_test.ts
+++ b/packages/network/peering/src/peering_test.ts
@@ -297,3 +297,19 @@
   openPool(t).notify(address, sent);
   t.deepEqual(await message, sent);
 });
+
+// The timer of the call is due before the answer in the socket is read.
+test.serial("guards against a peer that is passed over because its caller was busy", async (t) => {
+  const timeoutMs = 500;
+  const endAtMs = performance.now() + timeoutMs + 50;
+  const address = await openRawPeer(t, (socket, value) => {
+    const message = makeMessage("whole");
+    socket.write(makeFrame({ ...message, replyTo: value.id }));
+    setImmediate(() => {
+      while (performance.now() < endAtMs);
+    });
+  });
+  const pool = openPool(t);
+  const result = await pool.call(address, makeMessage("a"), { timeoutMs });
+  t.is(result.type, "answered");
+});
--- a/packages/network/peering/src/pool.ts
+++ b/packages/network/peering/src/pool.ts
@@ -5,6 +5,7 @@
  */
 
 import { performance } from "node:perf_hooks";
+import { startTimeout } from "@dotterelmoor/network.timing";
 import { resolveLimits, SILENT_LOG } from "./limits.ts";
 import { PeerLink } from "./link.ts";
 import type { PeerMessage } from "./messages.ts";
@@ -64,14 +65,14 @@
   const stopped = new Promise<boolean>((resolve) => {
     stop = () => resolve(false);
   });
-  const timer = setTimeout(stop, timeoutMs);
+  const timeout = startTimeout(stop, timeoutMs);
   signal?.addEventListener("abort", stop, { once: true });
   link.waiting += 1;
   try {
     return await Promise.race([link.ready, stopped]);
   } finally {
     link.waiting -= 1;
-    clearTimeout(timer);
+    timeout.stop();
     signal?.removeEventListener("abort", stop);
   }
 }
