--- a/packages/daemon/edge/src/leaving_callers_fixture.ts
+++ b/packages/daemon/edge/src/leaving_callers_fixture.ts
@@ -35,7 +35,7 @@
 
 /** Blocks this thread until callers have sent their requests to a port of
  * loopback and left. */
-export function blockWhileCallersLeave(
+export function waitForLeavingCallers(
   t: ExecutionContext,
   { port, callers }: { readonly port: number; readonly callers: number },
 ): void {
--- a/packages/daemon/edge/src/process/stalls_test.ts
+++ b/packages/daemon/edge/src/process/stalls_test.ts
@@ -3,7 +3,7 @@
 import type { ExecutionContext } from "ava";
 import test from "ava";
 import { DisposableStore } from "@dotterelmoor/core.types";
-import { blockWhileCallersLeave } from "../leaving_callers_fixture.ts";
+import { waitForLeavingCallers } from "../leaving_callers_fixture.ts";
 import { wait } from "./intervals.ts";
 import { startStalls } from "./stalls.ts";
 import type { Stall, Stalls } from "./stalls.ts";
@@ -82,7 +82,7 @@
     server.close();
   });
   const { port } = server.address() as AddressInfo;
-  blockWhileCallersLeave(t, { port, callers });
+  waitForLeavingCallers(t, { port, callers });
   while (settled < callers) await wait(10);
   t.is(present, 0);
 });
--- a/packages/daemon/edge/src/request/forwarding.ts
+++ b/packages/daemon/edge/src/request/forwarding.ts
@@ -80,6 +80,7 @@
     this.#options.placer.recordArrival();
     const { stalls } = this.#options;
     while (true) {
+      // The caller may have left, which is read only after its request.
       await stalls.settle();
       const step = this.#decide();
       if (step.type === "end") return this.#end(step.outcome);
--- a/packages/daemon/edge/src/request/left_callers_test.ts
+++ b/packages/daemon/edge/src/request/left_callers_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { DisposableStore } from "@dotterelmoor/core.types";
-import { blockWhileCallersLeave } from "../leaving_callers_fixture.ts";
+import { waitForLeavingCallers } from "../leaving_callers_fixture.ts";
 import { wait } from "../process/intervals.ts";
 import { startStalls } from "../process/stalls.ts";
 import { ANSWER, createTestForwarder } from "./forwarder_fixture.ts";
@@ -15,6 +15,8 @@
   t.teardown(() => store.dispose());
   // Clocks that stand still show no stall, whatever this thread does.
   const clocks = { steadyMs: () => 0, wallMs: () => 0 };
+  let sent = 0;
+  let ended = 0;
   const forwarder = createTestForwarder({
     stalls: startStalls({ store, clocks }),
     send: () => {
@@ -22,15 +24,13 @@
       return Promise.resolve(ANSWER);
     },
   });
-  let sent = 0;
-  let ended = 0;
   const { address } = await startFront(t, {
     forward: (request) =>
       forwarder.forward(request).finally(() => {
         ended += 1;
       }),
   });
-  blockWhileCallersLeave(t, { port: address.port, callers: CALLERS });
+  waitForLeavingCallers(t, { port: address.port, callers: CALLERS });
   while (ended < CALLERS) await wait(10);
   t.is(sent, 0);
 });
--- a/packages/daemon/edge/src/request/stalled_backup_test.ts
+++ b/packages/daemon/edge/src/request/stalled_backup_test.ts
@@ -5,7 +5,7 @@
 
 /** Forwards one request whose answer is overdue; `isInSocket` tells whether it
  * has arrived, and is read when the sockets are. */
-async function forwardOverdue(isInSocket: boolean) {
+async function sendOverdue(isInSocket: boolean) {
   const sent: string[] = [];
   let markRead = () => {};
   const read = new Promise<void>((resolve) => markRead = resolve);
@@ -45,11 +45,11 @@
 
 // Its answer arrived while the process stood still, and was not read yet.
 test("guards against a run that is started again because its entry stood still", async (t) => {
-  const sent = await forwardOverdue(true);
+  const sent = await sendOverdue(true);
   t.is(sent.length, 1);
 });
 
 test("guards against an overdue answer that no second server is asked for", async (t) => {
-  const sent = await forwardOverdue(false);
+  const sent = await sendOverdue(false);
   t.is(sent.length, 2);
 });
--- a/packages/network/backend/src/late_reading_test.ts
+++ b/packages/network/backend/src/late_reading_test.ts
@@ -8,11 +8,12 @@
 const BUSY_MS = 50;
 
 /** Keeps this thread busy until a moment of the monotonic clock. */
-function blockUntil(timeMs: number): void {
+function waitBusyUntil(timeMs: number): void {
   while (performance.now() < timeMs);
 }
 
-/** Sends one request to a server that answers at once. */
+/** Sends one request to a server that answers at once; the result is still
+ * open when this returns. */
 async function startSend(
   t: ExecutionContext,
   times: { readonly deadlineMs: number; readonly connectTimeoutMs: number },
@@ -51,7 +52,7 @@
   const times = { deadlineMs, connectTimeoutMs: deadlineMs };
   const endAtMs = performance.now() + deadlineMs + BUSY_MS;
   const { result } = await startSend(t, times, () => {
-    setImmediate(() => blockUntil(endAtMs));
+    setImmediate(() => waitBusyUntil(endAtMs));
   });
   t.is((await result).type, "answered");
 });
@@ -63,6 +64,6 @@
   const { result } = await startSend(t, times, () => {});
   // The connection is opened at the end of this turn of the event loop.
   await new Promise<void>((resolve) => process.nextTick(resolve));
-  blockUntil(performance.now() + connectTimeoutMs + BUSY_MS);
+  waitBusyUntil(performance.now() + connectTimeoutMs + BUSY_MS);
   t.is((await result).type, "answered");
 });
