Move the wait for what is in the sockets to network/timing

Cause: the product's own entry needs the wait that the edge has before each send, and stalls.ts of the edge held it.

The edge's behaviour stays: four turns as short as they are, or of 5 ms at least after a stall.

--- a/packages/daemon/edge/src/process/stalls.ts
+++ b/packages/daemon/edge/src/process/stalls.ts
@@ -13,9 +13,9 @@
  */
 
 import type { DisposableStore } from "@dotterelmoor/core.types";
+import { waitForReads } from "@dotterelmoor/network.timing";
 import { SYSTEM_CLOCKS } from "./contact_clock.ts";
 import type { Clocks, Moment } from "./contact_clock.ts";
-import { wait } from "./intervals.ts";
 
 /** Interval in milliseconds at which the event loop is known to turn. */
 const TICK_MS = 100;
@@ -24,12 +24,8 @@
  * instance are some ten milliseconds late. */
 const STALL_MS = 150;
 
-/** Turns of the event loop after which the end of a caller's connection behind
- * its request is handled: one reads it, two close the connection. */
-const SETTLING_TURNS = 4;
-
-/** Least length of such a turn in milliseconds after a stall, as what arrived
- * meanwhile is delivered over several turns. */
+/** Least length of a turn of the event loop in milliseconds after a stall, as
+ * what arrived meanwhile is delivered over several turns. */
 const STALLED_TURN_MS = 5;
 
 /** Longest time in milliseconds after a stall in which callers are still
@@ -105,7 +101,7 @@
   settle(): Promise<void> {
     this.#check();
     const isSettled = this.#clocks.steadyMs() >= this.#settledAtMs;
-    return isSettled ? waitTurns(waitTurn) : waitTurns(waitStalledTurn);
+    return waitForReads(isSettled ? 0 : STALLED_TURN_MS);
   }
 
   suspendedMs(): number {
@@ -133,15 +129,3 @@
     this.#settledAtMs = now.steadyMs + backlogMs;
   }
 }
-
-async function waitTurns(waitForOne: () => Promise<void>): Promise<void> {
-  for (let turn = 0; turn < SETTLING_TURNS; turn++) await waitForOne();
-}
-
-function waitTurn(): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve));
-}
-
-function waitStalledTurn(): Promise<void> {
-  return wait(STALLED_TURN_MS);
-}
--- /dev/null
+++ b/packages/network/timing/src/reads_test.ts
@@ -0,0 +1,31 @@
+import { once } from "node:events";
+import { connect, createServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import test from "ava";
+import { waitForReads } from "./mod.ts";
+
+// The end of a connection is read in a turn after its last bytes.
+test.serial("guards against a wait that ends before a caller's end was read", async (t) => {
+  const server = createServer();
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.teardown(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const caller = connect(port, "127.0.0.1");
+  const [socket] = await once(server, "connection") as [Socket];
+  const data = once(socket, "data");
+  caller.end("request");
+  // The bytes and the end have arrived before the first turn that reads them.
+  const startedAtMs = performance.now();
+  while (performance.now() < startedAtMs + 50);
+  await data;
+  await waitForReads();
+  t.true(socket.readableEnded);
+});
+
+test.serial("guards against a wait that is shorter than asked for", async (t) => {
+  const startedAtMs = performance.now();
+  await waitForReads(5);
+  // Four turns of at least 5 ms; timers may round down.
+  t.true(performance.now() - startedAtMs >= 16);
+});
