Read the sockets before a request of the own entry is claimed and sent

What callers saw: nothing; they had left. Servers ran their requests all the same, in slots that callers who still waited could have used, and a key of a left caller was claimed, so that its next attempt was told "unknown".

Change: `waitForReads` before a request is claimed or admitted, at the front and for the calls of peers.

Tests (system left_callers_test): 40 callers leave while the owner is frozen for 0.4 s.

--- a/packages/daemon/entry/src/connection/peer_handlers.ts
+++ b/packages/daemon/entry/src/connection/peer_handlers.ts
@@ -10,6 +10,7 @@
   PeerHandlers,
   PeerMessage,
 } from "@dotterelmoor/network.peering";
+import { waitForReads } from "@dotterelmoor/network.timing";
 import type { ConfigurationPart } from "../process/configuration_part.ts";
 import type { Groups } from "../process/groups.ts";
 import type { LinkPart } from "../process/link_part.ts";
@@ -94,6 +95,8 @@
   const { type: _type, deadlineMs, ...rest } = message;
   const deadlineAtMs = options.nowMs() + deadlineMs;
   const execution: Execution = { ...rest, deadlineAtMs };
+  // The peer may have cancelled the call, which is read only after it.
+  await waitForReads();
   const outcome = await group.execute(execution, signal);
   return await sendOverLink(options, execution, outcome);
 }
--- a/packages/daemon/entry/src/request/front.ts
+++ b/packages/daemon/entry/src/request/front.ts
@@ -15,6 +15,7 @@
   Random,
   RequestKind,
 } from "@dotterelmoor/core.types";
+import { waitForReads } from "@dotterelmoor/network.timing";
 import type { ClaimResult } from "../process/claims_part.ts";
 import type { RoutingView } from "../version/routing_view.ts";
 import type { Execution } from "./execution.ts";
@@ -102,6 +103,8 @@
   request: CallerRequest,
   signal: AbortSignal,
 ): Promise<Outcome> {
+  await waitForReads();
+  if (signal.aborted) return { type: "unknown", reason: "caller-left" };
   const view = parts.getView();
   const service = view && findService(view.snapshot, request.service);
   const kind = service &&
--- /dev/null
+++ b/packages/testing/system/src/left_callers_test.ts
@@ -0,0 +1,69 @@
+import test from "ava";
+import type { ExecutionContext } from "ava";
+import { lookUp } from "@dotterelmoor/testing.demo";
+import type { EntryProcess } from "@dotterelmoor/testing.demo";
+import { FIRST_REGION_CLIENT, sendCall } from "./calls.ts";
+import { readAllCounters } from "./counting.ts";
+import { findOwner, startTestSystem } from "./test_system.ts";
+
+const SERVICE = "availdesk";
+const REGION = "southeast";
+const CALLERS = 40;
+/** Time after which the callers leave; the owner is still frozen then. */
+const CALLER_TIMEOUT_MS = 400;
+
+interface Way {
+  /** Chooses the entry that the callers use. */
+  readonly chooseEntry: (entries: {
+    readonly owner: EntryProcess;
+    readonly other: EntryProcess;
+  }) => EntryProcess;
+}
+
+// The owner finds requests and their callers' ends in its sockets at once, and
+// reads the requests first.
+const checkLeftCallers = test.macro(async (t: ExecutionContext, way: Way) => {
+  const system = await startTestSystem(t, {
+    example: "consortium",
+    regions: [REGION],
+    entriesPerRegion: 2,
+    serversPerGroup: 3,
+    teams: [SERVICE],
+    serverFlags: ["--service-ms", "20"],
+  });
+  const group = { service: SERVICE, region: REGION };
+  const owner = (await findOwner(system.entries, group))!;
+  const other = system.entries.find((one) => one !== owner)!;
+  const entry = way.chooseEntry({ owner, other }).callers;
+  const call = { entry, service: SERVICE, path: "/availability" };
+  // The connections among the entries are open after the first answer.
+  t.is((await sendCall(call)).outcome, "answered");
+  owner.process.freeze();
+  const left = await Promise.all(
+    Array.from(
+      { length: CALLERS },
+      () => sendCall({ ...call, timeoutMs: CALLER_TIMEOUT_MS }),
+    ),
+  );
+  // The other entry answers once it has handled the ends of its callers.
+  await lookUp(other.callers, { service: SERVICE, from: FIRST_REGION_CLIENT });
+  owner.process.resume();
+  t.true(left.every(({ outcome }) => outcome === "lost"));
+  // Answered behind all of them: the listener's queue is first in, first out.
+  t.is((await sendCall(call)).outcome, "answered");
+  const counters = await readAllCounters(system);
+  const runs = counters.reduce((sum, server) => sum + server.runs, 0);
+  t.is(runs, 2);
+});
+
+test(
+  "guards against runs for callers that left while their entry was frozen",
+  checkLeftCallers,
+  { chooseEntry: ({ owner }) => owner },
+);
+
+test(
+  "guards against runs for callers that left while the group's owner was frozen",
+  checkLeftCallers,
+  { chooseEntry: ({ other }) => other },
+);
