Read the sockets before a call of the own entry to the platform times out

What callers saw: after a busy time of an entry, a renewal of its session or a claim of a key counted as unanswered although the answer had arrived: refusals "store-unavailable", and authority that rests on the deputy without need.

Cause: as for the calls to peers and to the users' store: the event loop runs the timer of the call before it reads the answer.

Change: the requester of network/platform uses `startTimeout`.

--- a/packages/network/platform/src/requester.ts
+++ b/packages/network/platform/src/requester.ts
@@ -5,6 +5,7 @@
  */
 
 import { Agent } from "node:http";
+import { startTimeout } from "@dotterelmoor/network.timing";
 import got from "got";
 import type { Method } from "got";
 import { Gate } from "./gate.ts";
@@ -56,7 +57,7 @@
   return {
     request: async (method, path, body = {}) => {
       const controller = new AbortController();
-      const timer = setTimeout(
+      const timeout = startTimeout(
         () => controller.abort(new Error("The platform did not answer")),
         options.timeoutMs,
       );
@@ -69,7 +70,7 @@
         notify(`${method} /${path} failed: ${describe(error)}`);
         return undefined;
       } finally {
-        clearTimeout(timer);
+        timeout.stop();
         active.delete(controller);
       }
     },
