Report how late an entry follows changes

The logs and metrics could not tell why single entries of a large installation acted by an old configuration: whether their pulls failed or took long, whether what they were told was old, or whether the entry that they follow read late.

Each pull is now counted with its time and result, the age of the catalog is reported every 5 s, and the first line of a configuration says how long ago an entry first read it from the store; entries pass that time on with it. Entries not followed are logged with the result, the time and both ages.

--- a/packages/daemon/edge/src/process/catalog_watch.ts
+++ b/packages/daemon/edge/src/process/catalog_watch.ts
@@ -5,7 +5,11 @@
  * @module
  */
 
-import type { Catalog, CatalogTable } from "@dotterelmoor/core.catalog";
+import type {
+  Catalog,
+  CatalogDelta,
+  CatalogTable,
+} from "@dotterelmoor/core.catalog";
 import type { DisposableStore } from "@dotterelmoor/core.types";
 import type { CatalogMessage } from "@dotterelmoor/network.peering";
 import type { Logger } from "pino";
@@ -13,7 +17,7 @@
 import { ContactClock } from "./contact_clock.ts";
 import { unpackDelta } from "./delta_packing.ts";
 import { runRepeatedly } from "./intervals.ts";
-import type { EdgeMetrics } from "./metrics.ts";
+import type { EdgeMetrics, PullResult } from "./metrics.ts";
 import { createReaderChoice } from "./reader_choice.ts";
 import { TableReader } from "./table_reader.ts";
 
@@ -49,8 +53,9 @@
   readonly metrics: EdgeMetrics;
   readonly log: Logger;
   /** The catalog was brought up to date by `store` or by an entry, named by its
-   * process id or its address, or as `any entry`. */
-  readonly onChanged: (source: string) => void;
+   * process id or its address, or as `any entry`. The configuration was first
+   * read from the store, by any entry, so many milliseconds ago at most. */
+  readonly onChanged: (source: string, documentAgeMs: number) => void;
   /** Process ids of the live entries of the region, this one included, in
    * the order in which they are to read. */
   readonly listRegion: () => readonly string[];
@@ -85,6 +90,9 @@
   /** Time in milliseconds, suspensions included, since the store or an entry
    * in contact was asked and answered. */
   contactAgeMs(): number;
+  /** Time in milliseconds, at most, since the configuration was first read from
+   * the store, by any entry. */
+  documentAgeMs(): number;
   /** Asks an entry that is ahead now. */
   pullNow(peerAddress: string): void;
 }
@@ -104,6 +112,8 @@
   /** Latest time at which the catalog was current, as far as others told. */
   #followedAtMs = -Infinity;
   readonly #contact = new ContactClock();
+  #documentVersion: number | undefined;
+  #documentReadAtMs = -Infinity;
   #isReading = false;
   #isLoaded = false;
   #pulls: Promise<boolean> = Promise.resolve(true);
@@ -117,6 +127,7 @@
       ...options,
       contact: this.#contact,
       getCatalogAgeMs: () => this.ageMs(),
+      onChanged: (source: string) => this.#noteChange(source, 0),
     };
     this.#readers = {
       servers: new TableReader("servers", readerOptions),
@@ -145,6 +156,20 @@
     return this.#contact.ageMs();
   }
 
+  documentAgeMs(): number {
+    return performance.now() - this.#documentReadAtMs;
+  }
+
+  #noteChange(source: string, documentAgeMs: number): void {
+    const { catalog, onChanged } = this.#options;
+    const version = catalog.document?.version;
+    if (version !== this.#documentVersion) {
+      this.#documentVersion = version;
+      this.#documentReadAtMs = performance.now() - documentAgeMs;
+    }
+    onChanged(source, this.documentAgeMs());
+  }
+
   #readAgeMs(): number {
     const { servers, orders } = this.#readers;
     return Math.max(servers.ageMs(), orders.ageMs());
@@ -229,12 +254,15 @@
   }
 
   async #followOnce(source: CatalogSource): Promise<boolean> {
-    const { catalog, onChanged, isContact } = this.#options;
+    const { catalog, isContact } = this.#options;
     const asked = this.#contact.mark();
     const answer = await this.#options.pull(source);
     const delta = answer === undefined ? undefined : unpackDelta(answer);
+    const elapsedMs = performance.now() - asked.steadyMs;
+    const result = getPullResult(answer, delta);
+    this.#options.metrics.catalogPulls.observe({ result }, elapsedMs / 1_000);
     if (answer === undefined || delta === undefined) {
-      this.#warn(source, answer);
+      this.#warn(source, { result, elapsedMs });
       return false;
     }
     // An entry that has just read itself still follows the reading one, or
@@ -245,21 +273,44 @@
     catalog.applyDelta(delta, nowMs);
     this.#followedAtMs = Math.max(this.#followedAtMs, nowMs - answer.ageMs);
     if (isContact(answer.ageMs)) this.#contact.note(asked);
-    onChanged(describeSource(source));
-    if (answer.ageMs > acceptedMs) this.#warn(source, answer);
-    return answer.ageMs < STALE_MS;
+    this.#noteChange(
+      describeSource(source),
+      elapsedMs + (answer.documentAgeMs ?? 0),
+    );
+    const { ageMs } = answer;
+    if (ageMs > acceptedMs) this.#warn(source, { result, elapsedMs, ageMs });
+    return result === "followed";
   }
 
-  #warn(source: CatalogSource, answer: CatalogMessage | undefined): void {
+  #warn(
+    source: CatalogSource,
+    pull: {
+      readonly result: PullResult;
+      readonly elapsedMs: number;
+      readonly ageMs?: number;
+    },
+  ): void {
     const nowMs = performance.now();
     if (nowMs - this.#warnedAtMs < WARN_INTERVAL_MS) return;
     this.#warnedAtMs = nowMs;
     const entry = describeSource(source);
-    const ageMs = answer?.ageMs;
-    this.#options.log.warn({ entry, ageMs }, "Entry not followed.");
+    const catalogAgeMs = Math.round(this.ageMs());
+    this.#options.log.warn(
+      { entry, ...pull, elapsedMs: Math.round(pull.elapsedMs), catalogAgeMs },
+      "Entry not followed.",
+    );
   }
 }
 
+function getPullResult(
+  answer: CatalogMessage | undefined,
+  delta: CatalogDelta | undefined,
+): PullResult {
+  if (answer === undefined) return "unanswered";
+  if (delta === undefined) return "unreadable";
+  return answer.ageMs < STALE_MS ? "followed" : "old";
+}
+
 const SOURCE_TEXTS: {
   readonly [Type in CatalogSource["type"]]: (
     source: Extract<CatalogSource, { type: Type }>,
--- a/packages/daemon/edge/src/process/configuration_log.ts
+++ b/packages/daemon/edge/src/process/configuration_log.ts
@@ -10,11 +10,12 @@
  * thousands, and the rest is counted. */
 const MAX_BOUND_ROUTES = 32;
 
-/** Notes each version once. */
+/** Notes each version once; tells whether it did. */
 export interface ConfigurationLog {
   /** `source` is `store`, or what is known of the entry that told it: its
-   * process id, its address, or `any entry`. */
-  record(document: RoutingDocument, source: string): void;
+   * process id, its address, or `any entry`. The configuration was first read
+   * by an entry `ageMs` milliseconds ago at most. */
+  record(document: RoutingDocument, source: string, ageMs: number): boolean;
 }
 
 /** The part of a logger that is used. */
@@ -28,8 +29,8 @@
 ): ConfigurationLog {
   let known = -1;
   return {
-    record: ({ version, routes }, source) => {
-      if (version === known) return;
+    record: ({ version, routes }, source, ageMs) => {
+      if (version === known) return false;
       known = version;
       const bound = routes.filter(({ allowedRegions }) =>
         allowedRegions.length > 0
@@ -39,10 +40,12 @@
       log.info({
         version,
         source,
+        spreadMs: Math.round(ageMs),
         routes: routes.length,
         boundRoutes: bound.length,
         allowedRegions: Object.fromEntries(listed),
       }, "Configuration in force.");
+      return true;
     },
   };
 }
--- a/packages/daemon/edge/src/process/configuration_log_test.ts
+++ b/packages/daemon/edge/src/process/configuration_log_test.ts
@@ -12,7 +12,7 @@
   for (const [version, source] of versions) {
     const free = buildRoute({ name: "free" });
     const bound = buildRoute({ name: "bound", allowedRegions: ["a"] });
-    log.record(buildDocument(version, [free, bound]), source);
+    log.record(buildDocument(version, [free, bound]), source, 1_234.5);
   }
   return lines;
 }
@@ -24,6 +24,7 @@
   t.deepEqual(line, {
     version: 3,
     source: "store",
+    spreadMs: 1_235,
     routes: 2,
     boundRoutes: 1,
     allowedRegions: { bound: ["a"] },
--- a/packages/daemon/edge/src/process/metrics.ts
+++ b/packages/daemon/edge/src/process/metrics.ts
@@ -25,6 +25,13 @@
   10,
 ];
 
+/** Upper ends of the buckets of pulls in seconds. */
+const PULL_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 2.5];
+
+/** What came of asking an entry for its catalog: `old` if that had not been
+ * current for long. */
+export type PullResult = "followed" | "old" | "unanswered" | "unreadable";
+
 /** Measures of one edge. Labels take few values: services, outcomes, reasons. */
 export interface EdgeMetrics {
   readonly requests: Counter<"service" | "outcome" | "reason">;
@@ -35,6 +42,9 @@
   readonly storeCalls: Counter<"table" | "outcome">;
   readonly members: Gauge<"region">;
   readonly configuration: Gauge;
+  readonly configurationSpread: Gauge;
+  readonly catalogPulls: Histogram<"result">;
+  readonly catalogAge: Gauge;
   readonly unexpectedErrors: Counter;
   readonly stalledSeconds: Counter;
   readonly eventLoopUse: Gauge;
@@ -98,6 +108,24 @@
       help: "Version of the configuration in force",
       registers,
     }),
+    configurationSpread: new Gauge({
+      name: "dotterelmoor_configuration_spread_seconds",
+      help:
+        "Time from the first read of the configuration by an entry to its being in force here",
+      registers,
+    }),
+    catalogPulls: new Histogram({
+      name: "dotterelmoor_catalog_pull_seconds",
+      help: "Time in which entries answered for their catalog, by result",
+      labelNames: ["result"],
+      buckets: PULL_BUCKETS_S,
+      registers,
+    }),
+    catalogAge: new Gauge({
+      name: "dotterelmoor_catalog_age_seconds",
+      help: "Time since the catalog was known to be current",
+      registers,
+    }),
     unexpectedErrors: new Counter({
       name: "dotterelmoor_unexpected_errors_total",
       help: "Errors that no part of the process handled",
--- a/packages/daemon/edge/src/process/peers.ts
+++ b/packages/daemon/edge/src/process/peers.ts
@@ -65,6 +65,8 @@
   readonly catalog: Catalog;
   /** Time in milliseconds since the catalog was known to be current. */
   readonly getCatalogAgeMs: () => number;
+  /** Time in milliseconds since the configuration was first read. */
+  readonly getDocumentAgeMs: () => number;
   /** A peer has a configuration of another version. */
   readonly onOtherVersion: (version: number, peerAddress: string) => void;
   /** Answers what a peer reports to have in flight. */
@@ -178,11 +180,13 @@
   }
 
   answerPull(position: CatalogPosition): CatalogMessage {
-    const { catalog, getCatalogAgeMs } = this.#options;
+    const { catalog, getCatalogAgeMs, getDocumentAgeMs } = this.#options;
+    const packed = this.#packer.pack(catalog.changesSince(position, nowMs()));
     return {
       type: "catalog",
-      ...this.#packer.pack(catalog.changesSince(position, nowMs())),
+      ...packed,
       ageMs: Math.min(NEVER_READ_MS, getCatalogAgeMs()),
+      documentAgeMs: packed.document && getDocumentAgeMs(),
     };
   }
 
--- a/packages/daemon/edge/src/process/reports.ts
+++ b/packages/daemon/edge/src/process/reports.ts
@@ -7,6 +7,7 @@
 import { performance } from "node:perf_hooks";
 import type { Placer } from "@dotterelmoor/core.placing";
 import type { DisposableStore } from "@dotterelmoor/core.types";
+import type { CatalogWatch } from "./catalog_watch.ts";
 import type { EdgeLog } from "./logging.ts";
 import type { EdgeMetrics } from "./metrics.ts";
 import type { Peers } from "./peers.ts";
@@ -23,11 +24,12 @@
   readonly peers: Peers;
   readonly metrics: EdgeMetrics;
   readonly stalls: MeasuredStalls;
+  readonly watch: Pick<CatalogWatch, "ageMs">;
 }
 
 /** Starts the reports. */
 export function startReports(options: ReportsOptions): void {
-  const { placer, store, log, peers, metrics } = options;
+  const { placer, store, log, peers, metrics, watch } = options;
   const planLog = log.part("plan");
   const reportEventLoop = createEventLoopReport(options);
   const timer = setInterval(() => {
@@ -35,6 +37,11 @@
     placer.expire(nowMs);
     planLog.info({ services: placer.describe(nowMs) }, "Run times.");
     reportEventLoop();
+    const catalogAgeMs = watch.ageMs();
+    // Without a catalog there is no age.
+    if (Number.isFinite(catalogAgeMs)) {
+      metrics.catalogAge.set(catalogAgeMs / 1_000);
+    }
     metrics.members.reset();
     for (const { region } of peers.membership.liveMembers()) {
       metrics.members.inc({ region });
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -175,7 +175,7 @@
     log: log.part("member"),
   });
   const keeping = startExchange(base, peers);
-  startReports({ placer, store, log, peers, metrics, stalls });
+  startReports({ placer, store, log, peers, metrics, stalls, watch });
   let isLeaving = false;
   await listenAll(base, {
     callers,
@@ -252,6 +252,7 @@
     log: log.part("member"),
     catalog,
     getCatalogAgeMs: () => late.watch?.ageMs() ?? Infinity,
+    getDocumentAgeMs: () => late.watch?.documentAgeMs() ?? 0,
     onOtherVersion: (version, peerAddress) => {
       const own = catalog.document?.version ?? 0;
       if (version > own) late.watch?.pullNow(peerAddress);
@@ -345,11 +346,13 @@
         peers.membership.regionState(region) !== "lost"
       ),
     pull: (source) => peers.pullCatalog(source),
-    onChanged: (source) => {
+    onChanged: (source, documentAgeMs) => {
       const { document } = catalog;
       if (document === undefined) return;
       metrics.configuration.set(document.version);
-      configurations.record(document, source);
+      if (configurations.record(document, source, documentAgeMs)) {
+        metrics.configurationSpread.set(documentAgeMs / 1_000);
+      }
       peers.setVersion(document.version);
       const { idleTimeoutMs, headerTimeoutMs } = document.limits;
       callers.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
--- a/packages/network/peering/src/guards.ts
+++ b/packages/network/peering/src/guards.ts
@@ -53,6 +53,10 @@
   return isRecord(value) && Object.values(value).every(isString);
 }
 
+function isOptionalAmount(value: unknown): boolean {
+  return value === undefined || isAmount(value);
+}
+
 function isOptionalString(value: unknown): boolean {
   return value === undefined || isString(value);
 }
@@ -245,6 +249,7 @@
     document: isOptionalBytes,
     servers: isOptionalBytes,
     ageMs: isAmount,
+    documentAgeMs: isOptionalAmount,
   },
   load_report: {
     known: (known) => hasFields(known, { numbering: isString, count: isCount }),
--- a/packages/network/peering/src/messages.ts
+++ b/packages/network/peering/src/messages.ts
@@ -170,6 +170,9 @@
   readonly servers?: Uint8Array | undefined;
   /** Time in milliseconds since the sender's catalog was known to be current. */
   readonly ageMs: number;
+  /** Time in milliseconds since the configuration, if it is told, was first
+   * read from the store. */
+  readonly documentAgeMs?: number | undefined;
 }
 
 /**
