Take an entry's catalog also when it comes late

Callers of single entries of a large installation got 404 for routes that had been confirmed 4.2 s before, and their requests reached a server 3.4 s after it had said that it was leaving; the bound is 3 s.

An entry whose event loop is some hundred milliseconds behind, or whose path is slow, asks again for all that it lacks, the large configuration included, of another entry each time, and learns nothing for as long as that lasts.

Class: an answer that is ready and is dropped as late, while nothing newer is known. The store's reader did the same with an answer that was under way as another entry of the region took over.

Now another entry is asked after 400 ms as before, and what the first one tells counts when it comes, for 2.5 s. Versions of the tables tell what is newer, so the order of answers does not matter; the age of a late one counts from its question. An entry whose answer is on the way is not asked again.

late_pulls_test: 404 before, 200 after, in 2.5 s, and nothing sent to the server that left (off the list of known failures). table_reader_test, new case: no configuration before, version 3 after. 30 tests of the edge pass.

--- a/packages/daemon/edge/src/process/catalog_watch.ts
+++ b/packages/daemon/edge/src/process/catalog_watch.ts
@@ -12,6 +12,7 @@
 } from "@dotterelmoor/core.catalog";
 import type { DisposableStore } from "@dotterelmoor/core.types";
 import type { CatalogMessage } from "@dotterelmoor/network.peering";
+import { startTimeout } from "@dotterelmoor/network.timing";
 import type { Logger } from "pino";
 import type { CatalogStore } from "../ports.ts";
 import { ContactClock } from "./contact_clock.ts";
@@ -25,6 +26,11 @@
  * off at the moment of a change, others read the change within 2.5 s. */
 const FOLLOW_INTERVAL_MS = 400;
 
+/** Time in milliseconds for an entry's answer after which another one is asked
+ * as well. What the first one tells still counts when it comes: at a busy entry
+ * all answers may take longer. */
+const ANSWER_DUE_MS = 400;
+
 /** Age in milliseconds above which an entry's catalog is not followed; it
  * covers the reader's pause and one call that is not answered. */
 const STALE_MS = 1_500;
@@ -117,6 +123,8 @@
   #isReading = false;
   #isLoaded = false;
   #pulls: Promise<boolean> = Promise.resolve(true);
+  /** Pulls without an answer yet, by their source. */
+  readonly #openPulls = new Map<string, Promise<boolean>>();
   #stopped = false;
   #warnedAtMs = -Infinity;
   #pulling = false;
@@ -239,27 +247,45 @@
     }
   }
 
-  /** Takes over an entry's catalog; false if it cannot be relied on. Pulls
-   * follow each other, so that changes are applied in their order; one that
-   * fails unexpectedly must not end those behind it. */
+  /** Takes over an entry's catalog; false if it cannot be relied on, or does
+   * not come soon. Pulls follow each other until then, so that a change is asked
+   * for once. */
   #follow(source: CatalogSource): Promise<boolean> {
-    this.#pulls = this.#pulls
-      .then(() => this.#followOnce(source))
+    this.#pulls = this.#pulls.then(async () => {
+      const pull = this.#openPull(source);
+      const isFollowed = await waitAtMost(pull, ANSWER_DUE_MS);
+      if (isFollowed === undefined) {
+        this.#warn(source, { result: "late", elapsedMs: ANSWER_DUE_MS });
+      }
+      return isFollowed ?? false;
+    });
+    return this.#pulls;
+  }
+
+  /** Asks an entry unless its answer is on the way; any entry is another one
+   * each time. A pull that fails unexpectedly must not end those behind it. */
+  #openPull(source: CatalogSource): Promise<boolean> {
+    const entry = describeSource(source);
+    const open = this.#openPulls.get(entry);
+    if (open !== undefined) return open;
+    const pull = this.#followOnce(source)
       .catch((error: unknown) => {
-        const entry = describeSource(source);
         this.#options.log.error({ entry, err: error }, "Pull failed.");
         return false;
-      });
-    return this.#pulls;
+      })
+      .finally(() => this.#openPulls.delete(entry));
+    if (source.type !== "any") this.#openPulls.set(entry, pull);
+    return pull;
   }
 
   async #followOnce(source: CatalogSource): Promise<boolean> {
     const { catalog, isContact } = this.#options;
     const asked = this.#contact.mark();
     const answer = await this.#options.pull(source);
+    if (this.#stopped) return false;
     const delta = answer === undefined ? undefined : unpackDelta(answer);
     const elapsedMs = performance.now() - asked.steadyMs;
-    const result = getPullResult(answer, delta);
+    const result = getPullResult({ answer, delta, elapsedMs });
     this.#options.metrics.catalogPulls.observe({ result }, elapsedMs / 1_000);
     if (answer === undefined || delta === undefined) {
       this.#warn(source, { result, elapsedMs });
@@ -271,7 +297,9 @@
     const nowMs = performance.now();
     // Also an entry that has not read lately may know what is newer.
     catalog.applyDelta(delta, nowMs);
-    this.#followedAtMs = Math.max(this.#followedAtMs, nowMs - answer.ageMs);
+    // What comes late may be as old as its question.
+    const toldAtMs = result === "late" ? asked.steadyMs : nowMs;
+    this.#followedAtMs = Math.max(this.#followedAtMs, toldAtMs - answer.ageMs);
     if (isContact(answer.ageMs)) this.#contact.note(asked);
     this.#noteChange(
       describeSource(source),
@@ -302,13 +330,33 @@
   }
 }
 
-function getPullResult(
-  answer: CatalogMessage | undefined,
-  delta: CatalogDelta | undefined,
-): PullResult {
+function getPullResult({ answer, delta, elapsedMs }: {
+  readonly answer: CatalogMessage | undefined;
+  readonly delta: CatalogDelta | undefined;
+  readonly elapsedMs: number;
+}): PullResult {
   if (answer === undefined) return "unanswered";
   if (delta === undefined) return "unreadable";
-  return answer.ageMs < STALE_MS ? "followed" : "old";
+  if (answer.ageMs >= STALE_MS) return "old";
+  return elapsedMs > ANSWER_DUE_MS ? "late" : "followed";
+}
+
+/** Waits for a value for a time in milliseconds; undefined if it does not come
+ * within it, and is not in the sockets by then either. */
+async function waitAtMost<Value>(
+  pending: Promise<Value>,
+  ms: number,
+): Promise<Value | undefined> {
+  let pass = () => {};
+  const passed = new Promise<undefined>((resolve) => {
+    pass = () => resolve(undefined);
+  });
+  const timeout = startTimeout(() => pass(), ms);
+  try {
+    return await Promise.race([pending, passed]);
+  } finally {
+    timeout.stop();
+  }
 }
 
 const SOURCE_TEXTS: {
--- a/packages/daemon/edge/src/process/metrics.ts
+++ b/packages/daemon/edge/src/process/metrics.ts
@@ -28,9 +28,14 @@
 /** Upper ends of the buckets of pulls in seconds. */
 const PULL_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 2.5];
 
-/** What came of asking an entry for its catalog: `old` if that had not been
- * current for long. */
-export type PullResult = "followed" | "old" | "unanswered" | "unreadable";
+/** What came of asking an entry for its catalog: `late` if others were asked
+ * before it answered, `old` if the catalog had not been current for long. */
+export type PullResult =
+  | "followed"
+  | "late"
+  | "old"
+  | "unanswered"
+  | "unreadable";
 
 /** Measures of one edge. Labels take few values: services, outcomes, reasons. */
 export interface EdgeMetrics {
--- a/packages/daemon/edge/src/process/peers.ts
+++ b/packages/daemon/edge/src/process/peers.ts
@@ -37,8 +37,9 @@
 /** Interval in milliseconds of membership's ticks. */
 const TICK_MS = 100;
 
-/** Time in milliseconds for a peer's answer. */
-const PULL_TIMEOUT_MS = 400;
+/** Time in milliseconds for which a peer's catalog is waited for. Others are
+ * asked long before; a later answer tells less than what those know by then. */
+const PULL_TIMEOUT_MS = 2_500;
 
 /**
  * Faster than the defaults: callers must not be led to a dead entry for more
--- a/packages/daemon/edge/src/process/table_reader.ts
+++ b/packages/daemon/edge/src/process/table_reader.ts
@@ -100,7 +100,11 @@
     const { contact } = this.#options;
     const asked = contact.mark();
     const result = await this.#read();
-    if (isStopped()) return 0;
+    if (isStopped()) {
+      // What was read still tells what other entries may not know yet.
+      if (result.isOk()) this.#takeOver(result.value);
+      return 0;
+    }
     if (result.isErr()) {
       this.#recordFailure(result.error);
       return FAILED_PAUSE_MS;
@@ -124,21 +128,27 @@
   }
 
   #applyUpdate(update: TableUpdate): void {
-    const { catalog, metrics, log, onChanged } = this.#options;
+    const { log } = this.#options;
     const table = this.#table;
     const nowMs = performance.now();
-    metrics.storeCalls.inc({ table, outcome: "answered" });
     this.#noteReturn(nowMs);
     this.#answeredAtMs = nowMs;
-    for (const change of update.changes) {
-      if (change.type === "unreadable") log.warn(change, "Row left out.");
-    }
-    catalog.applyTable(table, update, nowMs);
+    this.#takeOver(update);
     if (update.isComplete) {
       const rows = update.changes.length;
       log.info({ table, version: update.version, rows }, "Table read.");
     }
     this.#isContinued = true;
+  }
+
+  #takeOver(update: TableUpdate): void {
+    const { catalog, metrics, log, onChanged } = this.#options;
+    const table = this.#table;
+    metrics.storeCalls.inc({ table, outcome: "answered" });
+    for (const change of update.changes) {
+      if (change.type === "unreadable") log.warn(change, "Row left out.");
+    }
+    catalog.applyTable(table, update, performance.now());
     onChanged("store");
   }
 
