Send nothing to a server that said in an answer that it leaves

Callers' requests went on to a server that had said in its answers that it was leaving, for as long as the store's word of it was late or lost, and such a server ends.

Cause: only the store's records were heeded; no header of an answer told the catalog anything. A later start under the same id is another one.

--- a/packages/core/catalog/src/catalog.ts
+++ b/packages/core/catalog/src/catalog.ts
@@ -35,6 +35,11 @@
 /** Time in milliseconds for which a removed server's reports are refused. */
 const TOMBSTONE_MS = 60_000;
 
+/** Time in milliseconds for which a server that said that it is leaving gets no
+ * request, also if its record lapses and returns meanwhile. Servers go on for
+ * some seconds, at times for many; a later start has another time of birth. */
+const LEAVING_MS = 600_000;
+
 /** Time in milliseconds by which reports of one cold time may differ; a later
  * end means that the server became cold again. */
 const COLD_SLACK_MS = 1_000;
@@ -51,6 +56,8 @@
   applyTable(table: CatalogTable, update: TableUpdate, nowMs: number): void;
   /** Takes over what a peer knows. */
   applyDelta(delta: CatalogDelta, nowMs: number): void;
+  /** Records that one start of a server said itself that it is leaving. */
+  markLeaving(id: string, bornMs: number, nowMs: number): void;
   /** Records that the store answers again after an outage. */
   markStoreReturned(nowMs: number): void;
   readonly document: RoutingDocument | undefined;
@@ -64,6 +71,12 @@
   changesSince(position: CatalogPosition, nowMs: number): CatalogDelta;
 }
 
+/** A start of a server that said that it is leaving. */
+interface Leaving {
+  readonly bornMs: number;
+  readonly atMs: number;
+}
+
 interface Tombstone {
   readonly bornMs: number;
   readonly sequence: number;
@@ -92,6 +105,8 @@
   readonly #position: Record<CatalogTable, number> = { servers: 0, orders: 0 };
   readonly #servers = new Map<string, TrackedServer>();
   readonly #tombstones = new Map<string, Tombstone>();
+  /** By server id, the oldest ones first. */
+  readonly #leaving = new Map<string, Leaving>();
   readonly #evacuated = new Set<string>();
   #byService: Map<string, TrackedServer[]> | undefined;
   #document: RoutingDocument | undefined;
@@ -164,6 +179,19 @@
     if (isComplete) this.#removeUnlisted[table](changes, context);
   }
 
+  markLeaving(id: string, bornMs: number, nowMs: number): void {
+    // An answer of an earlier start may come last.
+    if (bornMs < (this.#leaving.get(id)?.bornMs ?? 0)) return;
+    this.#leaving.delete(id);
+    this.#leaving.set(id, { bornMs, atMs: nowMs });
+    const known = this.#servers.get(id);
+    if (known?.record.bornMs !== bornMs) return;
+    // Not told to others: positions in the table are those of the store.
+    const record: ServerRecord = { ...known.record, state: "draining" };
+    this.#servers.set(id, { ...known, record });
+    this.#byService = undefined;
+  }
+
   markStoreReturned(nowMs: number): void {
     this.#returnedAtMs = nowMs;
   }
@@ -261,8 +289,10 @@
     if (region === undefined) return this.#forgetServer(record, context);
     const { version, nowMs, isRelayed } = context;
     const known = this.#servers.get(record.id);
-    const isSameStart = known?.record.bornMs === record.bornMs;
-    const isLeaving = isSameStart && known?.record.state === "draining";
+    const { bornMs } = record;
+    const isSameStart = known?.record.bornMs === bornMs;
+    const isLeaving = this.#leaving.get(record.id)?.bornMs === bornMs ||
+      (isSameStart && known?.record.state === "draining");
     const kept: ServerRecord = isLeaving
       ? { ...record, state: "draining" }
       : record;
@@ -375,10 +405,8 @@
       if (nowMs - missingSinceMs < RETURN_MS) continue;
       this.#bury(server.record, nowMs);
     }
-    for (const [id, { atMs }] of this.#tombstones) {
-      if (nowMs - atMs < TOMBSTONE_MS) break;
-      this.#tombstones.delete(id);
-    }
+    dropOldest(this.#tombstones, nowMs - TOMBSTONE_MS);
+    dropOldest(this.#leaving, nowMs - LEAVING_MS);
   }
 
   #groupServers(): Map<string, TrackedServer[]> {
@@ -394,6 +422,17 @@
   }
 }
 
+/** Drops entries up to a time from a map in the order of their times. */
+function dropOldest(
+  entries: Map<string, { readonly atMs: number }>,
+  untilMs: number,
+): void {
+  for (const [id, { atMs }] of entries) {
+    if (atMs > untilMs) break;
+    entries.delete(id);
+  }
+}
+
 /** Makes removals that a later report of the same server ends mere lapses. An
  * update may begin before what is known, and the report, known already, would
  * be refused after a removal as one that is delayed. */
--- a/packages/core/catalog/src/catalog_test.ts
+++ b/packages/core/catalog/src/catalog_test.ts
@@ -385,3 +385,28 @@
   }
   t.deepEqual(counts, { x: 270, y: 30, z: 0 });
 });
+
+// The answer was made by the start before, and comes late.
+test("guards against a restarted server that leaves, used as an earlier start left too", (t) => {
+  const catalog = createCatalog({ zones: ZONES });
+  const report = (version: number, bornMs: number) => {
+    const record = makeServer({ bornMs, sequence: version });
+    const changes: CatalogChange[] = [{ type: "server", record }];
+    const update = { version, isComplete: true, changes };
+    catalog.applyTable("servers", update, 0);
+  };
+  report(1, 100);
+  report(2, 200);
+  catalog.markLeaving("s1", 200, 10);
+  catalog.markLeaving("s1", 100, 20);
+  // Its record lapses and returns.
+  catalog.applyTable(
+    "servers",
+    { version: 3, isComplete: true, changes: [] },
+    25,
+  );
+  report(4, 200);
+  t.is(catalog.findServers("desk", 30).length, 0);
+  report(5, 300);
+  t.is(catalog.findServers("desk", 40).length, 1);
+});
--- a/packages/daemon/edge/src/mod.ts
+++ b/packages/daemon/edge/src/mod.ts
@@ -16,5 +16,6 @@
   EdgeSettings,
   ListenAddress,
   LookupQuery,
+  ServerNotice,
   StoreError,
 } from "./ports.ts";
--- a/packages/daemon/edge/src/ports.ts
+++ b/packages/daemon/edge/src/ports.ts
@@ -55,6 +55,12 @@
   readonly zone: string;
 }
 
+/** What a server says of itself with an answer. */
+export interface ServerNotice {
+  /** True if it is leaving, whatever the store says. */
+  readonly isLeaving: boolean;
+}
+
 /** Names and formats towards callers. */
 export interface CallerProtocol {
   readonly requestIdHeader: string;
@@ -64,6 +70,7 @@
   readonly readyPath: string;
   readRequest(headers: IncomingHttpHeaders): CallerRequest;
   readLoad(headers: IncomingHttpHeaders): ServerLoadReport | undefined;
+  readNotice(status: number, headers: IncomingHttpHeaders): ServerNotice;
   readLookup(query: URLSearchParams): LookupQuery;
   renderLookup(addresses: readonly string[], ttlS: number): string;
 }
--- a/packages/daemon/edge/src/process/metrics.ts
+++ b/packages/daemon/edge/src/process/metrics.ts
@@ -43,6 +43,7 @@
   readonly latency: Histogram<"service">;
   readonly sends: Counter<"service" | "outcome">;
   readonly boundSends: Counter<"place">;
+  readonly serverNotices: Counter<"notice">;
   readonly lookups: Counter<"source">;
   readonly storeCalls: Counter<"table" | "outcome">;
   readonly members: Gauge<"region">;
@@ -90,6 +91,12 @@
       labelNames: ["place"],
       registers,
     }),
+    serverNotices: new Counter({
+      name: "dotterelmoor_server_notices_total",
+      help: "Answers in which servers say that they leave",
+      labelNames: ["notice"],
+      registers,
+    }),
     lookups: new Counter({
       name: "dotterelmoor_lookups_total",
       help: "Look-ups by where the answer's entries are",
--- a/packages/daemon/edge/src/request/forwarder_fixture.ts
+++ b/packages/daemon/edge/src/request/forwarder_fixture.ts
@@ -12,6 +12,7 @@
   BackendResult,
 } from "@dotterelmoor/network.backend";
 import { buildDocument, buildRoute, buildServer } from "../edge_fixture.ts";
+import { createEdgeLog } from "../process/logging.ts";
 import { createEdgeMetrics } from "../process/metrics.ts";
 import type { Stalls } from "../process/stalls.ts";
 import { createForwarder } from "./forwarding.ts";
@@ -62,7 +63,12 @@
     splitter: createSplitter(),
     budgets: { recordRequest: () => {}, takeRetry: () => true },
     stalls: options.stalls,
-    protocol: { targetHeader: "target", readLoad: () => undefined } as never,
+    protocol: {
+      targetHeader: "target",
+      readLoad: () => undefined,
+      readNotice: () => ({ isLeaving: false }),
+    } as never,
+    log: createEdgeLog({ level: "silent", instance: "n1", region: "a" }),
     metrics: createEdgeMetrics({
       address: undefined,
       store: new DisposableStore(),
--- a/packages/daemon/edge/src/request/held_back_test.ts
+++ b/packages/daemon/edge/src/request/held_back_test.ts
@@ -8,6 +8,7 @@
   BackendResult,
 } from "@dotterelmoor/network.backend";
 import { buildDocument, buildRoute, buildServer } from "../edge_fixture.ts";
+import { createEdgeLog } from "../process/logging.ts";
 import { createEdgeMetrics } from "../process/metrics.ts";
 import { createForwarder } from "./forwarding.ts";
 
@@ -60,7 +61,12 @@
       suspendedMs: () => suspended.ms,
     },
     budgets: { recordRequest: () => {}, takeRetry: () => true },
-    protocol: { targetHeader: "target", readLoad: () => undefined } as never,
+    protocol: {
+      targetHeader: "target",
+      readLoad: () => undefined,
+      readNotice: () => ({ isLeaving: false }),
+    } as never,
+    log: createEdgeLog({ level: "silent", instance: "n1", region: "a" }),
     metrics: createEdgeMetrics({ address: undefined, store }),
     isInContact: () => contact.isInContact,
   });
--- a/packages/daemon/edge/src/request/sending.ts
+++ b/packages/daemon/edge/src/request/sending.ts
@@ -15,7 +15,8 @@
   ServerLoadReport,
 } from "@dotterelmoor/core.placing";
 import type { BackendClient } from "@dotterelmoor/network.backend";
-import type { CallerProtocol } from "../ports.ts";
+import type { CallerProtocol, ServerNotice } from "../ports.ts";
+import type { EdgeLog } from "../process/logging.ts";
 import type { EdgeMetrics } from "../process/metrics.ts";
 import type { ForwardRequest, SendPlace, SendRecord } from "./forward_types.ts";
 import { SEND_RESULTS } from "./send_results.ts";
@@ -32,6 +33,7 @@
   readonly backend: BackendClient;
   readonly protocol: CallerProtocol;
   readonly metrics: EdgeMetrics;
+  readonly log: EdgeLog;
   readonly terms: TermsReader;
 }
 
@@ -147,11 +149,27 @@
       onHead: (status: number, headers: IncomingHttpHeaders) => {
         written.load = protocol.readLoad(headers);
         written.isMisdirected = status === 421;
+        this.#takeNotice(decision, protocol.readNotice(status, headers));
       },
     });
     return written.isHeldBack ? { type: "held_back" } : result;
   }
 
+  /** What a server says of itself holds at once, before its record tells. */
+  #takeNotice(
+    { placement: { server } }: SendDecision,
+    { isLeaving }: ServerNotice,
+  ): void {
+    const { catalog, metrics, log } = this.#options;
+    const { id, bornMs } = server.record;
+    const nowMs = performance.now();
+    if (isLeaving) {
+      catalog.markLeaving(id, bornMs, nowMs);
+      metrics.serverNotices.inc({ notice: "leaving" });
+      log.decide("Server says that it is leaving.", { server: id }, "catalog");
+    }
+  }
+
   /** Notes what holds as the first byte is written; returns the time in
    * milliseconds that the server may work, none if what is known now forbids
    * the send since it was decided, as while it waited for a connection. */
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -301,6 +301,7 @@
       stalls,
       protocol,
       metrics,
+      log,
       isInContact: () => {
         const contactAgeMs = base.late.watch?.contactAgeMs() ?? Infinity;
         return contactAgeMs <= settings.bounds.configurationApplyMs;
