Keep requests away from a server for as long as it asks to

A server that turns a request away with 503 may say for how long it wants nothing from the entry. Requests went on to it all the while, and callers waited for answers that only said no.

Cause: Retry-After of a server's answer was not read; a shed request only made the server less likely for some seconds. Now the server gets no request of this entry until that time is over, at most an hour: it is not placed on, and a send that was waiting for a connection is held back and placed anew. Whether a request is refused as not run does not depend on it: one that may have run still ends as unknown.

--- a/packages/core/placing/src/placer.ts
+++ b/packages/core/placing/src/placer.ts
@@ -83,6 +83,11 @@
     request: PlaceRequest,
     end: SendEnd & { readonly nowMs: number },
   ): void;
+  /** Records that a server asked for no requests of this entry for a time in
+   * milliseconds. */
+  recordBackOff(server: TrackedServer, forMs: number, nowMs: number): void;
+  /** True while a server has asked for no requests of this entry. */
+  wantsNone(server: TrackedServer, nowMs: number): boolean;
   /** Requests in flight from this entry by server id. */
   countInFlight(): ReadonlyMap<string, number>;
   /** Takes over what all other entries have in flight by server id. */
@@ -198,6 +203,14 @@
     load.recordEnd(end, nowMs);
   }
 
+  recordBackOff(server: TrackedServer, forMs: number, nowMs: number): void {
+    this.#loads.get(server, nowMs).recordBackOff(forMs, nowMs);
+  }
+
+  wantsNone(server: TrackedServer, nowMs: number): boolean {
+    return this.#loads.get(server, nowMs).wantsNone(nowMs);
+  }
+
   countInFlight(): ReadonlyMap<string, number> {
     return this.#loads.countInFlight();
   }
--- a/packages/core/placing/src/server_load.ts
+++ b/packages/core/placing/src/server_load.ts
@@ -35,6 +35,10 @@
  * restarted without its record telling; it covers two heartbeats. */
 const RESTART_MS = 3_500;
 
+/** Longest time in milliseconds for which a server's word keeps requests away,
+ * so that a faulty one is not lost for good. */
+const LONGEST_BACK_OFF_MS = 3_600_000;
+
 /** Requests beyond its slots that a server that shed is taken to hold. */
 const SHED_WAITING = 4;
 
@@ -65,6 +69,7 @@
   #pauseMs = 0;
   #pausedUntilMs = -Infinity;
   #restartedUntilMs = -Infinity;
+  #wantsNoneUntilMs = -Infinity;
   /** End of the cold time that the tokens are for. */
   #coldUntilMs = -Infinity;
   #coldTokens = 0;
@@ -99,7 +104,18 @@
   }
 
   isPaused(nowMs: number): boolean {
-    return nowMs < this.#pausedUntilMs;
+    return nowMs < this.#pausedUntilMs || this.wantsNone(nowMs);
+  }
+
+  /** True while the server has asked for no requests of this entry. */
+  wantsNone(nowMs: number): boolean {
+    return nowMs < this.#wantsNoneUntilMs;
+  }
+
+  /** Records that the server asked for none for a time in milliseconds. */
+  recordBackOff(forMs: number, nowMs: number): void {
+    const untilMs = nowMs + Math.min(forMs, LONGEST_BACK_OFF_MS);
+    this.#wantsNoneUntilMs = Math.max(this.#wantsNoneUntilMs, untilMs);
   }
 
   /** True if the server may have restarted, and be cold, unnoticed. */
--- a/packages/core/placing/src/server_loads.ts
+++ b/packages/core/placing/src/server_loads.ts
@@ -64,7 +64,8 @@
 
   expire(nowMs: number): void {
     for (const [key, { usedAtMs, load }] of this.#entries) {
-      const isIdle = load.inFlight === 0 && nowMs - usedAtMs > FORGET_MS;
+      const isIdle = load.inFlight === 0 && !load.wantsNone(nowMs) &&
+        nowMs - usedAtMs > FORGET_MS;
       if (isIdle) this.#entries.delete(key);
     }
   }
--- a/packages/daemon/edge/src/edge_fixture.ts
+++ b/packages/daemon/edge/src/edge_fixture.ts
@@ -238,7 +238,7 @@
     object: headers["dotterelmoor-object"] as string | undefined,
   }),
   readLoad: () => undefined,
-  readNotice: () => ({ isLeaving: false }),
+  readNotice: () => ({ isLeaving: false, backOffMs: undefined }),
   readLookup: (query) => ({
     region: query.get("region") ?? "",
     zone: query.get("zone") ?? "",
--- a/packages/daemon/edge/src/ports.ts
+++ b/packages/daemon/edge/src/ports.ts
@@ -59,6 +59,9 @@
 export interface ServerNotice {
   /** True if it is leaving, whatever the store says. */
   readonly isLeaving: boolean;
+  /** Time in milliseconds for which it wants no request from this entry;
+   * undefined if it does not say so. */
+  readonly backOffMs: number | undefined;
 }
 
 /** Names and formats towards callers. */
--- a/packages/daemon/edge/src/process/metrics.ts
+++ b/packages/daemon/edge/src/process/metrics.ts
@@ -93,7 +93,7 @@
     }),
     serverNotices: new Counter({
       name: "dotterelmoor_server_notices_total",
-      help: "Answers in which servers say that they leave",
+      help: "Answers in which servers say that they leave or want no requests",
       labelNames: ["notice"],
       registers,
     }),
--- a/packages/daemon/edge/src/request/forwarder_fixture.ts
+++ b/packages/daemon/edge/src/request/forwarder_fixture.ts
@@ -66,7 +66,7 @@
     protocol: {
       targetHeader: "target",
       readLoad: () => undefined,
-      readNotice: () => ({ isLeaving: false }),
+      readNotice: () => ({ isLeaving: false, backOffMs: undefined }),
     } as never,
     log: createEdgeLog({ level: "silent", instance: "n1", region: "a" }),
     metrics: createEdgeMetrics({
--- a/packages/daemon/edge/src/request/held_back_test.ts
+++ b/packages/daemon/edge/src/request/held_back_test.ts
@@ -14,7 +14,10 @@
 
 /** One entry whose sends are played by `plays`, in order; a play may change
  * the catalog while the send waits for a connection. */
-function setUp(plays: readonly ((apply: Apply) => BackendResult)[]) {
+function setUp(
+  plays: readonly ((apply: Apply) => BackendResult)[],
+  backingOff: ReadonlySet<string> = new Set(),
+) {
   const catalog = createCatalog({ zones: { "a-1": "a", "b-1": "b" } });
   let version = 0;
   const apply: Apply = (table, change) => {
@@ -44,11 +47,14 @@
       { excluded }: PlaceRequest,
       servers: readonly TrackedServer[],
     ) => {
-      const server = servers.find(({ record }) => !excluded.has(record.id));
+      const server = servers.find(({ record }) =>
+        !excluded.has(record.id) && !backingOff.has(record.id)
+      );
       return server === undefined
         ? { type: "refuse", reason: "no-server", retryAfterMs: 1 }
         : { type: "send", server, rank: 0, expectedMs: 1_000, hasSlot: true };
     },
+    wantsNone: ({ record }: TrackedServer) => backingOff.has(record.id),
   } as unknown as Placer;
   const store = new DisposableStore();
   const forwarder = createForwarder({
@@ -64,7 +70,7 @@
     protocol: {
       targetHeader: "target",
       readLoad: () => undefined,
-      readNotice: () => ({ isLeaving: false }),
+      readNotice: () => ({ isLeaving: false, backOffMs: undefined }),
     } as never,
     log: createEdgeLog({ level: "silent", instance: "n1", region: "a" }),
     metrics: createEdgeMetrics({ address: undefined, store }),
@@ -138,6 +144,22 @@
   t.deepEqual(written, []);
 });
 
+test("guards against a send to a server that came to want none while it waited", async (t) => {
+  const backingOff = new Set<string>();
+  const { apply, forward, written } = setUp([
+    () => {
+      backingOff.add("s1");
+      return ANSWER;
+    },
+    () => ANSWER,
+  ], backingOff);
+  putRoute(apply, 1);
+  putServer(apply, "s1");
+  putServer(apply, "s2");
+  await forward();
+  t.deepEqual(written, ["s2"]);
+});
+
 test("guards against a send to a server that left while it waited", async (t) => {
   const { apply, forward, written } = setUp([
     (change) => {
--- a/packages/daemon/edge/src/request/sending.ts
+++ b/packages/daemon/edge/src/request/sending.ts
@@ -158,9 +158,9 @@
   /** What a server says of itself holds at once, before its record tells. */
   #takeNotice(
     { placement: { server } }: SendDecision,
-    { isLeaving }: ServerNotice,
+    { isLeaving, backOffMs }: ServerNotice,
   ): void {
-    const { catalog, metrics, log } = this.#options;
+    const { catalog, placer, metrics, log } = this.#options;
     const { id, bornMs } = server.record;
     const nowMs = performance.now();
     if (isLeaving) {
@@ -168,16 +168,23 @@
       metrics.serverNotices.inc({ notice: "leaving" });
       log.decide("Server says that it is leaving.", { server: id }, "catalog");
     }
+    if (backOffMs !== undefined) {
+      placer.recordBackOff(server, backOffMs, nowMs);
+      metrics.serverNotices.inc({ notice: "back-off" });
+      const fields = { server: id, backOffMs };
+      log.decide("Server wants no requests.", fields, "catalog");
+    }
   }
 
   /** Notes what holds as the first byte is written; returns the time in
    * milliseconds that the server may work, none if what is known now forbids
    * the send since it was decided, as while it waited for a connection. */
   #checkWrite(decision: SendDecision, written: WrittenSend): number {
-    const { catalog, metrics, terms } = this.#options;
+    const { catalog, placer, metrics, terms } = this.#options;
     const newest = terms.read();
     written.isHeldBack = newest === undefined || !terms.isConfirmed(newest) ||
-      !isAllowed(decision, newest) || !this.#isListed(decision);
+      !isAllowed(decision, newest) || !this.#isListed(decision) ||
+      placer.wantsNone(decision.placement.server, performance.now());
     if (written.isHeldBack) return 0;
     written.configuration = catalog.document?.version;
     written.place = findPlace(decision, newest!.route);
