Find the entries that ended sooner when many end at once

Cause: each entry probes one member every 600 ms. With half of a region gone, half as many probe, and each dead member is hit by chance: some were suspected only after 5.5 to 7 s, and their region told others of them as alive until then.

While at least two members are suspected at once, and for 3 s after it, an entry probes every 100 ms, those first that are not suspected, and tells other regions only of itself. Without such a loss the probes are as before.

--- a/packages/core/membership/src/contacting.ts
+++ b/packages/core/membership/src/contacting.ts
@@ -101,7 +101,11 @@
     const { self } = knowledge.members;
     const live = [self, ...knowledge.members.others()]
       .filter((member) => member.state === "alive");
-    const entries = takeRandom(live, MAX_SUMMARY_ENTRIES, random)
+    // Other regions name whom they are told of for some seconds.
+    const listed = knowledge.members.isLosing(nowMs)
+      ? [self]
+      : takeRandom(live, MAX_SUMMARY_ENTRIES, random);
+    const entries = listed
       .map(({ type: _type, counter: _counter, state: _state, ...rest }) =>
         rest
       );
--- /dev/null
+++ b/packages/core/membership/src/mass_loss_test.ts
@@ -0,0 +1,58 @@
+import test from "ava";
+import { Network } from "./simulated_network.ts";
+
+/** Entries of the largest region of a grown installation. */
+const REGION_SIZE = 48;
+
+/** Callers must not be led to an entry that ended so long before. */
+const LIMIT_MS = 7_000;
+
+/** As the edge sets them. */
+const TIMINGS = {
+  probeIntervalMs: 600,
+  probeTimeoutMs: 250,
+  suspicionMs: 1_200,
+  gossipIntervalMs: 600,
+  contactFreshMs: 4_000,
+};
+
+/** Time in milliseconds until no entry takes one that ended for alive, after a
+ * share of all ended at once. */
+function measureDetection(seed: number, share: number): number {
+  const network = new Network({
+    seed,
+    regions: 3,
+    size: REGION_SIZE,
+    timings: TIMINGS,
+  });
+  network.runFor(20_000);
+  const ended = new Set<string>();
+  for (const node of network.running()) {
+    if (network.random() >= share) continue;
+    node.state = "stopped";
+    ended.add(node.id);
+  }
+  const startMs = network.nowMs;
+  let lastMs = startMs;
+  network.runFor(15_000, () => {
+    const isNamed = network.running().some(({ machine }) =>
+      machine.liveMembers().some(({ state, processId }) =>
+        state === "alive" && ended.has(processId)
+      )
+    );
+    if (isNamed) lastMs = network.nowMs;
+    return false;
+  });
+  return lastMs - startMs;
+}
+
+for (const share of [0.35, 0.5, 0.65]) {
+  for (const seed of [1, 2, 3]) {
+    // Fewer entries are left to probe, and each has more to find.
+    test(`guards against entries that are named long after many ended at once, share ${share}, seed ${seed}`, (t) => {
+      const tookMs = measureDetection(seed, share);
+      t.log(`${tookMs} ms`);
+      t.true(tookMs <= LIMIT_MS, `${tookMs} ms`);
+    });
+  }
+}
--- a/packages/core/membership/src/member_table.ts
+++ b/packages/core/membership/src/member_table.ts
@@ -17,6 +17,13 @@
 /** Bounds the memory of counters; about 54 members change on a usual day. */
 const MAX_TOMBSTONES = 2_048;
 
+/** Suspects at the same time that are taken as the loss of many members. */
+const LOSS_SUSPECTS = 2;
+
+/** Time in milliseconds for which such a loss goes on: members that nobody has
+ * probed yet are found within it. */
+const LOSS_MS = 3_000;
+
 interface Entry {
   update: MemberUpdate;
   /** Since when probes fail; also set for a leaving member. */
@@ -46,6 +53,7 @@
   #entries = new Map<string, Entry>();
   #tombstones = new Map<string, { update: MemberUpdate; atMs: number }>();
   #self: MemberUpdate;
+  #lossUntilMs = -Infinity;
   readonly #timings: MembershipTimings;
 
   constructor(self: MemberRecord, timings: MembershipTimings) {
@@ -79,6 +87,14 @@
     return this.others().filter((update) => update.state !== "dead");
   }
 
+  /** True while many members are being lost: some of those that count as alive
+   * are gone, and nobody has probed them yet. */
+  isLosing(nowMs: number): boolean {
+    const suspects = this.others().filter(({ state }) => state === "suspect");
+    if (suspects.length >= LOSS_SUSPECTS) this.#lossUntilMs = nowMs + LOSS_MS;
+    return nowMs < this.#lossUntilMs;
+  }
+
   /** Addresses of dead and forgotten members, for attempts to meet again. */
   lostAddresses(): string[] {
     const lost = this.others().filter((update) => update.state === "dead");
--- a/packages/core/membership/src/membership.ts
+++ b/packages/core/membership/src/membership.ts
@@ -183,7 +183,8 @@
       actions.push(...this.#knowledge.expire(nowMs));
     }
     const members = this.#knowledge.members.reachable();
-    for (const step of this.#prober.advance(members, nowMs)) {
+    const isLosing = this.#knowledge.members.isLosing(nowMs);
+    for (const step of this.#prober.advance(members, { nowMs, isLosing })) {
       actions.push(...this.#takeStep(step, nowMs));
     }
     const contact = this.#contacts.takeContact(nowMs);
--- a/packages/core/membership/src/prober.ts
+++ b/packages/core/membership/src/prober.ts
@@ -12,6 +12,10 @@
 /** Bounds the memory of probes made for others. */
 const MAX_RELAYS = 64;
 
+/** Rounds in one probe interval while members are being lost: few are left to
+ * probe, and each has more to find. */
+const LOSS_ROUNDS = 6;
+
 interface Round {
   readonly target: MemberUpdate;
   readonly sequence: number;
@@ -40,12 +44,14 @@
   }
   | { readonly type: "failed"; readonly target: MemberUpdate };
 
-/** Probes one member after the other, each once in a shuffled turn. */
+/** Probes one member after the other, each once in a shuffled turn; several at
+ * once while many members are being lost. */
 export class Prober {
   readonly #timings: MembershipTimings;
   readonly #random: Random;
   #turn: string[] = [];
-  #round: Round | undefined;
+  /** Rounds in progress, by the sequence of their probe, the oldest first. */
+  readonly #rounds = new Map<number, Round>();
   #nextRoundMs: number | undefined;
   #sequence = 0;
   #relays = new Map<number, Relay>();
@@ -55,45 +61,59 @@
     this.#random = random;
   }
 
-  /** Abandons the round in progress, as after a freeze of this process. */
+  /** Abandons the rounds in progress, as after a freeze of this process. */
   reset(): void {
-    this.#round = undefined;
+    this.#rounds.clear();
   }
 
-  /** Ends a round, starts the next one, or asks others for help. */
-  advance(members: readonly MemberUpdate[], nowMs: number): ProbeStep[] {
-    this.#nextRoundMs ??= nowMs +
-      this.#random() * this.#timings.probeIntervalMs;
-    if (nowMs < this.#nextRoundMs) return this.#askHelp(members, nowMs);
-    this.#nextRoundMs = nowMs + this.#timings.probeIntervalMs;
-    const steps: ProbeStep[] = [];
-    if (this.#round && !this.#round.acked) {
-      steps.push({ type: "failed", target: this.#round.target });
+  /** Ends rounds, asks others for help, and starts the next round. */
+  advance(
+    members: readonly MemberUpdate[],
+    { nowMs, isLosing }: {
+      readonly nowMs: number;
+      /** True while many members are being lost. */
+      readonly isLosing: boolean;
+    },
+  ): ProbeStep[] {
+    const { probeIntervalMs } = this.#timings;
+    this.#nextRoundMs ??= nowMs + this.#random() * probeIntervalMs;
+    const steps = this.#endRounds(nowMs);
+    for (const round of this.#rounds.values()) {
+      steps.push(...this.#askHelp(round, members, nowMs));
     }
-    const target = this.#pickTarget(members);
-    this.#round = undefined;
-    if (target) {
-      const sequence = ++this.#sequence;
-      this.#round = {
-        target,
-        sequence,
-        sentAtMs: nowMs,
-        indirect: false,
-        acked: false,
-      };
-      steps.push({ type: "probe", target, sequence });
+    if (nowMs < this.#nextRoundMs) return steps;
+    this.#nextRoundMs = nowMs + probeIntervalMs / (isLosing ? LOSS_ROUNDS : 1);
+    // Suspects were probed; what is not known yet comes first.
+    const candidates = isLosing
+      ? members.filter(({ state }) => state !== "suspect")
+      : members;
+    const target = this.#pickTarget(candidates);
+    if (target === undefined) return steps;
+    const sequence = ++this.#sequence;
+    this.#rounds.set(sequence, {
+      target,
+      sequence,
+      sentAtMs: nowMs,
+      indirect: false,
+      acked: false,
+    });
+    return [...steps, { type: "probe", target, sequence }];
+  }
+
+  #endRounds(nowMs: number): ProbeStep[] {
+    const steps: ProbeStep[] = [];
+    for (const { sequence, sentAtMs, target, acked } of this.#rounds.values()) {
+      if (nowMs - sentAtMs < this.#timings.probeIntervalMs) break;
+      this.#rounds.delete(sequence);
+      if (!acked) steps.push({ type: "failed", target });
     }
     return steps;
   }
 
   /** Takes an answer; returns the requester if it belongs to a relay. */
   acknowledge(sequence: number, processId: string): Relay | undefined {
-    const round = this.#round;
-    if (
-      round?.sequence === sequence && round.target.processId === processId
-    ) {
-      round.acked = true;
-    }
+    const round = this.#rounds.get(sequence);
+    if (round?.target.processId === processId) round.acked = true;
     const relay = this.#relays.get(sequence);
     this.#relays.delete(sequence);
     return relay;
@@ -110,10 +130,13 @@
     return own;
   }
 
-  #askHelp(members: readonly MemberUpdate[], nowMs: number): ProbeStep[] {
-    const round = this.#round;
+  #askHelp(
+    round: Round,
+    members: readonly MemberUpdate[],
+    nowMs: number,
+  ): ProbeStep[] {
     if (
-      !round || round.acked || round.indirect ||
+      round.acked || round.indirect ||
       nowMs - round.sentAtMs < this.#timings.probeTimeoutMs
     ) return [];
     round.indirect = true;
