Give the entries of the outage test no region without entries

Traced: its entries know two regions and run in one. The other one counts as lost 5 s after a start, and with a region lost, two entries with old catalogs no longer vouch for each other. Contact then ends one bound after the catalogs grew older than it, at twice the bound after the outage began, which is the end of the test's loop: on a busy machine its last request came after that. With the loop at three times the bound it fails each time, with configuration-unconfirmed.

That refusal is what the first test of the file asks for where a region is lost. The test is of an outage with live entries in every region, so its entries now know one region, and the loop stays at three times the bound: stricter than before.

--- a/packages/daemon/edge/src/isolation_test.ts
+++ b/packages/daemon/edge/src/isolation_test.ts
@@ -46,11 +46,14 @@
 // Refusing restricted routes then would fail callers for seconds.
 test("guards against refusals while other entries answer in an outage", async (t) => {
   const store = await startStore(t);
-  const first = await startReady(t, store, { instance: "n1" });
+  // A region without any entry would count as lost some seconds after a start.
+  const zones = { "a-1": "a" };
+  const first = await startReady(t, store, { instance: "n1", zones });
   const seeds = [`127.0.0.1:${first.settings.peers.port}`];
   const second = await startReady(t, store, {
     instance: "n2",
     seeds,
+    zones,
   });
   // Each has heard of the other once one of them reads for both.
   await waitUntil(t, async () => {
@@ -59,7 +62,7 @@
     return store.countCalls("n2") === before || store.countCalls("n1") === 0;
   });
   store.setDown(true);
-  const endAtMs = performance.now() + 2 * TEST_BOUNDS.configurationApplyMs;
+  const endAtMs = performance.now() + 3 * TEST_BOUNDS.configurationApplyMs;
   while (performance.now() < endAtMs) {
     for (const { settings } of [first, second]) {
       const answer = await callEdge(settings.callers, { path: "/bound/x" });
