Count the age of a late catalog from its question in any case

A catalog that came late and had not been current for long was dated from its arrival, up to 2.5 s too young: only one that counted as late, not as old, was dated from its question.

--- a/packages/daemon/edge/src/process/catalog_watch.ts
+++ b/packages/daemon/edge/src/process/catalog_watch.ts
@@ -12,9 +12,14 @@
 } from "@dotterelmoor/core.catalog";
 import type { DisposableStore } from "@dotterelmoor/core.types";
 import type { CatalogMessage } from "@dotterelmoor/network.peering";
-import { startTimeout } from "@dotterelmoor/network.timing";
 import type { Logger } from "pino";
 import type { CatalogStore } from "../ports.ts";
+import {
+  ANSWER_DUE_MS,
+  CatalogPulls,
+  describeSource,
+} from "./catalog_pulls.ts";
+import type { CatalogSource } from "./catalog_pulls.ts";
 import { ContactClock } from "./contact_clock.ts";
 import { unpackDelta } from "./delta_packing.ts";
 import { runRepeatedly } from "./intervals.ts";
@@ -26,11 +31,6 @@
  * off at the moment of a change, others read the change within 2.5 s. */
 const FOLLOW_INTERVAL_MS = 400;
 
-/** Time in milliseconds for an entry's answer after which another one is asked
- * as well. What the first one tells still counts when it comes: at a busy entry
- * all answers may take longer. */
-const ANSWER_DUE_MS = 400;
-
 /** Age in milliseconds above which an entry's catalog is not followed; it
  * covers the reader's pause and one call that is not answered. */
 const STALE_MS = 1_500;
@@ -77,13 +77,6 @@
   ) => Promise<CatalogMessage | undefined>;
 }
 
-/** An entry to take the catalog from: by its process id, by the address at
- * which it was heard, or any live one. */
-export type CatalogSource =
-  | { readonly type: "process"; readonly processId: string }
-  | { readonly type: "address"; readonly peerAddress: string }
-  | { readonly type: "any" };
-
 const ANY_SOURCE: CatalogSource = { type: "any" };
 
 /** The running watch. */
@@ -122,9 +115,7 @@
   #documentReadAtMs = -Infinity;
   #isReading = false;
   #isLoaded = false;
-  #pulls: Promise<boolean> = Promise.resolve(true);
-  /** Pulls without an answer yet, by their source. */
-  readonly #openPulls = new Map<string, Promise<boolean>>();
+  readonly #pulls: CatalogPulls;
   #stopped = false;
   #warnedAtMs = -Infinity;
   #pulling = false;
@@ -137,6 +128,12 @@
       getCatalogAgeMs: () => this.ageMs(),
       onChanged: (source: string) => this.#noteChange(source, 0),
     };
+    this.#pulls = new CatalogPulls({
+      take: (source) => this.#take(source),
+      onLate: (source) =>
+        this.#warn(source, { result: "late", elapsedMs: ANSWER_DUE_MS }),
+      log: options.log,
+    });
     this.#readers = {
       servers: new TableReader("servers", readerOptions),
       orders: new TableReader("orders", readerOptions),
@@ -197,7 +194,8 @@
   pullNow(peerAddress: string): void {
     if (this.#pulling) return;
     this.#pulling = true;
-    void this.#follow({ type: "address", peerAddress }).finally(() => {
+    const source: CatalogSource = { type: "address", peerAddress };
+    void this.#pulls.follow(source).finally(() => {
       this.#pulling = false;
     });
   }
@@ -217,11 +215,11 @@
       if (this.#readAgeMs() >= STALE_MS) {
         this.#choice.passOver(processId, nowMs);
       }
-      await this.#follow(ANY_SOURCE);
+      await this.#pulls.follow(ANY_SOURCE);
       return;
     }
     this.#setReading(false);
-    const isFollowed = await this.#follow(
+    const isFollowed = await this.#pulls.follow(
       chosen === undefined
         ? ANY_SOURCE
         : { type: "process", processId: chosen },
@@ -247,38 +245,9 @@
     }
   }
 
-  /** Takes over an entry's catalog; false if it cannot be relied on, or does
-   * not come soon. Pulls follow each other until then, so that a change is asked
-   * for once. */
-  #follow(source: CatalogSource): Promise<boolean> {
-    this.#pulls = this.#pulls.then(async () => {
-      const pull = this.#openPull(source);
-      const isFollowed = await waitAtMost(pull, ANSWER_DUE_MS);
-      if (isFollowed === undefined) {
-        this.#warn(source, { result: "late", elapsedMs: ANSWER_DUE_MS });
-      }
-      return isFollowed ?? false;
-    });
-    return this.#pulls;
-  }
-
-  /** Asks an entry unless its answer is on the way; any entry is another one
-   * each time. A pull that fails unexpectedly must not end those behind it. */
-  #openPull(source: CatalogSource): Promise<boolean> {
-    const entry = describeSource(source);
-    const open = this.#openPulls.get(entry);
-    if (open !== undefined) return open;
-    const pull = this.#followOnce(source)
-      .catch((error: unknown) => {
-        this.#options.log.error({ entry, err: error }, "Pull failed.");
-        return false;
-      })
-      .finally(() => this.#openPulls.delete(entry));
-    if (source.type !== "any") this.#openPulls.set(entry, pull);
-    return pull;
-  }
-
-  async #followOnce(source: CatalogSource): Promise<boolean> {
+  /** Asks an entry and takes over its catalog; false if that cannot be relied
+   * on. Versions tell what is newer, so the order of answers does not matter. */
+  async #take(source: CatalogSource): Promise<boolean> {
     const { catalog, isContact } = this.#options;
     const asked = this.#contact.mark();
     const answer = await this.#options.pull(source);
@@ -298,7 +267,7 @@
     // Also an entry that has not read lately may know what is newer.
     catalog.applyDelta(delta, nowMs);
     // What comes late may be as old as its question.
-    const toldAtMs = result === "late" ? asked.steadyMs : nowMs;
+    const toldAtMs = elapsedMs > ANSWER_DUE_MS ? asked.steadyMs : nowMs;
     this.#followedAtMs = Math.max(this.#followedAtMs, toldAtMs - answer.ageMs);
     if (isContact(answer.ageMs)) this.#contact.note(asked);
     this.#noteChange(
@@ -340,38 +309,3 @@
   if (answer.ageMs >= STALE_MS) return "old";
   return elapsedMs > ANSWER_DUE_MS ? "late" : "followed";
 }
-
-/** Waits for a value for a time in milliseconds; undefined if it does not come
- * within it, and is not in the sockets by then either. */
-async function waitAtMost<Value>(
-  pending: Promise<Value>,
-  ms: number,
-): Promise<Value | undefined> {
-  let pass = () => {};
-  const passed = new Promise<undefined>((resolve) => {
-    pass = () => resolve(undefined);
-  });
-  const timeout = startTimeout(() => pass(), ms);
-  try {
-    return await Promise.race([pending, passed]);
-  } finally {
-    timeout.stop();
-  }
-}
-
-const SOURCE_TEXTS: {
-  readonly [Type in CatalogSource["type"]]: (
-    source: Extract<CatalogSource, { type: Type }>,
-  ) => string;
-} = {
-  process: ({ processId }) => processId,
-  address: ({ peerAddress }) => peerAddress,
-  any: () => "any entry",
-};
-
-function describeSource(source: CatalogSource): string {
-  const describe = SOURCE_TEXTS[source.type] as (
-    source: CatalogSource,
-  ) => string;
-  return describe(source);
-}
--- a/packages/daemon/edge/src/process/catalog_watch_test.ts
+++ b/packages/daemon/edge/src/process/catalog_watch_test.ts
@@ -10,7 +10,7 @@
   createMemoryStore,
 } from "../edge_fixture.ts";
 import { startCatalogWatch } from "./catalog_watch.ts";
-import type { CatalogSource } from "./catalog_watch.ts";
+import type { CatalogSource } from "./catalog_pulls.ts";
 import { createEdgeMetrics } from "./metrics.ts";
 
 const wait = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
@@ -135,3 +135,34 @@
   await wait(2_500);
   t.is(catalog.findServers("desk", performance.now()).length, 0);
 });
+
+// It says what held when it was made, which may be just after the question.
+test("guards against a late answer that counts as current at its arrival", async (t) => {
+  const store = new DisposableStore();
+  t.teardown(() => store.dispose());
+  const memory = createMemoryStore();
+  memory.setDown(true);
+  let youngestMs = Infinity;
+  const watch = startCatalogWatch({
+    processId: "p2",
+    catalog: createCatalog({ zones: {} }),
+    source: memory.createClient("p2"),
+    store,
+    metrics: createEdgeMetrics({ address: undefined, store }),
+    log: pino({ level: "silent" }),
+    onChanged: () => {
+      youngestMs = Math.min(youngestMs, watch.ageMs());
+    },
+    listRegion: () => ["p1", "p2"],
+    joinMs: 0,
+    isContact: () => true,
+    pull: async () => {
+      await wait(700);
+      const nothing = { version: 1, isComplete: false, changes: [] };
+      const delta = { servers: nothing, orders: nothing };
+      return { type: "catalog", delta, ageMs: 0 };
+    },
+  });
+  while (youngestMs === Infinity) await wait(20);
+  t.true(youngestMs >= 600, `${youngestMs} ms`);
+});
--- a/packages/daemon/edge/src/process/peers.ts
+++ b/packages/daemon/edge/src/process/peers.ts
@@ -31,7 +31,7 @@
 } from "@dotterelmoor/network.peering";
 import type { Logger } from "pino";
 import type { ListenAddress } from "../ports.ts";
-import type { CatalogSource } from "./catalog_watch.ts";
+import type { CatalogSource } from "./catalog_pulls.ts";
 import { createDeltaPacker } from "./delta_packing.ts";
 
 /** Interval in milliseconds of membership's ticks. */
