Heed notices only of the server that was meant

A server that takes over an address and is leaving itself made the one that was meant count as leaving: its 421 carries its own Server-Leaving. That one, at another address by then, got no request of this entry any more.

The answer of a misdirected send now tells nothing of the server that was meant, but that it is not there.

server_notices_test, new case: no request in 200 without the check, served with it.

--- a/packages/daemon/edge/src/request/sending.ts
+++ b/packages/daemon/edge/src/request/sending.ts
@@ -149,6 +149,8 @@
       onHead: (status: number, headers: IncomingHttpHeaders) => {
         written.load = protocol.readLoad(headers);
         written.isMisdirected = status === 421;
+        // Another server at the address speaks of itself.
+        if (written.isMisdirected) return;
         this.#takeNotice(decision, protocol.readNotice(status, headers));
       },
     });
