Know at once that the orders are current when an entry takes over the reading

Class: a state that is judged by an answer which is not due yet.

The first call of a reader does not wait: its answer says that the table is current. It costs one more call to the store for each change of the reader.

catalog_watch_test, new case: 3.0 s old after 3 s before; current, and the removed server gone, after. 68 tests of the edge pass.

--- a/packages/daemon/edge/src/process/catalog_watch_test.ts
+++ b/packages/daemon/edge/src/process/catalog_watch_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { createCatalog } from "@dotterelmoor/core.catalog";
+import type { CatalogChange } from "@dotterelmoor/core.catalog";
 import { DisposableStore } from "@dotterelmoor/core.types";
 import type { CatalogMessage } from "@dotterelmoor/network.peering";
 import { pino } from "pino";
@@ -166,3 +167,50 @@
   while (youngestMs === Infinity) await wait(20);
   t.true(youngestMs >= 600, `${youngestMs} ms`);
 });
+
+// Orders are rare, so the first call for them of an entry that takes over the
+// reading is not answered for seconds. Its catalog seemed old all the while:
+// others did not follow it, and each read of the servers seemed to end an outage,
+// by which servers that had left were kept.
+test("guards against an entry whose catalog stays old after it took over the reading", async (t) => {
+  const store = new DisposableStore();
+  t.teardown(() => store.dispose());
+  const memory = createMemoryStore();
+  const document = buildDocument(1, [buildRoute()]);
+  memory.put("orders", "config", { type: "document", document });
+  const record = buildServer("s1", "127.0.0.1:9");
+  memory.put("servers", "s1", { type: "server", record });
+  const catalog = createCatalog({ zones: { "a-1": "a" } });
+  const members = ["p1", "p2"];
+  const nothing = { version: 3, isComplete: false, changes: [] };
+  const watch = startCatalogWatch({
+    processId: "p2",
+    catalog,
+    source: memory.createClient("p2"),
+    store,
+    metrics: createEdgeMetrics({ address: undefined, store }),
+    log: pino({ level: "silent" }),
+    onChanged: () => {},
+    listRegion: () => members,
+    joinMs: 0,
+    isContact: () => true,
+    pull: () => {
+      if (members.length === 1) return Promise.resolve(undefined);
+      const changes: CatalogChange[] = [
+        { type: "server", record },
+        { type: "document", document },
+      ];
+      const told = { ...nothing, isComplete: true, changes };
+      const delta = { servers: told, orders: told };
+      return Promise.resolve({ type: "catalog", delta, ageMs: 0 });
+    },
+  });
+  while (!watch.isLoaded) await wait(20);
+  members.shift();
+  await wait(3_000);
+  t.true(watch.isReading);
+  t.true(watch.ageMs() < 1_500, `${watch.ageMs()} ms`);
+  memory.drop("servers", "s1", { type: "server_removed", id: "s1" });
+  await wait(1_200);
+  t.is(catalog.findServers("desk", performance.now()).length, 0);
+});
--- a/packages/daemon/edge/src/process/table_reader.ts
+++ b/packages/daemon/edge/src/process/table_reader.ts
@@ -120,8 +120,10 @@
 
   #read() {
     const { source } = this.#options;
-    // A call that waits tells of the store's return only when its wait is over.
-    const waitMs = this.isFailing ? 0 : READING[this.#table].waitMs;
+    // A call that waits tells that the table is current, or of the store's
+    // return, only when its wait is over.
+    const isFirst = this.#answeredAtMs === -Infinity;
+    const waitMs = this.isFailing || isFirst ? 0 : READING[this.#table].waitMs;
     return this.#isContinued
       ? source.readChanges(this.#table, { after: this.#version, waitMs })
       : source.readAll(this.#table);
