--- /dev/null
+++ b/packages/daemon/edge/src/crashing_servers_fixture.ts
@@ -0,0 +1,180 @@
+/**
+ * Backend servers that end when they begin a certain request, and come back
+ * some time later under another id, as the platform's servers do.
+ *
+ * @module
+ */
+
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { ExecutionContext } from "ava";
+import { buildServer, callEdge } from "./edge_fixture.ts";
+import type { MemoryStore } from "./edge_fixture.ts";
+
+/** Path of the request that ends servers. */
+export const CRASHING_PATH = "/a/crash";
+
+/** Time in milliseconds from the begin of that request to the server's end. */
+const UNTIL_CRASH_MS = 15;
+
+/** Time in milliseconds in which other requests run. */
+const WORK_MS = 60;
+
+/** Time in milliseconds after which an ended server is back. */
+const BACK_MS = 700;
+
+/** What servers saw. */
+export interface CrashingFleet {
+  /** Monotonic times at which the crashing request reached a server. */
+  readonly sendsAtMs: number[];
+  /** Monotonic times at which servers ended. */
+  readonly endsAtMs: number[];
+  /** Sends later than a time in milliseconds after the third end. */
+  countLateSends(afterMs: number): number;
+  /** From now on, new starts survive the request and say another version. */
+  release(software: string): void;
+}
+
+/** Options of `startCrashingServers`. */
+export interface CrashingServersOptions {
+  readonly count: number;
+  /** Availability zones, taken in turn. */
+  readonly zones: readonly string[];
+  readonly software?: string;
+}
+
+/** Starts servers of the service `desk` that close after the test. */
+export async function startCrashingServers(
+  t: ExecutionContext,
+  store: MemoryStore,
+  options: CrashingServersOptions,
+): Promise<CrashingFleet> {
+  const fleet = new Fleet(store, options);
+  t.teardown(() => fleet.close());
+  for (let place = 0; place < options.count; place++) await fleet.start(place);
+  return fleet;
+}
+
+class Fleet implements CrashingFleet {
+  readonly sendsAtMs: number[] = [];
+  readonly endsAtMs: number[] = [];
+  readonly #store: MemoryStore;
+  readonly #options: CrashingServersOptions;
+  readonly #servers = new Map<string, Server>();
+  #software: string;
+  #isCured = false;
+  #starts = 0;
+  #isClosed = false;
+
+  constructor(store: MemoryStore, options: CrashingServersOptions) {
+    this.#store = store;
+    this.#options = options;
+    this.#software = options.software ?? "v1";
+  }
+
+  async start(place: number): Promise<void> {
+    this.#starts += 1;
+    const id = `s${place}-${this.#starts}`;
+    const server = createServer((request, response) =>
+      this.#handle({ id, place, server }, request, response)
+    );
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    this.#servers.set(id, server);
+    const { port } = server.address() as AddressInfo;
+    const { zones } = this.#options;
+    const record = buildServer(id, `127.0.0.1:${port}`, {
+      zone: zones[place % zones.length]!,
+      bornMs: this.#starts,
+    });
+    this.#store.put("servers", id, { type: "server", record });
+  }
+
+  countLateSends(afterMs: number): number {
+    const sinceMs = (this.endsAtMs[2] ?? Infinity) + afterMs;
+    return this.sendsAtMs.filter((atMs) => atMs > sinceMs).length;
+  }
+
+  release(software: string): void {
+    this.#software = software;
+    this.#isCured = true;
+  }
+
+  close(): void {
+    this.#isClosed = true;
+    for (const id of this.#servers.keys()) this.#end(id);
+  }
+
+  #handle(
+    { id, place, server }: {
+      readonly id: string;
+      readonly place: number;
+      readonly server: Server;
+    },
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const requestId = String(request.headers["dotterelmoor-request-id"]);
+    response.setHeader("dotterelmoor-request-id", requestId);
+    request.resume();
+    const isCrash = request.url === CRASHING_PATH;
+    if (isCrash) this.sendsAtMs.push(performance.now());
+    if (!isCrash || this.#isCured) {
+      setTimeout(() => response.end(`answer to ${requestId}`), WORK_MS);
+      return;
+    }
+    setTimeout(() => {
+      if (this.#servers.get(id) !== server) return;
+      this.endsAtMs.push(performance.now());
+      this.#end(id);
+      setTimeout(() => this.#replace(id, place), BACK_MS);
+    }, UNTIL_CRASH_MS);
+  }
+
+  #end(id: string): void {
+    const server = this.#servers.get(id);
+    this.#servers.delete(id);
+    server?.closeAllConnections();
+    server?.close();
+  }
+
+  #replace(id: string, place: number): void {
+    if (this.#isClosed) return;
+    this.#store.drop("servers", id, { type: "server_removed", id });
+    void this.start(place);
+  }
+}
+
+/** A caller's side of one test. */
+export interface CallPlan {
+  readonly edges: readonly { readonly host: string; readonly port: number }[];
+  /** Time in milliseconds between calls, and for all of them. */
+  readonly everyMs: number;
+  readonly forMs: number;
+  readonly path: string;
+  /** Name that makes request ids unique. */
+  readonly name: string;
+  readonly method?: string;
+  readonly body?: string;
+}
+
+/** Calls the edges in turn, whatever they answer; the statuses, 0 for none. */
+export async function callInTurn(plan: CallPlan): Promise<number[]> {
+  const pending: Promise<number>[] = [];
+  const endAtMs = performance.now() + plan.forMs;
+  for (let call = 0; performance.now() < endAtMs; call++) {
+    const { edges, name, method = "GET", body } = plan;
+    pending.push(
+      callEdge(edges[call % edges.length]!, {
+        path: plan.path,
+        id: `${name}-${call}`,
+        method,
+        ...(body === undefined ? {} : { body }),
+      }).then(({ status }) => status, () => 0),
+    );
+    await new Promise((resolve) => setTimeout(resolve, plan.everyMs));
+  }
+  return await Promise.all(pending);
+}
