Tell servers that ended from connections that were lost

Nothing in logs or metrics told a server that ended under a request from a connection that was reset, a cut link or a zone without power, nor joined the attempts of one caller: the hypotheses of the incident could not be told apart.

After a lost connection, the entry checks once whether the server's address still accepts connections. If it refuses them, and no other answer came from that start of the server since, it has ended: one log line gives the server and the fingerprints of the requests lost with it, and a counter the service. The fingerprint now takes the caller's address, its path and body, and no id. A server that is leaving is left out, as it ends whatever it runs.

--- a/packages/core/quarantine/src/quarantine_test.ts
+++ b/packages/core/quarantine/src/quarantine_test.ts
@@ -222,6 +222,8 @@
     { ...base, key: "x" },
     { ...base, body: bytes("x") },
     { ...base, body: bytes("y") },
+    { ...base, caller: "10.0.0.1" },
+    { ...base, caller: "10.0.0.2" },
   ].map(computeFingerprint);
   t.is(new Set(prints).size, prints.length);
   const sameKey = { ...base, key: "x", body: bytes("y") };
--- /dev/null
+++ b/packages/daemon/edge/src/process/crash_watch.ts
@@ -0,0 +1,126 @@
+/**
+ * Tells backend servers that ended from connections that were lost.
+ *
+ * Pattern: a lost connection says little. Connections are reset, links are cut
+ * and zones lose power, and all of these take sound requests along. Where a
+ * server's process has ended, its machine refuses new connections, and no other
+ * answer comes from that start of the server.
+ *
+ * @module
+ */
+
+import type { ServerRecord } from "@dotterelmoor/core.catalog";
+import type { ListenState } from "@dotterelmoor/network.backend";
+
+/** Time in milliseconds from a loss to the check: connections and the listener
+ * of a process that ends close one after the other, and further losses are
+ * gathered. Servers are away for longer than this. */
+const CHECK_DELAY_MS = 50;
+
+/** Time in milliseconds for the check; two round trips between regions. */
+const CHECK_TIMEOUT_MS = 250;
+
+/** Time in milliseconds for which an ended start is remembered: losses of its
+ * other connections are read within it. */
+const REMEMBERED_MS = 5_000;
+
+/** What the end of a run tells of its server. */
+export type RunEnd =
+  /** The server answered, if only with a refusal. */
+  | "alive"
+  /** The connection was lost, or the answer was cut. */
+  | "lost"
+  | "unknown";
+
+/** A run at one start of a server. */
+export interface WatchedRun {
+  /** Identifies the request over its repeats. */
+  readonly fingerprint: string;
+  readonly server: ServerRecord;
+}
+
+/** Options of `createCrashWatch`. */
+export interface CrashWatchOptions {
+  readonly checkListening: (
+    address: string,
+    timeoutMs: number,
+  ) => Promise<ListenState>;
+  /** False for a server that is leaving or removed: it ends by itself, whatever
+   * it runs. */
+  readonly isServing: (server: ServerRecord) => boolean;
+  /** A start of a server has ended under requests of this entry; called again
+   * for those whose loss is read later. */
+  readonly onCrash: (
+    server: ServerRecord,
+    fingerprints: readonly string[],
+  ) => void;
+}
+
+/** Watches the servers that this entry sends to. */
+export interface CrashWatch {
+  recordEnd(run: WatchedRun, end: RunEnd): void;
+}
+
+/** Creates the watch. */
+export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
+  return new Watch(options);
+}
+
+/** Losses of one start of a server. */
+interface Losses {
+  readonly server: ServerRecord;
+  readonly fingerprints: Set<string>;
+  /** True once the start has answered since the first loss. */
+  isAlive: boolean;
+  /** True once the server is known to have ended. */
+  hasEnded: boolean;
+}
+
+class Watch implements CrashWatch {
+  readonly #options: CrashWatchOptions;
+  readonly #losses = new Map<string, Losses>();
+
+  constructor(options: CrashWatchOptions) {
+    this.#options = options;
+  }
+
+  recordEnd({ server, fingerprint }: WatchedRun, end: RunEnd): void {
+    const key = `${server.id}/${server.bornMs}`;
+    const losses = this.#losses.get(key);
+    if (end === "alive" && losses !== undefined) losses.isAlive = true;
+    if (end !== "lost" || !this.#options.isServing(server)) return;
+    if (losses === undefined) {
+      this.#startCheck(key, server, fingerprint);
+    } else if (losses.hasEnded) {
+      this.#options.onCrash(server, [fingerprint]);
+    } else {
+      losses.fingerprints.add(fingerprint);
+    }
+  }
+
+  #startCheck(key: string, server: ServerRecord, fingerprint: string): void {
+    const losses: Losses = {
+      server,
+      fingerprints: new Set([fingerprint]),
+      isAlive: false,
+      hasEnded: false,
+    };
+    this.#losses.set(key, losses);
+    setTimeout(() => void this.#check(key, losses), CHECK_DELAY_MS).unref();
+  }
+
+  async #check(key: string, losses: Losses): Promise<void> {
+    const { checkListening, onCrash } = this.#options;
+    const { server, fingerprints } = losses;
+    const state = losses.isAlive
+      ? "accepts"
+      : await checkListening(server.address, CHECK_TIMEOUT_MS);
+    losses.hasEnded = state === "refuses" && !losses.isAlive;
+    if (!losses.hasEnded) {
+      this.#losses.delete(key);
+      return;
+    }
+    onCrash(server, [...fingerprints]);
+    setTimeout(() => this.#losses.delete(key), REMEMBERED_MS).unref();
+  }
+}
--- /dev/null
+++ b/packages/daemon/edge/src/process/crash_watch_test.ts
@@ -0,0 +1,83 @@
+import test from "ava";
+import type { ListenState } from "@dotterelmoor/network.backend";
+import { buildServer } from "../edge_fixture.ts";
+import { createCrashWatch } from "./crash_watch.ts";
+
+/** Longer than the delay of a check. */
+const CHECKED_MS = 120;
+
+const wait = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
+
+function setUp(state: ListenState, isServing = true) {
+  const crashes: string[] = [];
+  let checks = 0;
+  const watch = createCrashWatch({
+    checkListening: () => {
+      checks += 1;
+      return Promise.resolve(state);
+    },
+    isServing: () => isServing,
+    onCrash: ({ id, bornMs }, fingerprints) => {
+      crashes.push(`${id}/${bornMs} ${fingerprints.join(" ")}`);
+    },
+  });
+  const server = buildServer("s1", "127.0.0.1:9");
+  const lose = (fingerprint: string, of = server) =>
+    watch.recordEnd({ server: of, fingerprint }, "lost");
+  return { watch, server, crashes, lose, countChecks: () => checks };
+}
+
+test("guards against a crash that names only some of the lost requests", async (t) => {
+  const { crashes, lose, countChecks } = setUp("refuses");
+  lose("a");
+  lose("b");
+  lose("a");
+  await wait(CHECKED_MS);
+  // Read when the crash is known already.
+  lose("c");
+  t.deepEqual(crashes, ["s1/1 a b", "s1/1 c"]);
+  t.is(countChecks(), 1);
+});
+
+test("guards against connections that were reset and count as a crash", async (t) => {
+  const { crashes, lose } = setUp("accepts");
+  lose("a");
+  await wait(CHECKED_MS);
+  lose("a");
+  await wait(CHECKED_MS);
+  t.deepEqual(crashes, []);
+});
+
+test("guards against a cut, or a zone without power, that counts as a crash", async (t) => {
+  const { crashes, lose } = setUp("silent");
+  lose("a");
+  await wait(CHECKED_MS);
+  t.deepEqual(crashes, []);
+});
+
+// A busy server resets connections beyond its bound, and answers on others.
+test("guards against a server that still answers and counts as ended", async (t) => {
+  const { watch, server, crashes, lose } = setUp("refuses");
+  lose("a");
+  watch.recordEnd({ server, fingerprint: "b" }, "alive");
+  await wait(CHECKED_MS);
+  t.deepEqual(crashes, []);
+});
+
+test("guards against a server that ends as it leaves and counts as crashed", async (t) => {
+  const { crashes, lose, countChecks } = setUp("refuses", false);
+  lose("a");
+  await wait(CHECKED_MS);
+  t.deepEqual(crashes, []);
+  t.is(countChecks(), 0);
+});
+
+// A later start under the same id is another one.
+test("guards against two crashes of one server that count as one", async (t) => {
+  const { server, crashes, lose } = setUp("refuses");
+  lose("a");
+  await wait(CHECKED_MS);
+  lose("a", { ...server, bornMs: 2 });
+  await wait(CHECKED_MS);
+  t.deepEqual(crashes, ["s1/1 a", "s1/2 a"]);
+});
--- a/packages/daemon/edge/src/process/logging.ts
+++ b/packages/daemon/edge/src/process/logging.ts
@@ -21,6 +21,7 @@
   | "lookup"
   | "member"
   | "plan"
+  | "quarantine"
   | "request";
 
 /** Logs of one process. */
--- a/packages/daemon/edge/src/process/metrics.ts
+++ b/packages/daemon/edge/src/process/metrics.ts
@@ -44,6 +44,7 @@
   readonly sends: Counter<"service" | "outcome">;
   readonly boundSends: Counter<"place">;
   readonly serverNotices: Counter<"notice">;
+  readonly serverCrashes: Counter<"service">;
   readonly lookups: Counter<"source">;
   readonly storeCalls: Counter<"table" | "outcome">;
   readonly members: Gauge<"region">;
@@ -97,6 +98,12 @@
       labelNames: ["notice"],
       registers,
     }),
+    serverCrashes: new Counter({
+      name: "dotterelmoor_server_crashes_total",
+      help: "Servers that ended under requests of this entry, by service",
+      labelNames: ["service"],
+      registers,
+    }),
     lookups: new Counter({
       name: "dotterelmoor_lookups_total",
       help: "Look-ups by where the answer's entries are",
--- a/packages/daemon/edge/src/request/forward_types.ts
+++ b/packages/daemon/edge/src/request/forward_types.ts
@@ -15,6 +15,8 @@
   /** What selects a route, with the path. */
   readonly host: string;
   readonly requestId: string;
+  /** Identifies the request over the attempts of its caller. */
+  readonly fingerprint: string;
   readonly object: string | undefined;
   readonly method: string;
   readonly path: string;
--- a/packages/daemon/edge/src/request/forwarder_fixture.ts
+++ b/packages/daemon/edge/src/request/forwarder_fixture.ts
@@ -60,6 +60,7 @@
       findAssigned: () => undefined,
     }),
     backend,
+    crashes: { recordEnd: () => {} },
     splitter: createSplitter(),
     budgets: { recordRequest: () => {}, takeRetry: () => true },
     stalls: options.stalls,
--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -6,6 +6,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Catalog, RouteRecord } from "@dotterelmoor/core.catalog";
+import { computeFingerprint } from "@dotterelmoor/core.quarantine";
 import type { CallerProtocol } from "../ports.ts";
 import type { EdgeLog } from "../process/logging.ts";
 import type { EdgeMetrics } from "../process/metrics.ts";
@@ -114,13 +115,21 @@
       return { outcome: { type: "abandoned" }, sends: [] };
     }
     const waitMs = Math.min(caller.waitMs ?? Infinity, route.timeoutMs);
+    const { method = "GET", url = "/" } = request;
     const result = await this.#options.forwarder.forward({
       route,
       host,
       requestId: caller.requestId,
+      fingerprint: computeFingerprint({
+        service: host,
+        method,
+        path: url,
+        body: body.bytes,
+        caller: request.socket.remoteAddress ?? "",
+      }),
       object: caller.object,
-      method: request.method ?? "GET",
-      path: request.url ?? "/",
+      method,
+      path: url,
       headers: joinHeaders(request),
       body: body.bytes,
       arrivedAtMs: context.arrivedAtMs,
--- a/packages/daemon/edge/src/request/held_back_test.ts
+++ b/packages/daemon/edge/src/request/held_back_test.ts
@@ -61,6 +61,7 @@
     catalog,
     placer,
     backend,
+    crashes: { recordEnd: () => {} },
     splitter: createSplitter(),
     stalls: {
       settle: () => Promise.resolve(),
@@ -82,6 +83,7 @@
       route: catalog.routes!.get("r1") ?? buildRoute(),
       host: "desk.example",
       requestId: "q1",
+      fingerprint: "f1",
       object: undefined,
       method: "POST",
       path: "/a/x",
--- a/packages/daemon/edge/src/request/send_results.ts
+++ b/packages/daemon/edge/src/request/send_results.ts
@@ -6,6 +6,7 @@
 
 import type { SendOutcome } from "@dotterelmoor/core.placing";
 import type { BackendResult } from "@dotterelmoor/network.backend";
+import type { RunEnd } from "../process/crash_watch.ts";
 
 /** The result of a send; one is held back if the configuration came to forbid
  * it before the first byte was written. */
@@ -14,22 +15,38 @@
 /** What a send means for its request. */
 export type SendVerdict = "answer" | "not-run" | "may-have-run" | "stop";
 
+/** What the result of a send means. */
+export interface SendMeaning {
+  readonly verdict: SendVerdict;
+  /** For the choice of servers. */
+  readonly outcome: SendOutcome;
+  /** Whether the server may have ended. */
+  readonly runEnd: RunEnd;
+}
+
 /** How the result of a send is taken, and what it tells about the server. */
-export const SEND_RESULTS: Readonly<
-  Record<
-    SendResult["type"],
-    { readonly verdict: SendVerdict; readonly outcome: SendOutcome }
-  >
-> = {
-  answered: { verdict: "answer", outcome: "answered" },
-  refused: { verdict: "not-run", outcome: "shed" },
-  connection_refused: { verdict: "not-run", outcome: "unreachable" },
-  held_back: { verdict: "not-run", outcome: "abandoned" },
-  not_authorized: { verdict: "stop", outcome: "abandoned" },
-  connection_lost: { verdict: "may-have-run", outcome: "failed" },
-  timed_out: { verdict: "stop", outcome: "failed" },
-  incomplete_answer: { verdict: "may-have-run", outcome: "failed" },
-  cancelled: { verdict: "stop", outcome: "abandoned" },
+export const SEND_RESULTS: Readonly<Record<SendResult["type"], SendMeaning>> = {
+  answered: { verdict: "answer", outcome: "answered", runEnd: "alive" },
+  refused: { verdict: "not-run", outcome: "shed", runEnd: "alive" },
+  connection_refused: {
+    verdict: "not-run",
+    outcome: "unreachable",
+    runEnd: "unknown",
+  },
+  held_back: { verdict: "not-run", outcome: "abandoned", runEnd: "unknown" },
+  not_authorized: { verdict: "stop", outcome: "abandoned", runEnd: "unknown" },
+  connection_lost: {
+    verdict: "may-have-run",
+    outcome: "failed",
+    runEnd: "lost",
+  },
+  timed_out: { verdict: "stop", outcome: "failed", runEnd: "unknown" },
+  incomplete_answer: {
+    verdict: "may-have-run",
+    outcome: "failed",
+    runEnd: "lost",
+  },
+  cancelled: { verdict: "stop", outcome: "abandoned", runEnd: "unknown" },
 };
 
 /** Multiple of the expected time, and least time in milliseconds beyond it,
--- a/packages/daemon/edge/src/request/sending.ts
+++ b/packages/daemon/edge/src/request/sending.ts
@@ -16,6 +16,7 @@
 } from "@dotterelmoor/core.placing";
 import type { BackendClient } from "@dotterelmoor/network.backend";
 import type { CallerProtocol, ServerNotice } from "../ports.ts";
+import type { CrashWatch } from "../process/crash_watch.ts";
 import type { EdgeLog } from "../process/logging.ts";
 import type { EdgeMetrics } from "../process/metrics.ts";
 import type { ForwardRequest, SendPlace, SendRecord } from "./forward_types.ts";
@@ -32,6 +33,7 @@
   readonly placer: Placer;
   readonly backend: BackendClient;
   readonly protocol: CallerProtocol;
+  readonly crashes: CrashWatch;
   readonly metrics: EdgeMetrics;
   readonly log: EdgeLog;
   readonly terms: TermsReader;
@@ -105,7 +107,7 @@
     progress: SendProgress,
   ): Promise<SendResult> {
     const { placement, placeRequest } = decision;
-    const { placer } = this.#options;
+    const { placer, crashes } = this.#options;
     const startedAtMs = performance.now();
     placer.recordSend(placement, placeRequest, startedAtMs);
     const written: WrittenSend = {};
@@ -118,6 +120,12 @@
       : this.#readOutcome(result, progress);
     const end: SendEnd = { outcome, elapsedMs, load: written.load };
     placer.recordEnd(placement, placeRequest, { ...end, nowMs });
+    if (!written.isMisdirected) {
+      const { fingerprint } = this.#request;
+      const { record: server } = placement.server;
+      const { runEnd } = SEND_RESULTS[result.type];
+      crashes.recordEnd({ fingerprint, server }, runEnd);
+    }
     this.#record(decision, {
       result: written.isMisdirected ? "misdirected" : result.type,
       elapsedMs: Math.round(elapsedMs),
--- a/packages/daemon/edge/src/request/stalled_backup_test.ts
+++ b/packages/daemon/edge/src/request/stalled_backup_test.ts
@@ -30,6 +30,7 @@
     route: buildRoute(),
     host: "desk.example",
     requestId: "q1",
+    fingerprint: "f1",
     object: undefined,
     method: "GET",
     path: "/a/x",
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -13,10 +13,13 @@
 import type { Placer } from "@dotterelmoor/core.placing";
 import { DisposableStore } from "@dotterelmoor/core.types";
 import { createBackendClient } from "@dotterelmoor/network.backend";
+import type { BackendClient } from "@dotterelmoor/network.backend";
 import type { EdgePlatform, EdgeSettings, ListenAddress } from "./ports.ts";
 import { Assignments } from "./process/assignments.ts";
 import { startCatalogWatch } from "./process/catalog_watch.ts";
 import type { CatalogWatch } from "./process/catalog_watch.ts";
+import { createCrashWatch } from "./process/crash_watch.ts";
+import type { CrashWatch } from "./process/crash_watch.ts";
 import { createConfigurationLog } from "./process/configuration_log.ts";
 import { sortEntries } from "./process/entry_order.ts";
 import { createEdgeLog } from "./process/logging.ts";
@@ -300,6 +303,7 @@
       budgets,
       stalls,
       protocol,
+      crashes: watchCrashes(base, backend),
       metrics,
       log,
       isInContact: () => {
@@ -313,6 +317,28 @@
   });
 }
 
+function watchCrashes(
+  { catalog, log, metrics }: Base,
+  backend: BackendClient,
+): CrashWatch {
+  return createCrashWatch({
+    checkListening: (address, timeoutMs) =>
+      backend.checkListening(address, timeoutMs),
+    isServing: ({ service, id }) =>
+      catalog.findServers(service, performance.now())
+        .some(({ record }) => record.id === id),
+    onCrash: (server, fingerprints) => {
+      const { id, service, bornMs, address } = server;
+      metrics.serverCrashes.inc({ service });
+      log.decide(
+        "Server ended under requests.",
+        { server: id, service, bornMs, address, fingerprints },
+        "quarantine",
+      );
+    },
+  });
+}
+
 function createCallerServer(front: Front): Server {
   const server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true },
--- a/packages/network/backend/src/client.ts
+++ b/packages/network/backend/src/client.ts
@@ -10,6 +10,7 @@
 import { runExchange } from "./exchange.ts";
 import type { Exchange } from "./exchange.ts";
 import { fetchHealth } from "./health.ts";
+import { checkListening } from "./listening.ts";
 import { ConnectionPool } from "./pool.ts";
 import { OWN_PROTOCOL } from "./protocol.ts";
 import type { ServerProtocol } from "./protocol.ts";
@@ -40,6 +41,7 @@
   return {
     send: (request) => sendRequest(request, { pool, ...settings }),
     fetchHealth,
+    checkListening,
     close: () => pool.close(),
   };
 }
--- /dev/null
+++ b/packages/network/backend/src/listening_test.ts
@@ -0,0 +1,46 @@
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { createServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import process from "node:process";
+import test from "ava";
+import { createBackendClient } from "./mod.ts";
+
+const TIMEOUT_MS = 500;
+
+// A server that ended refuses connections; one whose connections were reset
+// accepts new ones.
+test("guards against a server that ended and counts as alive, or the reverse", async (t) => {
+  const client = createBackendClient();
+  t.teardown(() => client.close());
+  const server = createServer((socket: Socket) => socket.resetAndDestroy());
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  t.is(await client.checkListening(address, TIMEOUT_MS), "accepts");
+  await new Promise((resolve) => server.close(resolve));
+  t.is(await client.checkListening(address, TIMEOUT_MS), "refuses");
+});
+
+/** Prints its port, and accepts no connection beyond its queue once stopped. */
+const LISTENER = `
+  const server = require("node:net").createServer();
+  server.listen({ port: 0, host: "127.0.0.1", backlog: 1 }, () =>
+    console.log(server.address().port));
+`;
+
+// A process that is stopped accepts none, and its system drops the first packet
+// of those beyond the queue, as a path that is cut does.
+test("guards against a server that does not answer and counts as ended", async (t) => {
+  const client = createBackendClient();
+  t.teardown(() => client.close());
+  const child = spawn(process.execPath, ["-e", LISTENER]);
+  t.teardown(() => child.kill("SIGKILL"));
+  const [printed] = await once(child.stdout, "data") as [Buffer];
+  child.kill("SIGSTOP");
+  const address = `127.0.0.1:${Number(printed.toString())}`;
+  const queued = Array.from(
+    { length: 8 },
+    () => client.checkListening(address, TIMEOUT_MS),
+  );
+  t.true((await Promise.all(queued)).includes("silent"));
+});
--- a/packages/network/backend/src/mod.ts
+++ b/packages/network/backend/src/mod.ts
@@ -14,4 +14,5 @@
   BackendRequest,
   BackendResult,
   HealthResult,
+  ListenState,
 } from "./types.ts";
--- a/packages/network/backend/src/types.ts
+++ b/packages/network/backend/src/types.ts
@@ -79,12 +79,18 @@
   | { readonly type: "connection_refused" }
   | { readonly type: "unavailable" };
 
+/** Whether a process listens at an address: `silent` if nothing answers in
+ * time, as behind a path that is cut. */
+export type ListenState = "accepts" | "refuses" | "silent";
+
 /** Client of all backend servers of one process; no method throws. */
 export interface BackendClient {
   /** Sends one request once. */
   send(request: BackendRequest): Promise<BackendResult>;
   /** Asks `GET /health` on a connection of its own. */
   fetchHealth(address: string, timeoutMs: number): Promise<HealthResult>;
+  /** Tells whether a server still accepts connections, by opening one. */
+  checkListening(address: string, timeoutMs: number): Promise<ListenState>;
   /** Closes all connections; sends in progress end as lost. */
   close(): void;
 }
