--- a/packages/daemon/edge/src/mod.ts
+++ b/packages/daemon/edge/src/mod.ts
@@ -5,6 +5,10 @@
  * @module
  */
 
+export {
+  liftQuarantine,
+  listQuarantined,
+} from "./process/quarantine_commands.ts";
 export { startEdge } from "./wiring.ts";
 export type { Edge } from "./wiring.ts";
 export type {
