Suspect also requests that were given up just before a crash

A caller that leaves before its request ends the server would keep it from being suspected: only lost runs were. A run that was given up counts for another second. The new case of crash_watch_test failed before (one fingerprint of two).

--- a/packages/daemon/edge/src/process/crash_watch.ts
+++ b/packages/daemon/edge/src/process/crash_watch.ts
@@ -24,6 +24,10 @@
  * other connections are read within it. */
 const REMEMBERED_MS = 5_000;
 
+/** Time in milliseconds for which a run that this entry gave up may still be
+ * under way: servers are told how long they may work. */
+const LINGERING_MS = 1_000;
+
 /** What the end of a run tells of its server. */
 export type RunEnd =
   /** The server ran the request and answered. */
@@ -32,6 +36,8 @@
   | "refused"
   /** The connection was lost, or the answer was cut. */
   | "lost"
+  /** Its caller left, or its time was over. */
+  | "given_up"
   | "unknown";
 
 /** A run at one start of a server. */
@@ -81,6 +87,8 @@
 class Watch implements CrashWatch {
   readonly #options: CrashWatchOptions;
   readonly #losses = new Map<string, Losses>();
+  /** Fingerprints of runs that were given up, by start of their server. */
+  readonly #lingering = new Map<string, Set<string>>();
 
   constructor(options: CrashWatchOptions) {
     this.#options = options;
@@ -91,6 +99,7 @@
     const losses = this.#losses.get(key);
     const isAlive = end === "answered" || end === "refused";
     if (isAlive && losses !== undefined) losses.isAlive = true;
+    if (end === "given_up") this.#addLingering(key, fingerprint);
     if (end !== "lost" || !this.#options.isServing(server)) return;
     if (losses === undefined) {
       this.#startCheck(key, server, fingerprint);
@@ -101,10 +110,19 @@
     }
   }
 
+  #addLingering(key: string, fingerprint: string): void {
+    const lingering = this.#lingering.get(key) ?? new Set();
+    this.#lingering.set(key, lingering.add(fingerprint));
+    setTimeout(() => {
+      lingering.delete(fingerprint);
+      if (lingering.size === 0) this.#lingering.delete(key);
+    }, LINGERING_MS).unref();
+  }
+
   #startCheck(key: string, server: ServerRecord, fingerprint: string): void {
     const losses: Losses = {
       server,
-      fingerprints: new Set([fingerprint]),
+      fingerprints: new Set([fingerprint, ...this.#lingering.get(key) ?? []]),
       isAlive: false,
       hasEnded: false,
     };
--- a/packages/daemon/edge/src/process/crash_watch_test.ts
+++ b/packages/daemon/edge/src/process/crash_watch_test.ts
@@ -81,3 +81,12 @@
   await wait(CHECKED_MS);
   t.deepEqual(crashes, ["s1/1 a", "s1/2 a"]);
 });
+
+// The caller of the request that crashes may leave before the server ends.
+test("guards against a crash that spares a request which was given up just before", async (t) => {
+  const { watch, server, crashes, lose } = setUp("refuses");
+  watch.recordEnd({ server, fingerprint: "left" }, "given_up");
+  lose("a");
+  await wait(CHECKED_MS);
+  t.deepEqual(crashes, ["s1/1 a left"]);
+});
--- a/packages/daemon/edge/src/request/send_results.ts
+++ b/packages/daemon/edge/src/request/send_results.ts
@@ -40,15 +40,21 @@
     outcome: "failed",
     runEnd: "lost",
   },
-  timed_out: { verdict: "stop", outcome: "failed", runEnd: "unknown" },
+  timed_out: { verdict: "stop", outcome: "failed", runEnd: "given_up" },
   incomplete_answer: {
     verdict: "may-have-run",
     outcome: "failed",
     runEnd: "lost",
   },
-  cancelled: { verdict: "stop", outcome: "abandoned", runEnd: "unknown" },
+  cancelled: { verdict: "stop", outcome: "abandoned", runEnd: "given_up" },
 };
 
+/** What the result of a send tells of its run, if there was one. */
+export function getRunEnd(result: SendResult): RunEnd {
+  const isUnsent = result.type === "cancelled" && !result.sent;
+  return isUnsent ? "unknown" : SEND_RESULTS[result.type].runEnd;
+}
+
 /** Multiple of the expected time, and least time in milliseconds beyond it,
  * after which an answer is taken to be lost or very late. */
 const BACKUP_FACTOR = 2.5;
--- a/packages/daemon/edge/src/request/sending.ts
+++ b/packages/daemon/edge/src/request/sending.ts
@@ -22,7 +22,7 @@
 import type { EdgeMetrics } from "../process/metrics.ts";
 import type { ForwardRequest, SendPlace, SendRecord } from "./forward_types.ts";
 import type { QuarantineGate } from "./quarantine_gate.ts";
-import { SEND_RESULTS } from "./send_results.ts";
+import { getRunEnd, SEND_RESULTS } from "./send_results.ts";
 import type { SendResult } from "./send_results.ts";
 import type { SendTerms, TermsReader } from "./send_terms.ts";
 
@@ -129,7 +129,7 @@
     if (!written.isMisdirected) {
       const { fingerprint } = this.#request;
       const { record: server } = placement.server;
-      const { runEnd } = SEND_RESULTS[result.type];
+      const runEnd = getRunEnd(result);
       const run = { fingerprint, server };
       crashes.recordEnd(run, runEnd);
       quarantine.recordEnd(run, runEnd);
