--- a/packages/core/catalog/src/catalog.ts
+++ b/packages/core/catalog/src/catalog.ts
@@ -4,11 +4,11 @@
  * @module
  */
 
-import { CrashNotes } from "@dotterelmoor/core.quarantine";
-import type { CrashNote } from "@dotterelmoor/core.quarantine";
+import type { CrashNotes } from "@dotterelmoor/core.quarantine";
 import { applyEvent } from "@dotterelmoor/core.types";
 import type { EventHandlers } from "@dotterelmoor/core.types";
 import { ChangeLog, hasChanged } from "./change_log.ts";
+import { CrashTable } from "./crash_table.ts";
 import { createRouteIndex } from "./route_index.ts";
 import type { RouteIndex } from "./route_index.ts";
 import type {
@@ -112,7 +112,7 @@
     orders: 0,
     crashes: 0,
   };
-  readonly crashNotes = new CrashNotes();
+  readonly #crashes = new CrashTable(this.#logs.crashes);
   readonly #servers = new Map<string, TrackedServer>();
   readonly #tombstones = new Map<string, Tombstone>();
   /** By server id, the oldest ones first. */
@@ -134,9 +134,9 @@
       this.#setEvacuated(zone, true, version),
     evacuation_ended: ({ zone }, { version }) =>
       this.#setEvacuated(zone, false, version),
-    crash_note: ({ note }, { version }) => this.#addNote(note, version),
+    crash_note: ({ note }, { version }) => this.#crashes.add(note, version),
     crash_note_removed: ({ key }, { version }) =>
-      this.#removeNote(key, version),
+      this.#crashes.remove(key, version),
     unreadable: () => {},
   };
 
@@ -148,7 +148,8 @@
   > = {
     servers: (changes, context) => this.#removeServers(changes, context),
     orders: (changes, { version }) => this.#endEvacuations(changes, version),
-    crashes: (changes, { version }) => this.#removeNotes(changes, version),
+    crashes: (changes, { version }) =>
+      this.#crashes.removeUnlisted(changes, version),
   };
 
   constructor(options: CatalogOptions) {
@@ -163,6 +164,10 @@
     return this.#routes;
   }
 
+  get crashNotes(): CrashNotes {
+    return this.#crashes.notes;
+  }
+
   applyTable(table: CatalogTable, update: TableUpdate, nowMs: number): void {
     const { version } = update;
     this.#apply(table, update, { version, nowMs, isRelayed: false });
@@ -257,8 +262,7 @@
   > = {
     servers: (nowMs) => this.#listServers(nowMs),
     orders: () => this.#listOrders(),
-    crashes: () =>
-      this.crashNotes.listAll().map((note) => ({ type: "crash_note", note })),
+    crashes: () => this.#crashes.list(),
   };
 
   #listServers(nowMs: number): CatalogChange[] {
@@ -419,30 +423,6 @@
     this.#byService = undefined;
   }
 
-  #addNote(note: CrashNote, version: number): void {
-    this.crashNotes.add(note);
-    const change: CatalogChange = { type: "crash_note", note };
-    this.#logs.crashes.add(note.key, change, version);
-  }
-
-  /** Logged also if it is not known here: others may know it. */
-  #removeNote(key: string, version: number): void {
-    this.crashNotes.remove(key);
-    const change: CatalogChange = { type: "crash_note_removed", key };
-    this.#logs.crashes.add(key, change, version);
-  }
-
-  #removeNotes(changes: readonly CatalogChange[], version: number): void {
-    const listed = new Set(
-      changes.map((change) =>
-        change.type === "crash_note" ? change.note.key : ""
-      ),
-    );
-    for (const { key } of this.crashNotes.listAll()) {
-      if (!listed.has(key)) this.#removeNote(key, version);
-    }
-  }
-
   #expire(nowMs: number): void {
     for (const server of this.#servers.values()) {
       const { missingSinceMs } = server;
--- a/packages/daemon/edge/src/process/crash_quarantine.ts
+++ b/packages/daemon/edge/src/process/crash_quarantine.ts
@@ -93,8 +93,12 @@
 export interface CrashQuarantine {
   /** False while what the store keeps from before the start is not known. */
   readonly isRestored: boolean;
-  /** Judges a request, with the software of the servers that could run it. */
-  check(fingerprint: string, software: readonly string[]): QuarantineVerdict;
+  /** Judges a request. The software of the servers that could run it is asked
+   * for only if the request is quarantined. */
+  check(
+    fingerprint: string,
+    listSoftware: () => readonly string[],
+  ): QuarantineVerdict;
   /** Claims a trial for this entry; false if it is not to be sent. */
   claimTrial(run: WatchedRun): Promise<boolean>;
   /** Takes what the end of a run tells of its request. */
@@ -133,12 +137,16 @@
       performance.now() - this.#startedAtMs > RESTORE_MS;
   }
 
-  check(fingerprint: string, software: readonly string[]): QuarantineVerdict {
+  check(
+    fingerprint: string,
+    listSoftware: () => readonly string[],
+  ): QuarantineVerdict {
     const nowMs = this.#options.wallMs();
     const { crashNotes } = this.#options.catalog;
     const standing = computeStanding(crashNotes, fingerprint, nowMs);
     if (standing.type === "clear") return ADMIT;
     const { curedSoftware, triedSoftware, nextTrialAtMs } = standing;
+    const software = listSoftware();
     if (software.some((name) => curedSoftware.has(name))) {
       return { type: "admit", software: curedSoftware };
     }
--- a/packages/daemon/edge/src/process/crash_quarantine_test.ts
+++ b/packages/daemon/edge/src/process/crash_quarantine_test.ts
@@ -41,7 +41,7 @@
       fingerprints,
     );
   const classify = (fingerprint: string) =>
-    quarantine.check(fingerprint, ["v1"]).type;
+    quarantine.check(fingerprint, () => ["v1"]).type;
   return { quarantine, catalog, clock, reported, claims, crash, classify };
 }
 
--- a/packages/daemon/edge/src/request/quarantine_gate.ts
+++ b/packages/daemon/edge/src/request/quarantine_gate.ts
@@ -104,8 +104,10 @@
   }
 
   #classify(servers: readonly TrackedServer[]): QuarantineVerdict {
-    const software = servers.map(({ record }) => record.software ?? "");
-    return this.#options.quarantine.check(this.#fingerprint, software);
+    return this.#options.quarantine.check(
+      this.#fingerprint,
+      () => servers.map(({ record }) => record.software ?? ""),
+    );
   }
 
   /** The server that would take the fewest other requests along. */
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -13,17 +13,10 @@
 import type { Placer } from "@dotterelmoor/core.placing";
 import { DisposableStore } from "@dotterelmoor/core.types";
 import { createBackendClient } from "@dotterelmoor/network.backend";
-import type { BackendClient } from "@dotterelmoor/network.backend";
 import type { EdgePlatform, EdgeSettings, ListenAddress } from "./ports.ts";
 import { Assignments } from "./process/assignments.ts";
 import { startCatalogWatch } from "./process/catalog_watch.ts";
 import type { CatalogWatch } from "./process/catalog_watch.ts";
-import { createCrashWatch } from "./process/crash_watch.ts";
-import { createCrashQuarantine } from "./process/crash_quarantine.ts";
-import type { CrashQuarantine } from "./process/crash_quarantine.ts";
-import { createCrashReports } from "./process/crash_reports.ts";
-import type { CrashReports } from "./process/crash_reports.ts";
-import type { CrashWatch } from "./process/crash_watch.ts";
 import { createConfigurationLog } from "./process/configuration_log.ts";
 import { sortEntries } from "./process/entry_order.ts";
 import { createEdgeLog } from "./process/logging.ts";
@@ -50,6 +43,8 @@
 import { createFront } from "./request/front.ts";
 import type { Front } from "./request/front.ts";
 import { leave } from "./process/leaving.ts";
+import { createQuarantineParts } from "./wiring/quarantine.ts";
+import type { QuarantineParts } from "./wiring/quarantine.ts";
 
 /** Time in milliseconds for opening a connection to a server: three round
  * trips between regions. */
@@ -121,8 +116,7 @@
     watch?: CatalogWatch;
     loads?: LoadExchange;
     keeping?: Keeping;
-    crashReports?: CrashReports;
-    quarantine?: CrashQuarantine;
+    quarantine?: QuarantineParts;
   };
 }
 
@@ -167,11 +161,26 @@
 }
 
 async function startParts(base: Base): Promise<Edge> {
-  const { settings, platform, store, log, placer, metrics } = base;
+  const { settings, platform, store, log, placer, metrics, late } = base;
   const peers = await connectPeers(base);
   const stalls = createStalls(base);
-  const quarantine = createQuarantine(base, peers);
-  const front = createRequests(base, { peers, stalls, quarantine });
+  late.quarantine = createQuarantineParts({
+    ...base,
+    instance: settings.instance,
+    source: platform.store,
+    getWatch: () => late.watch,
+    findAddress: (processId) =>
+      peers.membership.liveMembers(settings.region)
+        .find((member) => member.processId === processId)?.peerAddress,
+    call: (address, message, timeoutMs) =>
+      peers.call(address, message, timeoutMs),
+  });
+  const { quarantine } = late.quarantine;
+  const front = createRequests(base, {
+    peers,
+    stalls,
+    crashes: late.quarantine,
+  });
   const callers = createCallerServer(front);
   const watch = watchCatalog(base, { peers, callers });
   startRegistration({
@@ -276,7 +285,8 @@
       const own = catalog.document?.version ?? 0;
       if (version > own) late.watch?.pullNow(peerAddress);
     },
-    answerCrashes: async (report) => await late.crashReports?.answer(report),
+    answerCrashes: async (report) =>
+      await late.quarantine?.reports.answer(report),
     answerLoads: (report, { peer }) =>
       Promise.resolve(late.loads?.answer(report, peer)),
   });
@@ -296,10 +306,10 @@
 
 function createRequests(
   base: Base,
-  { peers, stalls, quarantine }: {
+  { peers, stalls, crashes }: {
     readonly peers: Peers;
     readonly stalls: Stalls;
-    readonly quarantine: CrashQuarantine;
+    readonly crashes: QuarantineParts;
   },
 ): Front {
   const { settings, platform, store, log, placer, catalog, metrics } = base;
@@ -324,8 +334,8 @@
       budgets,
       stalls,
       protocol,
-      crashes: watchCrashes(base, { backend, quarantine }),
-      quarantine,
+      crashes: crashes.watchCrashes(backend),
+      quarantine: crashes.quarantine,
       metrics,
       log,
       isInContact: () => {
@@ -339,52 +349,6 @@
   });
 }
 
-function watchCrashes(
-  { catalog }: Base,
-  { backend, quarantine }: {
-    readonly backend: BackendClient;
-    readonly quarantine: CrashQuarantine;
-  },
-): CrashWatch {
-  return createCrashWatch({
-    checkListening: (address, timeoutMs) =>
-      backend.checkListening(address, timeoutMs),
-    isServing: ({ service, id }) =>
-      catalog.findServers(service, performance.now())
-        .some(({ record }) => record.id === id),
-    onCrash: (server, fingerprints) =>
-      quarantine.recordCrash(server, fingerprints),
-  });
-}
-
-function createQuarantine(base: Base, peers: Peers): CrashQuarantine {
-  const { settings, platform, store, log, catalog, metrics, late } = base;
-  late.crashReports = createCrashReports({
-    source: platform.store,
-    findReader: () => {
-      const { watch } = late;
-      if (watch === undefined || watch.isReading) return undefined;
-      return peers.membership.liveMembers(settings.region)
-        .find(({ processId }) => processId === watch.reader)?.peerAddress;
-    },
-    call: (address, message, timeoutMs) =>
-      peers.call(address, message, timeoutMs),
-    listExpired: () => late.quarantine?.listExpired() ?? [],
-    store,
-    log: log.part("quarantine"),
-  });
-  late.quarantine = createCrashQuarantine({
-    instance: settings.instance,
-    catalog,
-    source: platform.store,
-    reports: late.crashReports,
-    metrics,
-    log,
-    wallMs: Date.now,
-  });
-  return late.quarantine;
-}
-
 function createCallerServer(front: Front): Server {
   const server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true },
