Write crashes through another entry while the store turns this one away

The store may refuse some instances and serve the others. What such an entry noted of crashes stayed with it, so a request that had ended three servers there was sent to further ones by the other entries. A report that neither the reading entry nor a write of its own delivers goes to any other live entry. The table of crashes is read again 2 s after a failed call, not 0.6 s, as failed calls are paid for. crashing_requests_test, new case: no note was written within 4 s before; three after, and the other entry sends nothing.

--- a/packages/daemon/edge/src/crashing_requests_test.ts
+++ b/packages/daemon/edge/src/crashing_requests_test.ts
@@ -227,3 +227,33 @@
   t.deepEqual([...new Set(statuses)], [503]);
   t.is(fleet.sendsAtMs.length, 3);
 });
+
+// The store may refuse some instances and serve the others.
+test("guards against crashes that only the entry knows which the store turns away", async (t) => {
+  const store = createMemoryStore();
+  putRoute(store, false);
+  const fleet = await startCrashingServers(t, store, {
+    count: 8,
+    zones: ZONES,
+  });
+  const [first, second] = await startEdges(t, store, ZONES);
+  store.setDown(true, "n0");
+  const call = (edge: typeof first, name: string) =>
+    callInTurn({
+      path: CRASHING_PATH,
+      edges: [edge!.settings.callers],
+      everyMs: 200,
+      forMs: 2_000,
+      name,
+    });
+  await call(first, "away");
+  t.is(fleet.sendsAtMs.length, 3);
+  await waitUntil(
+    t,
+    () => Promise.resolve(store.listKeys("crashes").length === 3),
+    KNOWN_MS,
+  );
+  await new Promise((resolve) => setTimeout(resolve, 1_500));
+  await call(second, "served");
+  t.is(fleet.sendsAtMs.length, 3);
+});
--- a/packages/daemon/edge/src/process/crash_reports.ts
+++ b/packages/daemon/edge/src/process/crash_reports.ts
@@ -4,7 +4,8 @@
  *
  * A server that ends takes requests of many entries along. Calls to the store
  * are paid for, so one entry of the region writes for the others; where it does
- * not answer, each writes itself.
+ * not answer, each writes itself, and through any entry if the store turns it
+ * away.
  *
  * @module
  */
@@ -42,6 +43,9 @@
   /** Peer address of the entry that reads for the region; undefined if that is
    * this one, or none is known. */
   readonly findReader: () => string | undefined;
+  /** Peer address of another entry, of any region: the store may turn this one
+   * away and serve that. */
+  readonly findOther: () => string | undefined;
   /** Calls a peer; undefined if it does not answer in time. */
   readonly call: (
     peerAddress: string,
@@ -128,13 +132,20 @@
   }
 
   async #deliver(changes: CrashNoteChanges): Promise<boolean> {
-    const { findReader, call } = this.#options;
-    const reader = findReader();
-    if (reader === undefined) return await this.#write(changes);
+    const { findReader, findOther } = this.#options;
+    return await this.#ask(findReader(), changes) ||
+      await this.#write(changes) || await this.#ask(findOther(), changes);
+  }
+
+  async #ask(
+    peerAddress: string | undefined,
+    changes: CrashNoteChanges,
+  ): Promise<boolean> {
+    if (peerAddress === undefined) return false;
     const message: CrashReportMessage = { type: "crash_report", ...changes };
-    const answer = await call(reader, message, ANSWER_TIMEOUT_MS);
-    const isWritten = answer?.type === "crash_noted" && answer.written;
-    return isWritten || await this.#write(changes);
+    const { call } = this.#options;
+    const answer = await call(peerAddress, message, ANSWER_TIMEOUT_MS);
+    return answer?.type === "crash_noted" && answer.written;
   }
 
   /** Writes to the store, with what comes within a short time. */
--- a/packages/daemon/edge/src/process/crash_reports_test.ts
+++ b/packages/daemon/edge/src/process/crash_reports_test.ts
@@ -25,7 +25,11 @@
 
 function setUp(
   t: ExecutionContext,
-  options: { readonly reader?: string; readonly answers?: boolean } = {},
+  options: {
+    readonly reader?: string;
+    readonly other?: string;
+    readonly answers?: boolean;
+  } = {},
 ) {
   const store = new DisposableStore();
   t.teardown(() => store.dispose());
@@ -45,6 +49,7 @@
       },
     },
     findReader: () => options.reader,
+    findOther: () => options.other,
     call: (_address, message) => {
       calls.push(message);
       return Promise.resolve(
@@ -110,6 +115,14 @@
   t.true(writes[0]!.removedKeys.includes("f1/s1/1"));
 });
 
+test("guards against a crash that is kept back by an entry which the store turns away", async (t) => {
+  const { reports, state, calls } = setUp(t, { other: "n9", answers: true });
+  state.isDown = true;
+  reports.report({ notes: [makeNote(1)], removedKeys: [] });
+  await wait(500);
+  t.is(calls.length, 1);
+});
+
 test("guards against a write of more changes than the store takes", async (t) => {
   const { reports, writes } = setUp(t);
   const notes = Array.from({ length: 250 }, (_, number) => makeNote(number));
--- a/packages/daemon/edge/src/process/peers.ts
+++ b/packages/daemon/edge/src/process/peers.ts
@@ -85,6 +85,8 @@
   addSeeds(addresses: readonly string[]): void;
   /** Asks an entry for what has changed in its catalog. */
   pullCatalog(source: CatalogSource): Promise<CatalogMessage | undefined>;
+  /** Peer address of any other live entry. */
+  findOther(): string | undefined;
   /** Calls an entry; undefined if it does not answer in time. */
   call(
     peerAddress: string,
@@ -207,6 +209,10 @@
     return answer?.type === "catalog" ? answer : undefined;
   }
 
+  findOther(): string | undefined {
+    return this.#findAddress({ type: "any" });
+  }
+
   #findAddress(source: CatalogSource): string | undefined {
     if (source.type === "address") return source.peerAddress;
     const { self, random } = this.#options;
--- a/packages/daemon/edge/src/process/table_reader.ts
+++ b/packages/daemon/edge/src/process/table_reader.ts
@@ -22,16 +22,23 @@
  * connection after 4.6 s. Crashes are rarer still; after one, others follow at
  * once and are read together. */
 const READING: Readonly<
-  Record<CatalogTable, { readonly pauseMs: number; readonly waitMs: number }>
+  Record<CatalogTable, TableReading>
 > = {
-  servers: { pauseMs: 800, waitMs: 0 },
-  orders: { pauseMs: 50, waitMs: 4_000 },
-  crashes: { pauseMs: 200, waitMs: 4_000 },
+  servers: { pauseMs: 800, waitMs: 0, failedPauseMs: 600 },
+  orders: { pauseMs: 50, waitMs: 4_000, failedPauseMs: 600 },
+  crashes: { pauseMs: 200, waitMs: 4_000, failedPauseMs: 2_000 },
 };
 
-/** Pause in milliseconds after a failed call: failed calls are paid for too,
- * and a change must be known within 2.5 s of the store's return. */
-const FAILED_PAUSE_MS = 600;
+/** Times in milliseconds by which a table is read. */
+interface TableReading {
+  /** Pause after an answer. */
+  readonly pauseMs: number;
+  /** Time for which a call waits for a change. */
+  readonly waitMs: number;
+  /** Pause after a failed call: failed calls are paid for too, and a change must
+   * be known within 2.5 s of the store's return, a crash within 4 s. */
+  readonly failedPauseMs: number;
+}
 
 /** Time in milliseconds without an answer after which records may have lapsed
  * unseen: three heartbeats, less one that was missed before. */
@@ -109,7 +116,7 @@
     }
     if (result.isErr()) {
       this.#recordFailure(result.error);
-      return FAILED_PAUSE_MS;
+      return READING[this.#table].failedPauseMs;
     }
     contact.note(asked);
     this.#applyUpdate(result.value);
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -172,6 +172,7 @@
     findAddress: (processId) =>
       peers.membership.liveMembers(settings.region)
         .find((member) => member.processId === processId)?.peerAddress,
+    findOther: () => peers.findOther(),
     call: (address, message, timeoutMs) =>
       peers.call(address, message, timeoutMs),
   });
--- a/packages/daemon/edge/src/wiring/quarantine.ts
+++ b/packages/daemon/edge/src/wiring/quarantine.ts
@@ -31,6 +31,8 @@
   readonly getWatch: () => CatalogWatch | undefined;
   /** Peer address of a live entry of the region. */
   readonly findAddress: (processId: string | undefined) => string | undefined;
+  /** Peer address of any other live entry. */
+  readonly findOther: () => string | undefined;
   /** Calls a peer; undefined if it does not answer in time. */
   readonly call: (
     peerAddress: string,
@@ -51,13 +53,15 @@
 export function createQuarantineParts(
   options: QuarantinePartsOptions,
 ): QuarantineParts {
-  const { catalog, source, store, log, getWatch, findAddress, call } = options;
+  const { catalog, source, store, log, getWatch } = options;
+  const { findAddress, findOther, call } = options;
   const reports = createCrashReports({
     source,
     findReader: () => {
       const watch = getWatch();
       return watch?.isReading ? undefined : findAddress(watch?.reader);
     },
+    findOther,
     call,
     listExpired: () => quarantine.listExpired(),
     store,
