Send a request that ends servers in the soak

A caller of the soak repeats a request that ends each server, at any entry, from the first fault on; ended servers refuse connections, and come back under another id. The check counts what calm entries send later than 4 s after the third crash.

--- a/packages/testing/soak/src/callers.ts
+++ b/packages/testing/soak/src/callers.ts
@@ -9,6 +9,7 @@
 import {
   buildAnswer,
   CALLER_PROTOCOL,
+  CRASH_SUFFIX,
   encodeRequestHeaders,
   HEADERS,
 } from "@dotterelmoor/platform";
@@ -172,6 +173,55 @@
   }
 }
 
+/** Path of the request that ends servers, and the time in milliseconds between
+ * its attempts, each of which goes to any entry. */
+export const CRASH_PATH = `/desk/r${CRASH_SUFFIX}`;
+const CRASH_PAUSE_MS = 300;
+
+/** Starts a caller that repeats a request which ends servers; the result stops
+ * it. */
+export function startCrashingCaller(
+  { installation, records, random }: Pick<
+    CallerOptions,
+    "installation" | "random" | "records"
+  >,
+): () => void {
+  let count = 0;
+  const timer = setInterval(() => {
+    count += 1;
+    const { entries } = installation;
+    const entry = entries[Math.floor(random() * entries.length)]!;
+    const id = `crash-${count}`;
+    const record: RequestRecord = {
+      id,
+      entry: entry.name,
+      pid: entry.process?.pid,
+      path: CRASH_PATH,
+      repeatable: true,
+      sentAtMs: performance.now(),
+      endedAtMs: Infinity,
+      status: undefined,
+      isWhole: false,
+      wasSent: false,
+    };
+    records.requests.push(record);
+    void call(`http://${entry.callers}${CRASH_PATH}`, {
+      headers: {
+        host: HOST,
+        ...encodeRequestHeaders({
+          requestId: id,
+          waitMs: WAIT_MS,
+          object: "crash",
+        }),
+      },
+    }).then((answer) => {
+      record.endedAtMs = performance.now();
+      record.status = answer?.status;
+    });
+  }, CRASH_PAUSE_MS);
+  return () => clearInterval(timer);
+}
+
 interface CallAnswer {
   readonly status: number;
   readonly headers: IncomingMessage["headers"];
--- a/packages/testing/soak/src/checks.ts
+++ b/packages/testing/soak/src/checks.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { CRASH_PATH } from "./callers.ts";
 import { getBoundRegions } from "./documents.ts";
 import type {
   ChangeRecord,
@@ -24,6 +25,11 @@
 /** Time in milliseconds for which an entry must be undisturbed to be bound. */
 const CALM_MS = 4_000;
 
+/** Crashes after which a request is known to be harmful, and the sends of it that
+ * calm entries may make later than `CALM_MS` after them: the platform's bound. */
+const KNOWN_CRASHES = 3;
+const MAX_HARMFUL_SENDS = 3;
+
 /** Time in milliseconds after which a caller may have given up itself. */
 const CALLER_PATIENCE_MS = 1_400;
 
@@ -126,6 +132,25 @@
     });
   },
 
+  "requests that end servers are kept away": (records) => {
+    const crashes = records.changes.filter(({ kind }) => kind === "crash");
+    const known = crashes[KNOWN_CRASHES - 1];
+    if (known === undefined) return [];
+    const entries = new Map(
+      records.requests.filter(({ path }) => path === CRASH_PATH)
+        .map(({ id, entry }) => [id, entry]),
+    );
+    const late = records.runs.filter(({ requestId, atMs }) => {
+      const entry = entries.get(requestId);
+      return entry !== undefined && atMs > known.atMs + CALM_MS &&
+        records.isCalm(entry, atMs - CALM_MS, atMs);
+    });
+    return late.length <= MAX_HARMFUL_SENDS ? [] : [{
+      promise: "requests that end servers are kept away",
+      detail: JSON.stringify({ crashes, late }),
+    }];
+  },
+
   "planned stops cut off no request": (records) =>
     records.faults.filter(({ kind }) => kind === "terminate").flatMap((stop) =>
       records.requests.filter((request) =>
@@ -139,7 +164,8 @@
 
   "service is back after the faults": (records, { calmFromMs }) => {
     const late = records.requests.filter(({ sentAtMs, path }) =>
-      sentAtMs > calmFromMs + CALM_MS && path.startsWith("/desk/")
+      sentAtMs > calmFromMs + CALM_MS && path.startsWith("/desk/") &&
+      path !== CRASH_PATH
     );
     const served = late.filter(({ status }) => status === 200).length;
     return served >= SERVED_SHARE * late.length ? [] : [{
--- a/packages/testing/soak/src/installation.ts
+++ b/packages/testing/soak/src/installation.ts
@@ -34,6 +34,11 @@
 /** Interval in milliseconds of servers' reports. */
 const HEARTBEAT_MS = 500;
 
+/** Time in milliseconds after which a server that ended is back under another
+ * id, and after which the row of one that is silent lapses. */
+const BACK_MS = 700;
+const LAPSE_MS = 3 * HEARTBEAT_MS;
+
 /** Bounds that the entries are told. */
 export const BOUNDS = {
   retry_budget_ratio: 0.2,
@@ -53,6 +58,8 @@
   readonly random: () => number;
   /** Told when a request begins to run at a server. */
   readonly onRun: (run: RunRecord) => void;
+  /** Told when a server ends under a request. */
+  readonly onCrash: (serverId: string) => void;
 }
 
 /** One entry with the proxies in front of it. */
@@ -85,6 +92,7 @@
   readonly #options: InstallationOptions;
   readonly #folder = mkdtempSync(join(tmpdir(), "dotterelmoor-soak-"));
   #heartbeat: NodeJS.Timeout | undefined;
+  #isClosed = false;
 
   constructor(
     options: InstallationOptions,
@@ -114,7 +122,7 @@
   }
 
   async addServer(index: number): Promise<void> {
-    const { random, onRun } = this.#options;
+    const { random, onRun, onCrash } = this.#options;
     const id = `i-${index}`;
     const zone = ZONE_NAMES[index % ZONE_NAMES.length]!;
     const server = await startStandInServer({
@@ -132,6 +140,11 @@
           arrivedAtMs,
           atMs: performance.now(),
         }),
+      onCrash: () => {
+        if (!added.isReporting || this.#isClosed) return;
+        onCrash(id);
+        this.#crash(added);
+      },
     });
     const link = await startFaultProxy(
       { host: "127.0.0.1", port: 0 },
@@ -148,10 +161,24 @@
       bornMs: Date.now(),
       sequence: 0,
     };
-    this.servers.push({ record, server, link, isReporting: true });
+    const added: SoakServer = { record, server, link, isReporting: true };
+    this.servers.push(added);
     this.#report();
   }
 
+  /** Ends a server as a process that crashes: nothing listens any more, and its
+   * row stays for a while. */
+  #crash(server: SoakServer): void {
+    server.isReporting = false;
+    server.link.close();
+    server.server.close();
+    const { id } = server.record;
+    setTimeout(() => this.store.drop(STORE_ROWS.servers, id), LAPSE_MS);
+    setTimeout(() => {
+      if (!this.#isClosed) void this.addServer(this.servers.length);
+    }, BACK_MS);
+  }
+
   /** Tells the store that a server drains, and later removes it. */
   drain(server: SoakServer): void {
     server.record = { ...server.record, state: "draining" };
@@ -164,6 +191,7 @@
   }
 
   async close(): Promise<void> {
+    this.#isClosed = true;
     clearInterval(this.#heartbeat);
     const running = this.entries.map((entry) => entry.process);
     for (const process of running) process?.kill();
--- a/packages/testing/soak/src/records.ts
+++ b/packages/testing/soak/src/records.ts
@@ -41,9 +41,10 @@
   untilMs: number;
 }
 
-/** A configuration or the end of a server, as of its acknowledgement. */
+/** A configuration or the leaving of a server, as of its acknowledgement, or the
+ * end of a server under a request. */
 export interface ChangeRecord {
-  readonly kind: "document" | "draining";
+  readonly kind: "crash" | "document" | "draining";
   /** Version, or id of the server. */
   readonly subject: string;
   readonly atMs: number;
--- a/packages/testing/soak/src/soak.ts
+++ b/packages/testing/soak/src/soak.ts
@@ -6,7 +6,7 @@
 
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { startCaller } from "./callers.ts";
+import { startCaller, startCrashingCaller } from "./callers.ts";
 import { checkPromises } from "./checks.ts";
 import type { Violation } from "./checks.ts";
 import { injectFault, putDocument } from "./faults.ts";
@@ -68,6 +68,12 @@
     ...options,
     random,
     onRun: (run) => records.runs.push(run),
+    onCrash: (subject) =>
+      records.changes.push({
+        kind: "crash",
+        subject,
+        atMs: performance.now(),
+      }),
   });
   const watch = watchStalls(records);
   try {
@@ -101,11 +107,13 @@
   );
   const stopChanges = startChanges(context);
   await wait(LEAD_MS);
+  const stopCrashing = startCrashingCaller({ installation, records, random });
   await runFaults(context, durationMs);
   await reviveAll(installation);
   const calmFromMs = performance.now();
   await wait(CALM_MS);
   stopChanges();
+  stopCrashing();
   await Promise.all(stops.map((stop) => stop()));
   return calmFromMs;
 }
