Know the quarantine before the first send also after a long start, and later starts under one id

Two cases found by reading, each with a test that failed before:

- An entry that starts while the store is away waited 1.5 s for what the store keeps, from its start.
Once the store is back it could send before it knew.
The time counts from the first request that could be sent, 3 s at most (crash_quarantine_test).
- A server that is back under the id that it had, and whose record does not tell yet, ended a second time as the same start, which counts once.
A run that was sent after the first end is of a later start (crash_watch_test).

--- a/packages/daemon/edge/src/crashing_requests_test.ts
+++ b/packages/daemon/edge/src/crashing_requests_test.ts
@@ -13,6 +13,7 @@
   createMemoryStore,
 } from "./edge_fixture.ts";
 import type { MemoryStore } from "./edge_fixture.ts";
+import type { EdgeSettings } from "./ports.ts";
 import { startReady, waitUntil } from "./started_fixture.ts";
 
 /** Time in milliseconds after a request's third crash in which all entries
@@ -196,6 +197,20 @@
   });
 });
 
+/** Calls the crashing request at one entry for a while. */
+function callOne(
+  { settings }: { readonly settings: EdgeSettings },
+  name: string,
+): Promise<number[]> {
+  return callInTurn({
+    path: CRASHING_PATH,
+    edges: [settings.callers],
+    everyMs: 200,
+    forMs: 2_000,
+    name,
+  });
+}
+
 // What one entry sees counts there at once, and elsewhere once it is written.
 test("guards against crashes that are forgotten while the store is away", async (t) => {
   const store = createMemoryStore();
@@ -206,15 +221,7 @@
   });
   const [first, second] = await startEdges(t, store, ZONES);
   store.setDown(true);
-  const call = (edge: typeof first, name: string) =>
-    callInTurn({
-      path: CRASHING_PATH,
-      edges: [edge!.settings.callers],
-      everyMs: 200,
-      forMs: 2_000,
-      name,
-    });
-  await call(first, "down");
+  await callOne(first!, "down");
   t.is(fleet.sendsAtMs.length, 3);
   store.setDown(false);
   await waitUntil(
@@ -223,7 +230,7 @@
   );
   // The feed and the entries that follow.
   await new Promise((resolve) => setTimeout(resolve, 1_500));
-  const statuses = await call(second, "back");
+  const statuses = await callOne(second!, "back");
   t.deepEqual([...new Set(statuses)], [503]);
   t.is(fleet.sendsAtMs.length, 3);
 });
@@ -238,15 +245,7 @@
   });
   const [first, second] = await startEdges(t, store, ZONES);
   store.setDown(true, "n0");
-  const call = (edge: typeof first, name: string) =>
-    callInTurn({
-      path: CRASHING_PATH,
-      edges: [edge!.settings.callers],
-      everyMs: 200,
-      forMs: 2_000,
-      name,
-    });
-  await call(first, "away");
+  await callOne(first!, "away");
   t.is(fleet.sendsAtMs.length, 3);
   await waitUntil(
     t,
@@ -254,6 +253,6 @@
     KNOWN_MS,
   );
   await new Promise((resolve) => setTimeout(resolve, 1_500));
-  await call(second, "served");
+  await callOne(second!, "served");
   t.is(fleet.sendsAtMs.length, 3);
 });
--- a/packages/daemon/edge/src/process/crash_quarantine.ts
+++ b/packages/daemon/edge/src/process/crash_quarantine.ts
@@ -19,7 +19,7 @@
 } from "@dotterelmoor/core.quarantine";
 import type { CatalogStore } from "../ports.ts";
 import type { CrashReports } from "./crash_reports.ts";
-import type { RunEnd, ServerCrash, WatchedRun } from "./crash_watch.ts";
+import type { RunEnd, SentRequest, ServerCrash } from "./crash_watch.ts";
 import type { EdgeLog } from "./logging.ts";
 import type { EdgeMetrics } from "./metrics.ts";
 
@@ -31,9 +31,10 @@
 /** Answered requests that are remembered. */
 const MAX_PROVEN = 2_000;
 
-/** Time in milliseconds after a start in which what the store keeps is waited
- * for; entries read it, or get it from others, within the first second. */
-const RESTORE_MS = 1_500;
+/** Time in milliseconds from the first request that could be sent in which what
+ * the store keeps is waited for. It is read with the configuration, and some
+ * calls may fail. */
+const RESTORE_MS = 3_000;
 
 /** Longest time in milliseconds after which a caller may return. */
 const LONGEST_RETRY_MS = 600_000;
@@ -101,9 +102,9 @@
     listSoftware: () => readonly string[],
   ): QuarantineVerdict;
   /** Claims a trial for this entry; false if it is not to be sent. */
-  claimTrial(run: WatchedRun): Promise<boolean>;
+  claimTrial(run: SentRequest): Promise<boolean>;
   /** Takes what the end of a run tells of its request. */
-  recordEnd(run: WatchedRun, end: RunEnd): void;
+  recordEnd(run: SentRequest, end: RunEnd): void;
   /** Notes a crash under requests. */
   recordCrash(crash: ServerCrash): void;
   /** Keys of notes that say nothing any more. */
@@ -123,7 +124,8 @@
 
 class Quarantine implements CrashQuarantine {
   readonly #options: CrashQuarantineOptions;
-  readonly #startedAtMs = performance.now();
+  /** Monotonic time at which it was first asked for. */
+  #askedAtMs: number | undefined;
   /** Monotonic times of answers by fingerprint, the oldest ones first. */
   readonly #proven = new Map<string, number>();
   /** The latest trials that were claimed here, by fingerprint. */
@@ -134,8 +136,9 @@
   }
 
   get isRestored(): boolean {
-    return this.#options.catalog.position.crashes > 0 ||
-      performance.now() - this.#startedAtMs > RESTORE_MS;
+    if (this.#options.catalog.position.crashes > 0) return true;
+    this.#askedAtMs ??= performance.now();
+    return performance.now() - this.#askedAtMs > RESTORE_MS;
   }
 
   check(
@@ -163,7 +166,7 @@
     return { type: "refuse", retryAfterMs, inputs };
   }
 
-  async claimTrial({ fingerprint, server }: WatchedRun): Promise<boolean> {
+  async claimTrial({ fingerprint, server }: SentRequest): Promise<boolean> {
     const { source, log, catalog } = this.#options;
     const number = 1 + catalog.crashNotes.listOf(fingerprint)
       .filter(({ type }) => type === "trial").length;
@@ -190,7 +193,7 @@
     return isClaimed;
   }
 
-  recordEnd(run: WatchedRun, end: RunEnd): void {
+  recordEnd(run: SentRequest, end: RunEnd): void {
     const { fingerprint } = run;
     if (end !== "answered") return;
     this.#proven.delete(fingerprint);
@@ -203,7 +206,7 @@
     if (crashNotes.listOf(fingerprint).length > 0) this.#clear(run);
   }
 
-  #clear({ fingerprint, server }: WatchedRun): void {
+  #clear({ fingerprint, server }: SentRequest): void {
     const { catalog, wallMs, reports, log } = this.#options;
     const { crashNotes } = catalog;
     const standing = computeStanding(crashNotes, fingerprint, wallMs());
@@ -273,7 +276,7 @@
   }
 
   #makeNote(
-    { fingerprint, server }: WatchedRun,
+    { fingerprint, server }: SentRequest,
     about: Parameters<typeof makeNoteKey>[1],
   ): CrashNote {
     const { instance, wallMs } = this.#options;
--- a/packages/daemon/edge/src/process/crash_quarantine_test.ts
+++ b/packages/daemon/edge/src/process/crash_quarantine_test.ts
@@ -50,7 +50,10 @@
   const { quarantine, crash, classify, reported } = setUp();
   const server = buildServer("s0", "x:1", { software: "v1" });
   for (const id of ["s1", "s2", "s3"]) {
-    quarantine.recordEnd({ fingerprint: "hot", server }, "answered");
+    quarantine.recordEnd(
+      { fingerprint: "hot", server },
+      "answered",
+    );
     crash(id, ["hot", "crash"]);
   }
   t.is(classify("crash"), "refuse");
@@ -64,7 +67,10 @@
   crash("s1", ["f"]);
   crash("s2", ["f"]);
   const server = buildServer("s0", "x:1", { software: "v1" });
-  quarantine.recordEnd({ fingerprint: "f", server }, "answered");
+  quarantine.recordEnd(
+    { fingerprint: "f", server },
+    "answered",
+  );
   t.is(reported.at(-1)!.removedKeys.length, 2);
   crash("s3", ["f"]);
   t.is(classify("f"), "admit");
@@ -75,7 +81,10 @@
   const { quarantine, crash, classify } = setUp();
   const server = buildServer("s0", "x:1", { software: "v1" });
   const real = performance.now;
-  quarantine.recordEnd({ fingerprint: "f", server }, "answered");
+  quarantine.recordEnd(
+    { fingerprint: "f", server },
+    "answered",
+  );
   try {
     performance.now = () => real.call(performance) + 6_000;
     for (const id of ["s1", "s2", "s3"]) crash(id, ["f"]);
@@ -105,16 +114,25 @@
   for (let trial = 0; trial < 5; trial++) {
     clock.wallMs += 11 * MINUTE_MS;
     if (classify("f") !== "trial") continue;
-    t.true(await quarantine.claimTrial({ fingerprint: "f", server }));
+    t.true(
+      await quarantine.claimTrial({ fingerprint: "f", server }),
+    );
     t.is(classify("f"), "refuse");
   }
   t.deepEqual(claims, ["f/trial/1", "f/trial/2", "f/trial/3"]);
 });
 
-// What the store keeps is told with the first answer of the store or an entry.
+// What the store keeps is told with the first answer of the store or an entry,
+// which may be long after the start.
 test("guards against a start that admits all before it knows the quarantine", (t) => {
   const { quarantine, catalog } = setUp();
-  t.false(quarantine.isRestored);
+  const real = performance.now;
+  try {
+    performance.now = () => real.call(performance) + 30_000;
+    t.false(quarantine.isRestored);
+  } finally {
+    performance.now = real;
+  }
   const update = { version: 7, isComplete: true, changes: [] };
   catalog.applyTable("crashes", update, 0);
   t.true(quarantine.isRestored);
--- a/packages/daemon/edge/src/process/crash_watch.ts
+++ b/packages/daemon/edge/src/process/crash_watch.ts
@@ -40,13 +40,19 @@
   | "given_up"
   | "unknown";
 
-/** A run at one start of a server. */
-export interface WatchedRun {
+/** A request and one start of a server that it is sent to. */
+export interface SentRequest {
   /** Identifies the request over its repeats. */
   readonly fingerprint: string;
   readonly server: ServerRecord;
 }
 
+/** A run of a request. */
+export interface WatchedRun extends SentRequest {
+  /** Monotonic time of the send. */
+  readonly startedAtMs: number;
+}
+
 /** A start of a server that ended under requests of this entry. */
 export interface ServerCrash {
   readonly server: ServerRecord;
@@ -84,8 +90,8 @@
   readonly fingerprints: Set<string>;
   /** True once the start has answered since the first loss. */
   isAlive: boolean;
-  /** True once the server is known to have ended. */
-  hasEnded: boolean;
+  /** Monotonic time at which the server was known to have ended. */
+  endedAtMs: number | undefined;
 }
 
 class Watch implements CrashWatch {
@@ -98,7 +104,8 @@
     this.#options = options;
   }
 
-  recordEnd({ server, fingerprint }: WatchedRun, end: RunEnd): void {
+  recordEnd(run: WatchedRun, end: RunEnd): void {
+    const { server, fingerprint } = run;
     const key = `${server.id}/${server.bornMs}`;
     const losses = this.#losses.get(key);
     const isAlive = end === "answered" || end === "refused";
@@ -107,11 +114,16 @@
     if (end !== "lost" || !this.#options.isServing(server)) return;
     if (losses === undefined) {
       this.#startCheck(key, server, fingerprint);
-    } else if (losses.hasEnded) {
-      const fingerprints = [fingerprint];
-      this.#options.onCrash({ server, fingerprints, isFirst: false });
-    } else {
+    } else if (losses.endedAtMs === undefined) {
       losses.fingerprints.add(fingerprint);
+    } else if (run.startedAtMs <= losses.endedAtMs) {
+      const crash = { server: losses.server, fingerprints: [fingerprint] };
+      this.#options.onCrash({ ...crash, isFirst: false });
+    } else {
+      // It is back under the same id, and its record does not tell yet. The
+      // next start is another one than any that a record has told.
+      const bornMs = losses.server.bornMs + 1;
+      this.#startCheck(key, { ...server, bornMs }, fingerprint);
     }
   }
 
@@ -129,7 +141,7 @@
       server,
       fingerprints: new Set([fingerprint, ...this.#lingering.get(key) ?? []]),
       isAlive: false,
-      hasEnded: false,
+      endedAtMs: undefined,
     };
     this.#losses.set(key, losses);
     setTimeout(() => void this.#check(key, losses), CHECK_DELAY_MS).unref();
@@ -141,12 +153,14 @@
     const state = losses.isAlive
       ? "accepts"
       : await checkListening(server.address, CHECK_TIMEOUT_MS);
-    losses.hasEnded = state === "refuses" && !losses.isAlive;
-    if (!losses.hasEnded) {
+    if (state !== "refuses" || losses.isAlive) {
       this.#losses.delete(key);
       return;
     }
+    losses.endedAtMs = performance.now();
     onCrash({ server, fingerprints: [...fingerprints], isFirst: true });
-    setTimeout(() => this.#losses.delete(key), REMEMBERED_MS).unref();
+    setTimeout(() => {
+      if (this.#losses.get(key) === losses) this.#losses.delete(key);
+    }, REMEMBERED_MS).unref();
   }
 }
--- a/packages/daemon/edge/src/process/crash_watch_test.ts
+++ b/packages/daemon/edge/src/process/crash_watch_test.ts
@@ -23,8 +23,11 @@
     },
   });
   const server = buildServer("s1", "127.0.0.1:9");
-  const lose = (fingerprint: string, of = server) =>
-    watch.recordEnd({ server: of, fingerprint }, "lost");
+  const lose = (
+    fingerprint: string,
+    of = server,
+    startedAtMs = performance.now() - 1_000,
+  ) => watch.recordEnd({ server: of, fingerprint, startedAtMs }, "lost");
   return { watch, server, crashes, lose, countChecks: () => checks };
 }
 
@@ -60,7 +63,7 @@
 test("guards against a server that still answers and counts as ended", async (t) => {
   const { watch, server, crashes, lose } = setUp("refuses");
   lose("a");
-  watch.recordEnd({ server, fingerprint: "b" }, "refused");
+  watch.recordEnd({ server, fingerprint: "b", startedAtMs: 0 }, "refused");
   await wait(CHECKED_MS);
   t.deepEqual(crashes, []);
 });
@@ -86,8 +89,21 @@
 // The caller of the request that crashes may leave before the server ends.
 test("guards against a crash that spares a request which was given up just before", async (t) => {
   const { watch, server, crashes, lose } = setUp("refuses");
-  watch.recordEnd({ server, fingerprint: "left" }, "given_up");
+  watch.recordEnd(
+    { server, fingerprint: "left", startedAtMs: 0 },
+    "given_up",
+  );
   lose("a");
   await wait(CHECKED_MS);
   t.deepEqual(crashes, ["s1/1 a left"]);
 });
+
+// A server may be back under the id that it had before its record tells.
+test("guards against a second crash that counts as the first one", async (t) => {
+  const { server, crashes, lose } = setUp("refuses");
+  lose("a");
+  await wait(CHECKED_MS);
+  lose("a", server, performance.now());
+  await wait(CHECKED_MS);
+  t.deepEqual(crashes, ["s1/1 a", "s1/2 a"]);
+});
--- a/packages/daemon/edge/src/process/table_reader.ts
+++ b/packages/daemon/edge/src/process/table_reader.ts
@@ -22,23 +22,16 @@
  * connection after 4.6 s. Crashes are rarer still; after one, others follow at
  * once and are read together. */
 const READING: Readonly<
-  Record<CatalogTable, TableReading>
+  Record<CatalogTable, { readonly pauseMs: number; readonly waitMs: number }>
 > = {
-  servers: { pauseMs: 800, waitMs: 0, failedPauseMs: 600 },
-  orders: { pauseMs: 50, waitMs: 4_000, failedPauseMs: 600 },
-  crashes: { pauseMs: 200, waitMs: 4_000, failedPauseMs: 2_000 },
+  servers: { pauseMs: 800, waitMs: 0 },
+  orders: { pauseMs: 50, waitMs: 4_000 },
+  crashes: { pauseMs: 200, waitMs: 4_000 },
 };
 
-/** Times in milliseconds by which a table is read. */
-interface TableReading {
-  /** Pause after an answer. */
-  readonly pauseMs: number;
-  /** Time for which a call waits for a change. */
-  readonly waitMs: number;
-  /** Pause after a failed call: failed calls are paid for too, and a change must
-   * be known within 2.5 s of the store's return, a crash within 4 s. */
-  readonly failedPauseMs: number;
-}
+/** Pause in milliseconds after a failed call: failed calls are paid for too,
+ * and a change must be known within 2.5 s of the store's return. */
+const FAILED_PAUSE_MS = 600;
 
 /** Time in milliseconds without an answer after which records may have lapsed
  * unseen: three heartbeats, less one that was missed before. */
@@ -116,7 +109,7 @@
     }
     if (result.isErr()) {
       this.#recordFailure(result.error);
-      return READING[this.#table].failedPauseMs;
+      return FAILED_PAUSE_MS;
     }
     contact.note(asked);
     this.#applyUpdate(result.value);
--- a/packages/daemon/edge/src/request/sending.ts
+++ b/packages/daemon/edge/src/request/sending.ts
@@ -130,7 +130,7 @@
       const { fingerprint } = this.#request;
       const { record: server } = placement.server;
       const runEnd = getRunEnd(result);
-      const run = { fingerprint, server };
+      const run = { fingerprint, server, startedAtMs };
       crashes.recordEnd(run, runEnd);
       quarantine.recordEnd(run, runEnd);
     }
