Keep long names out of the keys of crash notes

A key of over 200 bytes is refused by the store, and with it all notes that are written together, again and again. A server's id or version of software of any length went into keys.

--- a/packages/core/quarantine/src/crash_notes.ts
+++ b/packages/core/quarantine/src/crash_notes.ts
@@ -5,6 +5,9 @@
  * @module
  */
 
+import { Buffer } from "node:buffer";
+import { createHash } from "node:crypto";
+
 /** What a note tells: that a server ended under the request, that the request is
  * tried although it is quarantined, or that it was answered then. */
 export type CrashNoteType = "crash" | "cured" | "trial";
@@ -30,6 +33,9 @@
  * of a whole installation within minutes. */
 const MAX_NOTES = 4_096;
 
+/** Bytes of a server's or software's name in a key. */
+const MAX_NAME_BYTES = 64;
+
 /** Names a note. Entries that lost the same request with one start of a server
  * name the same crash, and of two entries that claim one trial, one succeeds. */
 export function makeNoteKey(
@@ -52,11 +58,17 @@
     about: Extract<Parameters<typeof makeNoteKey>[1], { type: Type }>,
   ) => string;
 } = {
-  crash: ({ server, bornMs }) => `${server}/${bornMs}`,
-  cured: ({ software }) => `cured/${software}`,
+  crash: ({ server, bornMs }) => `${shorten(server)}/${bornMs}`,
+  cured: ({ software }) => `cured/${shorten(software)}`,
   trial: ({ number }) => `trial/${number}`,
 };
 
+/** Takes the hash of a long name: keys have at most 200 bytes. */
+function shorten(name: string): string {
+  if (Buffer.byteLength(name) <= MAX_NAME_BYTES) return name;
+  return createHash("sha256").update(name).digest("hex");
+}
+
 /** Notes by key and by fingerprint, of bounded number. */
 export class CrashNotes {
   readonly #byKey = new Map<string, CrashNote>();
--- a/packages/core/quarantine/src/crash_standing_test.ts
+++ b/packages/core/quarantine/src/crash_standing_test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import test from "ava";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { computeStanding, CrashNotes, hasExpired, makeNoteKey } from "./mod.ts";
@@ -114,6 +115,18 @@
   t.true(hasExpired(keep(CRASHES), "f", 25 * HOUR_MS));
 });
 
+// One refused row would keep back those that are written with it.
+test("guards against keys that are too long for the store", (t) => {
+  const keys = ["\u{1F600}".repeat(50), "\u{1F600}".repeat(51)].flatMap((
+    name,
+  ) => [
+    makeNoteKey("f".repeat(32), { type: "crash", server: name, bornMs: 1e12 }),
+    makeNoteKey("f".repeat(32), { type: "cured", software: name }),
+  ]);
+  t.is(new Set(keys).size, keys.length);
+  for (const key of keys) t.true(Buffer.byteLength(key) <= 200, key);
+});
+
 test("guards against memory that grows with the number of crashes", (t) => {
   const notes = new CrashNotes();
   for (let n = 0; n < 10_000; n++) {
