--- a/packages/daemon/edge/src/crashing_servers_fixture.ts
+++ b/packages/daemon/edge/src/crashing_servers_fixture.ts
@@ -108,6 +108,7 @@
       server.listen(0, "127.0.0.1", resolve)
     );
     this.#servers.set(id, server);
+    if (this.#isClosed) return this.#end(id);
     const { port } = server.address() as AddressInfo;
     const { zones } = this.#options;
     const record = buildServer(id, `127.0.0.1:${port}`, {
