--- a/packages/testing/soak/src/fault_proxy.ts
+++ b/packages/testing/soak/src/fault_proxy.ts
@@ -108,8 +108,11 @@
   }
 
   reset(): void {
-    this.#caller.resetAndDestroy();
-    this.#target.resetAndDestroy();
+    for (const socket of [this.#caller, this.#target]) {
+      // Node.js leaves the handle of an ending one open if it is reset.
+      if (socket.writableEnded) socket.destroy();
+      else socket.resetAndDestroy();
+    }
   }
 
   silence(): void {
