--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -85,7 +85,8 @@
 
 /** Builds a configuration with a safe and an unsafe route to the service
  * `desk`, and an unsafe one to the service `ledger`. */
-export function buildConfiguration({ version = 1, timeoutMs = 8_000 } = {}) {
+export function buildConfiguration(options = {}) {
+  const { version = 1, timeoutMs = 8_000, unsafeService = "desk" } = options;
   const route = (name, kind, service = "desk") => ({
     resource_kind: "routes",
     metadata: { name: `r-${name}` },
@@ -118,7 +119,7 @@
     version: `r${version}`,
     resources: [
       route("safe", "safe"),
-      route("unsafe", "unsafe"),
+      route("unsafe", "unsafe", unsafeService),
       route("ledger", "unsafe", "ledger"),
       service("desk"),
       service("ledger"),
@@ -146,8 +147,11 @@
   const { answerBytes = 400, host = "127.0.0.1" } = options;
   const running = { count: 0 };
   const ran = new Map();
+  /** Arrivals of the requests that were run. */
+  const runs = [];
   const queue = [];
   const server = createServer(async (request, response) => {
+    const arrivedAtMs = performance.now();
     const requestId = request.headers[ID];
     const headers = {
       [ID]: requestId,
@@ -175,6 +179,7 @@
     }
     running.count += 1;
     ran.set(requestId, (ran.get(requestId) ?? 0) + 1);
+    runs.push({ request: requestId, atMs: arrivedAtMs });
     const { url: path } = request;
     record.note("run", {
       server: id,
@@ -213,11 +218,27 @@
   };
   report();
   const timer = setInterval(report, 1_500);
+  /** Reports that the server is leaving; returns at the acknowledgement. */
+  const drain = () => {
+    row.state = "draining";
+    report();
+    record.note("draining", { server: id });
+  };
+  /** Removes the server's row, as some servers do instead of draining; returns
+   * at the acknowledgement. */
+  const withdraw = () => {
+    clearInterval(timer);
+    store.drop("servers", id);
+    record.note("withdrawn", { server: id });
+  };
   return {
+    drain,
+    withdraw,
     id,
     address,
     ran,
     row,
+    runs,
     close: () => {
       clearInterval(timer);
       server.closeAllConnections();
