--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -87,7 +87,8 @@
  * `desk`, and an unsafe one to the service `ledger`. */
 export function buildConfiguration(options = {}) {
   const { version = 1, timeoutMs = 8_000, unsafeService = "desk" } = options;
-  const route = (name, kind, service = "desk") => ({
+  const { homes = [] } = options;
+  const route = (name, kind, service = "desk", regions = []) => ({
     resource_kind: "routes",
     metadata: { name: `r-${name}` },
     spec: {
@@ -100,7 +101,7 @@
       service,
       max_attempts: 2,
       sticky: true,
-      allowed_regions: [],
+      allowed_regions: regions,
     },
   });
   const service = (name) => ({
@@ -121,6 +122,7 @@
       route("safe", "safe"),
       route("unsafe", "unsafe", unsafeService),
       route("ledger", "unsafe", "ledger"),
+      route("home", "unsafe", "desk", homes),
       service("desk"),
       service("ledger"),
       {
