Log the connection and the status of each send

A line of a request that was refused although it ran could not tell the hypotheses apart: it named neither the connection of a send nor the status that the server gave. Two sends on one connection, of which the first was refused, now show a copy of a refusal; a status that promises without 'refused' as the result shows an answer that was passed on as a promise.

Each entry of 'sends' has 'connection', a number that is unique in the process, and 'status'. The tests of the backend client and of requests at the edge pass; no behaviour changes.

--- a/packages/daemon/edge/src/request/forward_types.ts
+++ b/packages/daemon/edge/src/request/forward_types.ts
@@ -52,6 +52,11 @@
   /** Expected latency of the answer in milliseconds. */
   readonly expectedMs: number;
   readonly result: string;
+  /** Status of the server's answer or refusal; undefined if none came. */
+  readonly status: number | undefined;
+  /** Number of the connection to the server; undefined if nothing was
+   * written. */
+  readonly connection: number | undefined;
   readonly elapsedMs: number;
 }
 
--- a/packages/daemon/edge/src/request/sending.ts
+++ b/packages/daemon/edge/src/request/sending.ts
@@ -75,6 +75,8 @@
 /** What is recorded about a send from the check before its first byte on. */
 interface WrittenSend {
   load?: ServerLoadReport | undefined;
+  status?: number;
+  connection?: number;
   isMisdirected?: boolean;
   isHeldBack?: boolean;
   place?: RegionMatch | undefined;
@@ -143,6 +145,8 @@
     this.#record(decision, {
       result: written.isMisdirected ? "misdirected" : result.type,
       elapsedMs: Math.round(elapsedMs),
+      status: written.status,
+      connection: written.connection,
       place: written.place,
       configuration: written.configuration,
     });
@@ -168,7 +172,9 @@
       requestId,
       signal: controller.signal,
       workLimitMs: () => this.#checkWrite(decision, written),
+      onWrite: (connection: number) => written.connection = connection,
       onHead: (status: number, headers: IncomingHttpHeaders) => {
+        written.status = status;
         written.load = protocol.readLoad(headers);
         written.isMisdirected = status === 421;
         // The notice of another server says nothing about the intended one.
@@ -235,7 +241,12 @@
     { placement, policy }: SendDecision,
     end: Pick<
       SendRecord,
-      "result" | "elapsedMs" | "place" | "configuration"
+      | "configuration"
+      | "connection"
+      | "elapsedMs"
+      | "place"
+      | "result"
+      | "status"
     >,
   ): void {
     const { server, rank, expectedMs } = placement;
--- a/packages/network/backend/src/connection.ts
+++ b/packages/network/backend/src/connection.ts
@@ -66,8 +66,12 @@
   });
 }
 
+let lastNumber = 0;
+
 /** An open connection with an agent that uses only this connection. */
 export class Connection {
+  /** Identifies the connection in logs; unique in the process. */
+  readonly number: number;
   /** Agent for requests on this connection. */
   readonly agent: Agent;
   readonly #socket: Socket;
@@ -80,6 +84,8 @@
     socket: Socket,
     options: { readonly idleMs: number; readonly events: ConnectionEvents },
   ) {
+    lastNumber += 1;
+    this.number = lastNumber;
     this.#socket = socket;
     this.#idleMs = options.idleMs;
     this.agent = new SingleSocketAgent(socket, () => {
--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -121,6 +121,7 @@
   exchange.notWritten = false;
   exchange.sent = true;
   clientRequest.end(body);
+  request.onWrite?.(connection.number);
   return clientRequest;
 }
 
--- a/packages/network/backend/src/types.ts
+++ b/packages/network/backend/src/types.ts
@@ -43,6 +43,9 @@
    * limit below 1 stops the send (design page, D4).
    */
   readonly workLimitMs?: () => number;
+  /** Called when the first byte is written, with the number of the connection:
+   * unique in the process. */
+  readonly onWrite?: (connection: number) => void;
   /** Called with the head of the server's response, also with that of a
    * refusal. */
   readonly onHead?: (status: number, headers: IncomingHttpHeaders) => void;
