Never send a request again on a connection that refused it

Callers got 503, a promise that the request has not run, while a server ran it; or the request ran on a second server as well.

Cause: an answer was tied to a request by the connection and the id. An entry sends an id again after a refusal or a failure: to another record of the same server (a server that starts again at its address has a new record beside the old one, and connections belong to an address), or because its caller repeats it. On the same connection, a late copy of the first answer then bears the right id.

A connection keeps the ids of the requests that were refused or failed on it, up to 64, and never carries them again; the pool takes another connection or opens one, and closes a connection whose list is full. Connection and id name one send then.

--- a/packages/network/backend/src/client.ts
+++ b/packages/network/backend/src/client.ts
@@ -90,8 +90,8 @@
 ): Promise<BackendResult> {
   let connection: Connection | undefined;
   try {
-    const { address } = exchange.request;
-    connection = await pool.take(address, exchange.controller.signal);
+    const { request, controller } = exchange;
+    connection = await pool.take(request, controller.signal);
     const result = await runExchange(connection, exchange);
     if (result.type === "incomplete_answer") connection.close();
     return result;
--- a/packages/network/backend/src/connection.ts
+++ b/packages/network/backend/src/connection.ts
@@ -66,6 +66,9 @@
   });
 }
 
+/** Largest number of ids of excluded requests that a connection keeps. */
+const MAX_EXCLUDED = 64;
+
 let lastNumber = 0;
 
 /** An open connection with an agent that uses only this connection. */
@@ -76,6 +79,7 @@
   readonly agent: Agent;
   readonly #socket: Socket;
   #idleMs: number;
+  readonly #excludedIds = new Set<string>();
   #isReused = false;
   #idleTimer: NodeJS.Timeout | undefined;
   #handleResponseData: () => void = () => {};
@@ -105,6 +109,26 @@
       this.#socket.readable;
   }
 
+  /** False if the request was excluded. */
+  canCarry(requestId: string): boolean {
+    return !this.#excludedIds.has(requestId);
+  }
+
+  /**
+   * Keeps a request that was refused or failed off this connection if it is
+   * sent again: the server may repeat its response late, and the id would not
+   * tell the copy from the response to the second send.
+   */
+  exclude(requestId: string): void {
+    this.#excludedIds.add(requestId);
+  }
+
+  /** True if no further request can be excluded, so that the connection must not
+   * carry another one. */
+  get isSpent(): boolean {
+    return this.#excludedIds.size >= MAX_EXCLUDED;
+  }
+
   /** True if the connection carried a response before. */
   get isReused(): boolean {
     return this.#isReused;
--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -72,6 +72,9 @@
   const isMatching = hasMatchingId(response, exchange, connection.isReused);
   if (!isMatching) rejectAnswer(exchange);
   if (!hasValidFraming(response, exchange)) rejectAnswer(exchange);
+  if (isRetryable(response, exchange)) {
+    connection.exclude(exchange.request.requestId);
+  }
   if (!exchange.isRejected) exchange.request.onHead?.(statusCode, headers);
   const body = await readBody(response, exchange);
   if (!await ended) exchange.isRejected = true;
@@ -173,6 +176,14 @@
   return echoed === undefined ? !isReused : echoed === request.requestId;
 }
 
+/** True if the request may be sent again after the response. */
+function isRetryable(
+  { statusCode = 0, headers }: IncomingMessage,
+  { protocol }: Exchange,
+): boolean {
+  return statusCode >= 500 || protocol.isNotRun(statusCode, headers);
+}
+
 /** Applies the idle timeout that the server announces in `keep-alive`. */
 function limitIdle(connection: Connection, response: IncomingMessage): void {
   const hint = response.headers["keep-alive"];
--- a/packages/network/backend/src/pool.ts
+++ b/packages/network/backend/src/pool.ts
@@ -14,6 +14,13 @@
   readonly idleMs: number;
 }
 
+/** What selects a connection for a request. */
+export interface PooledRequest {
+  /** `host:port` of the server. */
+  readonly address: string;
+  readonly requestId: string;
+}
+
 interface ServerPool {
   /** Number of connections that are open or being opened. */
   opened: number;
@@ -31,17 +38,24 @@
     this.#options = options;
   }
 
-  /** Takes an idle connection or opens one; waits while the limit is reached.
-   * Rejects if the connection cannot be opened or the signal is aborted. */
-  async take(address: string, signal: AbortSignal): Promise<Connection> {
+  /** Takes an idle connection that can carry the request, or opens one; waits
+   * while the limit is reached. Rejects if the connection cannot be opened or
+   * the signal is aborted. */
+  async take(
+    { address, requestId }: PooledRequest,
+    signal: AbortSignal,
+  ): Promise<Connection> {
     while (true) {
       signal.throwIfAborted();
       const server = this.#getServer(address);
-      const idle = takeIdle(server);
+      const idle = takeIdle(server, requestId);
       if (idle !== undefined) return idle;
       if (server.opened < this.#options.maxConnectionsPerServer) {
         return await this.#open(address, signal);
       }
+      // The idle connections that are left cannot carry the request; the slot
+      // of a closed one becomes free.
+      server.idle[0]?.close();
       await waitForTurn(server, signal);
       // An aborted waiter must not consume the notification.
       if (signal.aborted) notifyNext(server);
@@ -67,6 +81,7 @@
     server.opened += 1;
     const events: ConnectionEvents = {
       onIdle: (connection) => {
+        if (connection.isSpent) connection.close();
         if (!connection.isOpen) return;
         server.idle.push(connection);
         notifyNext(server);
@@ -102,9 +117,15 @@
   }
 }
 
-function takeIdle(server: ServerPool): Connection | undefined {
-  while (server.idle.length > 0) {
-    const connection = server.idle.pop()!;
+/** Takes the newest idle connection that can carry the request. */
+function takeIdle(
+  { idle }: ServerPool,
+  requestId: string,
+): Connection | undefined {
+  for (let index = idle.length - 1; index >= 0; index--) {
+    const connection = idle[index]!;
+    if (connection.isOpen && !connection.canCarry(requestId)) continue;
+    idle.splice(index, 1);
     connection.markBusy();
     if (connection.isOpen) return connection;
     connection.close();
--- a/packages/network/backend/src/repeated_request_test.ts
+++ b/packages/network/backend/src/repeated_request_test.ts
@@ -18,9 +18,14 @@
     `dotterelmoor-request-id: ${requestId}\r\ncontent-length: 0\r\n\r\n`;
 }
 
-/** What a server writes for a request: `copy` is its last refusal on the
- * connection, before the answer. */
-type Reply = "answer" | "copy" | "refusal";
+function buildFailure(requestId: string): string {
+  return "HTTP/1.1 500 Internal Server Error\r\n" +
+    `dotterelmoor-request-id: ${requestId}\r\ncontent-length: 0\r\n\r\n`;
+}
+
+/** What a server writes for a request: `copy` is the last refusal or failure on
+ * the connection, before the answer. */
+type Reply = "answer" | "copy" | "failure" | "refusal";
 
 /** Starts a server that replies as told, and a client of it. */
 async function startPair(
@@ -31,16 +36,16 @@
   const replies: Reply[] = [];
   const server = createServer((socket) => {
     sockets.push(socket);
-    let refusal = "";
+    let last = "";
     socket.on("error", () => {});
     socket.on("data", (chunk) => {
       const id = /request-id: (.*)\r/.exec(chunk.toString())?.[1] ?? "";
       const reply = replies.shift() ?? "answer";
-      if (reply === "refusal") {
-        refusal = buildRefusal(id);
-        socket.write(refusal);
+      if (reply === "refusal" || reply === "failure") {
+        last = reply === "refusal" ? buildRefusal(id) : buildFailure(id);
+        socket.write(last);
       } else {
-        socket.write((reply === "copy" ? refusal : "") + buildAnswer(id));
+        socket.write((reply === "copy" ? last : "") + buildAnswer(id));
       }
     });
   });
@@ -75,6 +80,14 @@
   t.is(countConnections(), 2);
 });
 
+// A failed request may be sent again to a server's second record.
+test("guards against a copied failure that counts for the same request on the same connection", async (t) => {
+  const { send, countConnections } = await startPair(t);
+  t.like(await send("r1", "failure"), { type: "answered", status: 500 });
+  t.like(await send("r1", "copy"), { type: "answered", status: 200 });
+  t.is(countConnections(), 2);
+});
+
 // A copy of the first refusal may also come after other requests.
 test("guards against a request that returns to the connection that refused it earlier", async (t) => {
   const { send, countConnections } = await startPair(t);
@@ -113,4 +126,5 @@
   }
   t.true(countConnections() > 1);
   t.true(countConnections() < 50);
+  t.log({ connections: countConnections() });
 });
