Report an unknown outcome if either of two sends may have run

A repeatable request whose backup request timed out, or lost its connection, was answered 503, 'too-late', as not run, if the other send had waited for a connection until its time was over: of two results without an answer the first one counted that was not a refusal, and a send that was not written came first.

A send that may have run now takes precedence, in whichever order they began. Both sends end at the deadline, so the order says nothing. The four cases of backup_outcome_test (timed out, connection lost, incomplete, cancelled) failed before, with 'not-run'; the fifth, where neither was written, stays 'not-run'.

Requests that may run once have no backup, so this alone breaks no promise to them.

--- a/packages/daemon/edge/src/request/send_results.ts
+++ b/packages/daemon/edge/src/request/send_results.ts
@@ -71,6 +71,21 @@
   );
 }
 
+/** Results of sends that a server may have run without answering. */
+const RUN_RESULTS: ReadonlySet<string> = new Set<SendResult["type"]>([
+  "connection_lost",
+  "incomplete_answer",
+  "timed_out",
+]);
+
+/** Returns whether a server may have run the request of a send that brought no
+ * answer. */
+export function mayHaveRun(result: SendResult): boolean {
+  return result.type === "cancelled"
+    ? result.sent
+    : RUN_RESULTS.has(result.type);
+}
+
 /** Resolves with the first answer of a server. If none answers, resolves when
  * all sends have ended, with a result that may have run if there is one. */
 export async function waitForFirstAnswer(
@@ -83,8 +98,10 @@
   });
   return await Promise.any(answered).catch(async () => {
     const all = await Promise.all(results);
-    // A send that may have run takes precedence over one that did not run.
-    return all.find(({ type }) => SEND_RESULTS[type].verdict !== "not-run") ??
+    // The outcome must not promise that the request was not run if one of the
+    // sends may have run it.
+    return all.find(mayHaveRun) ??
+      all.find(({ type }) => SEND_RESULTS[type].verdict !== "not-run") ??
       all[0]!;
   });
 }
