Pass on no promise that a server did not make

A server that ran a request, and then failed it with 408, 421, 429 or 503 without the header by which servers say that they did not run it, had its status passed on unchanged. To the caller the status is a promise that the request has not run and never will; a caller that trusts it sends a once-only request again.

Cause: the status was written by a part that does not know whether the request ran. The entry knows only what the server's header says.

Such an answer is now an unknown outcome: 502, reason 'unmarked-refusal'. A repeatable request is tried at another server first, as after a 5xx. Other failures (500) are passed on unchanged.

--- a/packages/daemon/edge/src/request/forwarding.ts
+++ b/packages/daemon/edge/src/request/forwarding.ts
@@ -14,6 +14,7 @@
 import type { QuarantineInputs } from "../process/crash_quarantine.ts";
 import type { RetryBudgets } from "../process/retry_budgets.ts";
 import type { ForwardRequest, ForwardResult } from "./forward_types.ts";
+import { promisesNotRun } from "./outcomes.ts";
 import type { NotRunReason, RequestOutcome } from "./outcomes.ts";
 import { QuarantineGate } from "./quarantine_gate.ts";
 import {
@@ -74,7 +75,8 @@
   /** Inputs of the decision not to send the request, or not to retry it. */
   #refusal: RefusalInputs | QuarantineInputs | undefined;
   #refusalReason: string | undefined;
-  /** Answer with a 5xx status; returned if no other server answers. */
+  /** Outcome of an answer that reports a failure; returned if no other server
+   * answers. */
   #failure: RequestOutcome | undefined;
 
   constructor(request: ForwardRequest, options: ForwarderOptions) {
@@ -236,9 +238,10 @@
   /** Returns the outcome for a result; undefined if another send may follow. */
   #handleResult(result: SendResult): RequestOutcome | undefined {
     const { verdict } = SEND_RESULTS[result.type];
-    const isFailure = result.type === "answered" && result.status >= 500;
+    const isFailure = result.type === "answered" &&
+      (result.status >= 500 || promisesNotRun(result.status));
     if (isFailure && this.#policyReader.read()?.repeatable) {
-      // Retry on another server; if none answers, this 5xx is the answer.
+      // Retry on another server; if none answers, this is the outcome.
       this.#mayHaveRun = true;
       this.#failure = this.#finish(result);
       return undefined;
@@ -251,7 +254,11 @@
   #finish(result: SendResult): RequestOutcome {
     if (result.type === "answered") {
       const { status, headers, body } = result;
-      return { type: "answered", status, headers, body };
+      // A server that did not run the request says so in a header, and its
+      // result is `refused`.
+      return promisesNotRun(status)
+        ? { type: "unknown", reason: "unmarked-refusal" }
+        : { type: "answered", status, headers, body };
     }
     if (this.#request.signal.aborted) return { type: "abandoned" };
     if (result.type === "not_authorized") return this.#settle("too-late", 0);
--- a/packages/daemon/edge/src/request/outcomes.ts
+++ b/packages/daemon/edge/src/request/outcomes.ts
@@ -26,8 +26,13 @@
   | "malformed"
   | "no-route";
 
-/** Why it is unknown whether a request ran. */
-export type UnknownReason = "answer-lost" | "internal-error" | "timed-out";
+/** Why it is unknown whether a request ran; `unmarked-refusal` if a server's
+ * status promises that it was not run, but the server did not say so. */
+export type UnknownReason =
+  | "answer-lost"
+  | "internal-error"
+  | "timed-out"
+  | "unmarked-refusal";
 
 /** The outcome of one request; `abandoned` if its caller disconnected. */
 export type RequestOutcome =
@@ -57,8 +62,17 @@
   "answer-lost": 502,
   "internal-error": 502,
   "timed-out": 504,
+  "unmarked-refusal": 502,
 };
 
+/** Statuses that promise to callers that the request was not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** True if callers take a status as a promise that the request was not run. */
+export function promisesNotRun(status: number): boolean {
+  return NOT_RUN_STATUSES.has(status);
+}
+
 /** Properties common to all answers to one request. */
 export interface AnswerContext {
   readonly requestIdHeader: string;
