Let a soak run end when two faults stop one entry

A fault that kills or terminates an entry waited, at its end, for the exit of the entry's process of that moment; another fault had already started the entry again, so it waited for a process that nobody stops.

Each fault now waits for the process that it stopped itself.

--- a/packages/testing/soak/src/faults.ts
+++ b/packages/testing/soak/src/faults.ts
@@ -35,13 +35,15 @@
 const FAULTS: Readonly<Record<string, FaultInjector>> = {
   kill: ({ installation }, entry) => {
     if (countRunning(installation) <= MIN_RUNNING_ENTRIES) return undefined;
-    entry.process?.kill();
-    return { isLocal: true, end: () => restart(entry) };
+    const { process: running } = entry;
+    running?.kill();
+    return { isLocal: true, end: () => restart(entry, running) };
   },
   terminate: ({ installation }, entry) => {
     if (countRunning(installation) <= MIN_RUNNING_ENTRIES) return undefined;
-    entry.process?.terminate();
-    return { isLocal: true, end: () => restart(entry) };
+    const { process: running } = entry;
+    running?.terminate();
+    return { isLocal: true, end: () => restart(entry, running) };
   },
   pause: (_context, entry) => {
     entry.process?.freeze();
@@ -173,11 +175,14 @@
   return entries.filter((entry) => entry.process !== undefined).length;
 }
 
-/** Waits until the entry's process has exited and starts it again. */
-async function restart(entry: SoakEntry): Promise<void> {
-  const { process: running } = entry;
-  running?.resume();
-  await running?.exited;
+/** Waits until the process that a fault stopped has exited, and starts the entry
+ * again unless another fault has done so. */
+async function restart(
+  entry: SoakEntry,
+  stopped: SoakEntry["process"],
+): Promise<void> {
+  stopped?.resume();
+  await stopped?.exited;
   if (entry.process === undefined) await entry.start();
 }
 
