Repeat refusals and restart servers at their addresses in the soak

The soak's servers never sent an answer too many, kept their addresses for themselves, and marked each refusal, so no run could show a refusal of a request that ran. New faults: a server that repeats a refusal while the next request of the connection runs ('server_copies'); one that ends and starts again at its address with another id, while its old row stays ('server_restart'); one that fails requests that ran with 503 and no mark ('server_failing'). The check of refusals takes 408 and 421 too.

--- a/packages/testing/soak/src/checks.ts
+++ b/packages/testing/soak/src/checks.ts
@@ -44,6 +44,9 @@
 /** Minimum share of requests that are served once all faults have ended. */
 const SERVED_SHARE = 0.95;
 
+/** Statuses that promise that a request was not run. */
+const REFUSALS: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** A violated guarantee. */
 export interface Violation {
   readonly promise: string;
@@ -74,7 +77,8 @@
     const ran = new Set(records.runs.map(({ requestId }) => requestId));
     return records.requests
       .filter(({ id, status, repeatable }) =>
-        !repeatable && (status === 503 || status === 429) && ran.has(id)
+        !repeatable && status !== undefined && REFUSALS.has(status) &&
+        ran.has(id)
       )
       .map((request) =>
         createViolation("refused requests do not run", request)
--- a/packages/testing/soak/src/fault_proxy.ts
+++ b/packages/testing/soak/src/fault_proxy.ts
@@ -28,6 +28,8 @@
   /** `host:port` of the listener. */
   readonly address: string;
   setFaults(faults: Partial<LinkFaults>): void;
+  /** Resets all connections; new ones go to another target. */
+  setTarget(target: Endpoint): void;
   /** Resets all connections. */
   reset(): void;
   /**
@@ -47,10 +49,11 @@
 /** Starts a proxy; port 0 picks a free port. Rejects if it cannot listen. */
 export async function startFaultProxy(
   listen: Endpoint,
-  target: Endpoint,
+  firstTarget: Endpoint,
 ): Promise<FaultProxy> {
   const links = new Set<ProxiedConnection>();
   let faults = NO_FAULTS;
+  let target = firstTarget;
   const server: Server = createServer((caller) => {
     const link = new ProxiedConnection(caller, connect(target), () => faults);
     links.add(link);
@@ -67,6 +70,10 @@
       faults = { ...faults, ...changes };
       for (const link of links) link.flush();
     },
+    setTarget: (newTarget) => {
+      target = newTarget;
+      links.forEach((link) => link.reset());
+    },
     reset: () => links.forEach((link) => link.reset()),
     silence: () => links.forEach((link) => link.silence()),
     close: () => {
--- a/packages/testing/soak/src/faults.ts
+++ b/packages/testing/soak/src/faults.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { NO_SERVER_FAULTS } from "@dotterelmoor/platform";
 import { buildDocument } from "./documents.ts";
 import type { Installation, SoakEntry } from "./installation.ts";
 import type { FaultRecord, Records } from "./records.ts";
@@ -102,6 +103,18 @@
   server_lost: (context) => setServerFaults(context, { lostShare: 0.4 }),
   server_slow: (context) => setServerFaults(context, { slowness: 8 }),
   server_shed: (context) => setServerFaults(context, { shedShare: 0.5 }),
+  // Refuses requests of two records at its address, and repeats refusals.
+  server_restart: (context) => {
+    const server = pickServer(context);
+    if (!server.isReporting) return undefined;
+    void context.installation.restartServer(server).then((restarted) =>
+      restarted.server.setFaults({ copyShare: 0.5 })
+    );
+    return { isLocal: false, end: () => {} };
+  },
+  server_copies: (context) =>
+    setServerFaults(context, { shedShare: 0.3, copyShare: 0.5 }),
+  server_failing: (context) => setServerFaults(context, { failedShare: 0.3 }),
   server_reset: (context) => {
     pickServer(context).link.reset();
     return { isLocal: false, end: () => {} };
@@ -199,6 +212,6 @@
   server.setFaults(faults);
   return {
     isLocal: false,
-    end: () => server.setFaults({ lostShare: 0, shedShare: 0, slowness: 1 }),
+    end: () => server.setFaults(NO_SERVER_FAULTS),
   };
 }
--- a/packages/testing/soak/src/installation.ts
+++ b/packages/testing/soak/src/installation.ts
@@ -136,9 +136,32 @@
 
   /** Starts a backend server and registers it in the store. */
   async addServer(index: number): Promise<void> {
-    const { random, onRun, onCrash } = this.#options;
     const id = `i-${index}`;
     const zone = ZONE_NAMES[index % ZONE_NAMES.length]!;
+    await this.#startServer(id, zone);
+  }
+
+  /**
+   * Ends a server's process and starts it again at the same address, with
+   * another id. Its old row stays for a while.
+   */
+  async restartServer(old: SoakServer): Promise<SoakServer> {
+    old.isReporting = false;
+    const { id, zone } = old.record;
+    setTimeout(() => this.store.drop(STORE_ROWS.servers, id), ROW_EXPIRY_MS);
+    const restarted = await this.#startServer(`${id}r`, zone, old.link);
+    old.server.close();
+    return restarted;
+  }
+
+  /** Starts a server behind a new proxy, or behind the one of a former server
+   * at its address. */
+  async #startServer(
+    id: string,
+    zone: string,
+    formerLink?: FaultProxy,
+  ): Promise<SoakServer> {
+    const { random, onRun, onCrash } = this.#options;
     const server = await startStandInServer({
       id,
       service: "desk",
@@ -150,7 +173,7 @@
         onRun({
           requestId,
           serverId: id,
-          region: ZONES[zone],
+          region: ZONES[zone as keyof typeof ZONES],
           arrivedAtMs,
           atMs: performance.now(),
         }),
@@ -160,10 +183,10 @@
         this.#crash(added);
       },
     });
-    const link = await startFaultProxy(
-      { host: "127.0.0.1", port: 0 },
-      parseEndpoint(server.address),
-    );
+    const endpoint = parseEndpoint(server.address);
+    formerLink?.setTarget(endpoint);
+    const link = formerLink ??
+      await startFaultProxy({ host: "127.0.0.1", port: 0 }, endpoint);
     const record: ServerRecord = {
       id,
       service: "desk",
@@ -178,6 +201,7 @@
     const added: SoakServer = { record, server, link, isReporting: true };
     this.servers.push(added);
     this.#report();
+    return added;
   }
 
   /**
