Check the request's id in answers to the product's own entry

What callers saw: a request that ran was reported as `not-run`, or a non-repeatable one ran twice, if its server wrote an earlier refusal once more where the answer to it was due.

Cause: the protocol of the product's own deployments had `echoesRequestId` off, so any answer on a connection in use again counted as that of the request under way, also the refusal of an earlier one.

Change: the own protocol checks the id, and the contract of backend servers says that each answer and refusal repeats it; the simulated server does. An answer with another id is never believed and gives `unknown`. One without an id is believed on a new connection, as before; that connection is now closed, at the end of the answer and before the pool can give it to another request. Servers that repeat no ids can still be used: they get one connection for each request, and their refusals still lead to another server instead of `unknown`.

Tests: three tests of connections in use again had answers without an id, and would have passed or failed for the closed connection alone. Their answers now carry the id, so that they check the same as before; `duplicate_response_test.ts` asks for two connections where it answers without an id, and checks both answers.

--- a/packages/network/backend/src/duplicate_response_test.ts
+++ b/packages/network/backend/src/duplicate_response_test.ts
@@ -6,9 +6,13 @@
 
 const PROTOCOL = { ...DEFAULT_PROTOCOL, echoesRequestId: true };
 
-/** Sends two requests in sequence on one connection to a server that answers
- * them with the given texts. */
-async function sendTwo(t: ExecutionContext, answers: readonly string[]) {
+/** Sends two requests in sequence to a server that answers the requests on a
+ * connection with the given texts. */
+async function sendTwo(
+  t: ExecutionContext,
+  answers: readonly string[],
+  expectedConnections = 1,
+) {
   let connections = 0;
   const server = createServer((socket) => {
     connections += 1;
@@ -39,7 +43,7 @@
       requestId,
     });
   const results = [await send("r1"), await send("r2")];
-  t.is(connections, 1);
+  t.is(connections, expectedConnections);
   return results;
 }
 
@@ -64,9 +68,14 @@
   t.is(second!.type, "incomplete_answer");
 });
 
-test("guards against the rejection of a response without an id on a new connection", async (t) => {
-  const [first] = await sendTwo(t, [buildAnswer("first"), SECOND]);
-  t.is(first!.type, "answered");
+// After a response without an id, the next request goes on another connection,
+// so that servers that repeat no ids can be used.
+test("guards against the rejection of responses without an id on new connections", async (t) => {
+  const answers = [buildAnswer("plain"), buildAnswer("copy")];
+  const results = await sendTwo(t, answers, 2);
+  for (const result of results) {
+    t.like(result, { type: "answered", body: Buffer.from("plain") });
+  }
 });
 
 test("guards against the rejection of a second response with the right id", async (t) => {
--- a/packages/network/backend/src/endless_test.ts
+++ b/packages/network/backend/src/endless_test.ts
@@ -37,9 +37,11 @@
   }
 }
 
-const OK = "HTTP/1.1 200 OK\r\n";
+// A response without the id of its request would end its connection anyway.
+const ID = "dotterelmoor-request-id: r1\r\n";
+const OK = `HTTP/1.1 200 OK\r\n${ID}`;
 const CHUNKED = "transfer-encoding: chunked\r\n\r\n";
-const NOT_RUN = "HTTP/1.1 503 Busy\r\ndotterelmoor-not-run: true\r\n";
+const NOT_RUN = `HTTP/1.1 503 Busy\r\n${ID}dotterelmoor-not-run: true\r\n`;
 
 /** Largest number of bytes read of a response without a body. */
 const FRAMING_BOUND = MAX_FRAMING_BYTES + 2 * READ_BYTES;
@@ -162,9 +164,12 @@
       head: "",
       piece: `${OK}content-length: 2\r\n\r\nok`,
     },
-    "bytes after status 204": { head: "HTTP/1.1 204 No\r\n\r\n", piece: "a" },
+    "bytes after status 204": {
+      head: `HTTP/1.1 204 No\r\n${ID}\r\n`,
+      piece: "a",
+    },
     "bytes after status 304": {
-      head: "HTTP/1.1 304 No\r\ncontent-length: 2\r\n\r\n",
+      head: `HTTP/1.1 304 No\r\n${ID}content-length: 2\r\n\r\n`,
       piece: "a",
     },
     "bytes after the response to HEAD": {
@@ -195,7 +200,9 @@
       new Promise((resolve) => socket.once("close", () => resolve())),
     );
     socket.once("data", () => {
-      socket.write(`${OK}content-length: 2\r\n\r\nok`);
+      const id = `dotterelmoor-request-id: r${unsolicited.length}\r\n`;
+      const head = `HTTP/1.1 200 OK\r\n${id}content-length: 2\r\n\r\n`;
+      socket.write(`${head}ok`);
       // Called by the test once the client has the response.
       unsolicited.push(() =>
         writeRepeatedly(socket, { head: "", piece: "\r\n" }, () => {})
--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -72,6 +72,11 @@
   const isMatching = hasMatchingId(response, exchange, connection.isReused);
   if (!isMatching) rejectAnswer(exchange);
   if (!hasValidFraming(response, exchange)) rejectAnswer(exchange);
+  if (!endsWithConnection && !isIdentified(response, exchange)) {
+    // A copy of this response could not be told from the next one. Closes at
+    // the end, before the pool can give the connection to another request.
+    response.once("end", () => connection.close());
+  }
   if (!exchange.isRejected) exchange.request.onHead?.(statusCode, headers);
   const body = await readBody(response, exchange);
   if (!await ended) exchange.isRejected = true;
@@ -172,6 +177,15 @@
   return echoed === undefined ? !isReused : echoed === request.requestId;
 }
 
+/** True if the response carries a request id, or the protocol has none. */
+function isIdentified(
+  response: IncomingMessage,
+  { protocol }: Exchange,
+): boolean {
+  return !protocol.echoesRequestId ||
+    response.headers[protocol.requestIdHeader] !== undefined;
+}
+
 /** Applies the idle timeout that the server announces in `keep-alive`. */
 function limitIdle(connection: Connection, response: IncomingMessage): void {
   const hint = response.headers["keep-alive"];
--- a/packages/network/backend/src/protocol.ts
+++ b/packages/network/backend/src/protocol.ts
@@ -14,7 +14,8 @@
    * work. */
   readonly deadlineHeader: string;
   /** True if responses repeat the request id; one with another id belongs to
-   * another request. */
+   * another request. A response without an id counts on a new connection only,
+   * which carries no further request. */
   readonly echoesRequestId: boolean;
   /** True if the end of the connection may delimit a response. */
   readonly acceptsCloseDelimited: boolean;
@@ -31,7 +32,7 @@
 export const DEFAULT_PROTOCOL: ServerProtocol = {
   requestIdHeader: "dotterelmoor-request-id",
   deadlineHeader: "dotterelmoor-deadline-ms",
-  echoesRequestId: false,
+  echoesRequestId: true,
   acceptsCloseDelimited: false,
   keepsHost: false,
   isNotRun: (status, headers) =>
--- a/packages/testing/server/src/backend_client_test.ts
+++ b/packages/testing/server/src/backend_client_test.ts
@@ -56,8 +56,9 @@
   return { address: `127.0.0.1:${port}`, server };
 }
 
-function makeResponse(body: string): string {
-  return `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+function makeResponse(requestId: string, body: string): string {
+  return `HTTP/1.1 200 OK\r\ndotterelmoor-request-id: ${requestId}\r\n` +
+    `content-length: ${body.length}\r\n\r\n${body}`;
 }
 
 function parseResponse(result: BackendResult): Record<string, unknown> {
@@ -114,10 +115,10 @@
   const { address } = await openTcpServer(t, (socket) => {
     requests += 1;
     sockets.push(socket);
-    if (requests === 1) socket.write(makeResponse("open"));
+    if (requests === 1) socket.write(makeResponse("open", "open"));
     if (requests === 3) {
-      sockets[0]!.write(makeResponse("late"));
-      socket.write(makeResponse("own"));
+      sockets[0]!.write(makeResponse("first", "late"));
+      socket.write(makeResponse("second", "own"));
     }
   });
   const client = openClient(t, { maxConnectionsPerServer: 1 });
@@ -137,11 +138,13 @@
   let requests = 0;
   const { address } = await openTcpServer(t, (socket) => {
     requests += 1;
-    const body = `answer ${requests}`;
-    socket.write(makeResponse(body), () => {
-      if (requests === 1) setImmediate(() => socket.write(makeResponse("bad")));
+    const isFirst = requests === 1;
+    const response = makeResponse(isFirst ? "a" : "b", `answer ${requests}`);
+    socket.write(response, () => {
+      if (!isFirst) return;
+      setImmediate(() => socket.write(makeResponse("b", "bad")));
     });
-    if (requests === 1) socket.once("close", () => resolveClosed());
+    if (isFirst) socket.once("close", () => resolveClosed());
   });
   let resolveClosed = () => {};
   const socketClosed = new Promise<void>((resolve) => resolveClosed = resolve);
--- a/packages/testing/server/src/work.ts
+++ b/packages/testing/server/src/work.ts
@@ -36,6 +36,10 @@
     response.destroy();
     return;
   }
+  const requestId = readHeader(request, "dotterelmoor-request-id");
+  if (requestId !== undefined) {
+    response.setHeader("dotterelmoor-request-id", requestId);
+  }
   if (refuseIfUnavailable(response, state)) return;
   const key = readHeader(request, options.keyHeader ?? "idempotency-key");
   state.recordStart(key);
@@ -53,7 +57,7 @@
     server: state.name,
     method: request.method,
     path: request.url,
-    requestId: readHeader(request, "dotterelmoor-request-id") ?? null,
+    requestId: requestId ?? null,
     key: key ?? null,
   };
   if (result === "deadline") {
