Recall a convicted request before anything else can send it

What callers saw: `not-run` with the reason `quarantined` for a request that its server then ran.

Cause: a recall was preceded by the event that tells the dispatcher the end of authority. The dispatcher sends what it can on any event. If the pause of a server, or a held slot, had ended, but the timer for it had not run yet, that event sent the very request that was being recalled. The cancellation came after it, too late for an idle connection, and the quarantine refused the request.

Change: the recall is the first event. The dispatcher removes the request before it sends what else it can.

--- a/packages/daemon/entry/src/process/group_owner.ts
+++ b/packages/daemon/entry/src/process/group_owner.ts
@@ -199,7 +199,9 @@
     };
     this.#options.quarantine.admit(admission, {
       run: (trial) => this.#submit(id, run, trial),
-      recall: () => this.#send({ type: "cancel", id }),
+      // Any event before this one, such as the authority, could send the
+      // request now.
+      recall: () => this.#driver.send({ type: "cancel", id }),
       refuse: (retryAfterMs) =>
         this.#endRun(id, makeNotRun("quarantined", retryAfterMs)),
     });
