Send no request that was cancelled before its write

What callers saw: `not-run` with the reason `quarantined` for a request that its server then ran; and a cancelled request that ran and was answered.

Cause: the client adds its listener for the cancellation when it writes the request, one step after it has taken a connection. A cancellation in between, in the turn of the event loop in which the send began, was not noticed if an idle connection was at hand. The owner of a group cancels this way: the recall of one copy of a request makes room for the next copy, which is sent, recalled and refused in the same turn.

Change: the client checks for the cancellation in the turn of the write.

--- a/packages/daemon/entry/src/recalled_runs_test.ts
+++ b/packages/daemon/entry/src/recalled_runs_test.ts
@@ -60,3 +60,18 @@
   await waitForReads(t, address);
   t.deepEqual(runs, ["known", "last"]);
 });
+
+// The recall of the first copy frees the server for the second one, which is
+// recalled in the same turn of the event loop.
+test("guards against a copy that is sent, refused as quarantined and runs", async (t) => {
+  const ids = ["r1", "r2"];
+  const { quarantine, copies, address, runs } = await queueCopies(t, ids);
+  quarantine.send({
+    type: "convicted",
+    fingerprint: FINGERPRINT,
+    remainingMs: 1_000,
+  });
+  checkQuarantined(t, await Promise.all(copies));
+  await waitForReads(t, address);
+  t.deepEqual(runs, ["known", "last"]);
+});
--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -94,6 +94,8 @@
   exchange: Exchange,
 ): ClientRequest {
   const { request, protocol, controller } = exchange;
+  // The listener below does not hear of an earlier cancellation.
+  controller.signal.throwIfAborted();
   const limitMs = request.workLimitMs?.() ?? Infinity;
   const leftMs = exchange.deadlineAt - performance.now();
   const workMs = Math.floor(Math.min(limitMs, leftMs));
