--- a/packages/daemon/entry/src/group_owner_fixture.ts
+++ b/packages/daemon/entry/src/group_owner_fixture.ts
@@ -24,9 +24,12 @@
 const SERVICE = "orders";
 const REGION = "north";
 
-/** Time in milliseconds that a request may take. */
+/** Time in milliseconds that a request may take, unless the test sets one. */
 const DEADLINE_MS = 3_000;
 
+/** Slots of each server. */
+const SLOTS = 2;
+
 const DOCUMENT: ServiceDocument = {
   name: SERVICE,
   regions: [REGION],
@@ -100,12 +103,19 @@
   execute(requestId: string, fingerprint?: string): Promise<Outcome>;
 }
 
-/** Starts the owner of a group with the given servers, of one slot each. */
+/** Options of `startOwner`. */
+export interface OwnerTestOptions {
+  readonly servers: readonly string[];
+  readonly clock?: Clock;
+  readonly deadlineMs?: number;
+}
+
+/** Starts the owner of a group with the given servers. */
 export function startOwner(
   t: ExecutionContext,
-  options: { readonly servers: readonly string[]; readonly clock?: Clock },
+  options: OwnerTestOptions,
 ): StartedOwner {
-  const { servers, clock = createClock() } = options;
+  const { servers, clock = createClock(), deadlineMs = DEADLINE_MS } = options;
   const store = new DisposableStore();
   const backend = createBackendClient();
   const createMachine: CreateMachine = (source) =>
@@ -143,13 +153,16 @@
     quarantine,
     execute: (requestId, fingerprint = requestId) =>
       owner.execute(
-        buildExecution({ requestId, fingerprint, clock }),
+        buildExecution(
+          { requestId, fingerprint },
+          clock.nowMs() + deadlineMs,
+        ),
         new AbortController().signal,
       ),
   };
 }
 
-/** Sets the servers of a group, of one slot each. */
+/** Sets the servers of a group. */
 export function listServers(
   owner: GroupOwner,
   servers: readonly string[],
@@ -157,19 +170,15 @@
   owner.setServers(servers.map((address, index) => ({
     id: `s${index}`,
     address,
-    slots: 1,
+    slots: SLOTS,
     state: "live",
   })));
 }
 
 function buildExecution(
-  options: {
-    readonly requestId: string;
-    readonly fingerprint: string;
-    readonly clock: Clock;
-  },
+  request: Pick<Execution, "fingerprint" | "requestId">,
+  deadlineAtMs: number,
 ): Execution {
-  const { requestId, fingerprint, clock } = options;
   return {
     service: SERVICE,
     homeRegion: REGION,
@@ -179,11 +188,10 @@
     path: "/holds",
     headers: {},
     body: new Uint8Array(),
-    deadlineAtMs: clock.nowMs() + DEADLINE_MS,
+    deadlineAtMs,
     priority: "normal",
     repeatable: false,
-    key: requestId,
-    fingerprint,
-    requestId,
+    key: request.requestId,
+    ...request,
   };
 }
