Repeat the request's id in every refusal to callers

Cause: the id was written only after a request had been run, and these two refusals are made before.

Change: the entry writes the id that the caller sent before all else.

After: 3 of 3 passed.

--- a/packages/daemon/entry/src/request/caller_app.ts
+++ b/packages/daemon/entry/src/request/caller_app.ts
@@ -15,6 +15,7 @@
 /** Wait that refusals made by this module suggest to the caller. */
 const RETRY_AFTER_MS = 1_000;
 const SERVICE_PREFIX = "/services/";
+const REQUEST_ID_HEADER = "dotterelmoor-request-id";
 /** Quotas of the team's own document; answered with 429 instead of 503. */
 const QUOTA_REASONS: ReadonlySet<NotRunReason> = new Set([
   "link-budget",
@@ -69,6 +70,8 @@
   app.silent = true;
   app.use(async (context) => {
     if (options.isLeaving()) context.set("connection", "close");
+    const requestId = context.get(REQUEST_ID_HEADER);
+    if (requestId !== "") context.set(REQUEST_ID_HEADER, requestId);
     if (!options.isReady()) {
       answerOutcome(context, makeNotRun("not-configured", RETRY_AFTER_MS));
     } else if (context.path === "/v1/lookup") {
@@ -123,7 +126,7 @@
     outcome,
     latencyMs: options.nowMs() - startedMs,
   });
-  context.set("dotterelmoor-request-id", request.requestId);
+  context.set(REQUEST_ID_HEADER, request.requestId);
   answerOutcome(context, outcome);
 }
 
@@ -144,7 +147,7 @@
     headers,
     body,
     client: readCallerAddress(context),
-    requestId: headers["dotterelmoor-request-id"] ?? randomUUID(),
+    requestId: headers[REQUEST_ID_HEADER] ?? randomUUID(),
     deadlineMs: deadline > 0 ? deadline : undefined,
   };
 }
