Let a recalled request be sent again

What callers saw: `unknown` (`deadline-passed`), 200 ms after the deadline, for a request that no server ran, if it became a suspect while its server was about to refuse it. The server that was chosen next counted the request as timed out.

Cause: a recall cancelled a send by a signal that the later sends of the request shared, so its trial was cancelled as well. Besides, a result was tied to the run, not to the send: the refusal of the first send would have ended the trial under way.

Change: each send has its own cancellation. A result counts for the dispatcher only if it is that of the current send; of a recalled one only what it says of the server is kept (draining, or no connection). The caller's own signal identifies its runs.

With the check of the current send left out, the refused suspect ran twice, and the test failed.

--- a/packages/daemon/entry/src/process/group_owner.ts
+++ b/packages/daemon/entry/src/process/group_owner.ts
@@ -48,6 +48,7 @@
 
 interface FinishedSend {
   readonly run: GroupRun;
+  readonly send: AbortController;
   readonly action: SendAction;
   readonly result: SendResult;
   readonly startedMs: number;
@@ -101,13 +102,12 @@
     if (refused !== undefined) return Promise.resolve(refused);
     this.#budget.handle({ type: "request" }, nowMs);
     return new Promise((resolve) => {
-      const abort = new AbortController();
-      signal.addEventListener("abort", () => this.#cancel(abort), {
+      signal.addEventListener("abort", () => this.#cancel(signal), {
         once: true,
       });
       const admittedAtMs = this.#shifts.findAdmittedAt(execution, nowMs);
       this.#admit(
-        createGroupRun({ execution, resolve, abort, admittedAtMs, avoid: [] }),
+        createGroupRun({ execution, resolve, signal, admittedAtMs, avoid: [] }),
       );
     });
   }
@@ -162,7 +162,7 @@
         send: (action) => void this.#sendToServer(action),
         refuse: ({ id, reason, retryAfterMs }) =>
           this.#endRun(id, makeNotRun(reason, retryAfterMs)),
-        abort: ({ id }) => this.#runs.get(id)?.abort.abort(),
+        abort: ({ id }) => this.#runs.get(id)?.send?.abort(),
         expire_in_flight: ({ id }) =>
           this.#endRun(id, { type: "unknown", reason: "deadline-passed" }),
         idle: () => this.#options.onIdle(),
@@ -199,14 +199,20 @@
     };
     this.#options.quarantine.admit(admission, {
       run: (trial) => this.#submit(id, run, trial),
-      // Any event before this one, such as the authority, could send the
-      // request now.
-      recall: () => this.#driver.send({ type: "cancel", id }),
+      recall: () => this.#recall(id, run),
       refuse: (retryAfterMs) =>
         this.#endRun(id, makeNotRun("quarantined", retryAfterMs)),
     });
   }
 
+  /** Takes a run back from the dispatcher. */
+  #recall(id: string, run: GroupRun): void {
+    // Any event before this one, such as the authority, could send the request
+    // now.
+    this.#driver.send({ type: "cancel", id });
+    run.send = undefined;
+  }
+
   #submit(id: string, run: GroupRun, trial: boolean): void {
     const { deadlineAtMs, priority } = run.execution;
     this.#send({
@@ -227,23 +233,25 @@
     const run = this.#runs.get(id);
     if (run === undefined) return;
     const startedMs = this.#nowMs();
+    const send = new AbortController();
     run.isSent = true;
+    run.send = send;
     this.#options.quarantine.send({ type: "start", id, server });
     const result = await this.#options.backend.send({
       ...run.request,
       address,
       deadlineMs,
-      signal: run.abort.signal,
+      signal: send.signal,
       workLimitMs: () =>
         this.#options.authorityUntilMs() - this.#nowMs() - AUTHORITY_MARGIN_MS,
     });
-    // The cancellation has ended the run. The dispatcher keeps its slot in use
+    // The run has ended or was recalled. The dispatcher keeps its slot in use
     // for a grace period.
     if (result.type === "cancelled") return;
-    this.#finishSend({ run, action, result, startedMs });
+    this.#finishSend({ run, send, action, result, startedMs });
   }
 
-  #finishSend({ run, action, result, startedMs }: FinishedSend): void {
+  #finishSend({ run, send, action, result, startedMs }: FinishedSend): void {
     const { id, server } = action;
     const finish = toFinishResult(result);
     if (result.type === "answered") {
@@ -263,7 +271,13 @@
     // id, which must not end the run a second time.
     const isOver = outcome !== undefined && this.#runs.delete(id);
     const draining = result.type === "refused" && result.draining;
-    this.#send({ type: "finish", id, result: finish, draining });
+    if (run.send === send) {
+      this.#send({ type: "finish", id, result: finish, draining });
+    } else {
+      // The quarantine has just recalled the run: the dispatcher has dropped
+      // this send, and may have begun another one.
+      this.#reportRefusal(server, result);
+    }
     if (!isOver) return;
     this.#options.quarantine.release(id);
     const nowMs = this.#nowMs();
@@ -274,6 +288,14 @@
     }
   }
 
+  #reportRefusal(server: string, result: SendResult): void {
+    if (result.type === "refused" && result.draining) {
+      this.reportServer(server, "refusal", "draining");
+    } else if (result.type === "connection_refused") {
+      this.reportServer(server, "health", "unreachable");
+    }
+  }
+
   #canRetry({ execution, retried }: GroupRun, nowMs: number): boolean {
     if (!execution.repeatable || retried) return false;
     // Only the home region retries: otherwise a request that crashes servers
@@ -298,11 +320,10 @@
     );
   }
 
-  #cancel(abort: AbortController): void {
+  #cancel(signal: AbortSignal): void {
     for (const [id, run] of this.#runs) {
-      if (run.abort !== abort) continue;
+      if (run.signal !== signal) continue;
       this.#send({ type: "cancel", id });
-      abort.abort();
       this.#endRun(id, { type: "unknown", reason: "caller-left" });
     }
   }
--- a/packages/daemon/entry/src/request/group_run.ts
+++ b/packages/daemon/entry/src/request/group_run.ts
@@ -10,7 +10,8 @@
 /** A run that is queued or in flight at its group owner. */
 export interface GroupRun {
   readonly execution: Execution;
-  readonly abort: AbortController;
+  /** Aborted when the caller no longer waits. */
+  readonly signal: AbortSignal;
   readonly resolve: (outcome: Outcome) => void;
   /** Servers that must not receive this run. */
   readonly avoid: readonly string[];
@@ -18,6 +19,8 @@
   readonly admittedAtMs: number | undefined;
   /** Set when the request is passed to the backend client. */
   isSent: boolean;
+  /** Cancels the current send; undefined if there is none or it was recalled. */
+  send: AbortController | undefined;
   /** True if this is the second run of its request. */
   readonly retried: boolean;
   /** Parts of the HTTP request that do not depend on the server. */
@@ -37,7 +40,7 @@
 export interface GroupRunOptions {
   readonly execution: Execution;
   readonly resolve: (outcome: Outcome) => void;
-  readonly abort: AbortController;
+  readonly signal: AbortSignal;
   readonly avoid: readonly string[];
   readonly admittedAtMs: number | undefined;
 }
@@ -47,11 +50,12 @@
   const { execution } = options;
   return {
     execution,
-    abort: options.abort,
+    signal: options.signal,
     resolve: options.resolve,
     avoid: options.avoid,
     admittedAtMs: options.admittedAtMs,
     isSent: false,
+    send: undefined,
     retried: options.avoid.length > 0,
     request: {
       method: execution.method,
