--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -75,6 +75,11 @@
   if (isRetryable(response, exchange)) {
     connection.exclude(exchange.request.requestId);
   }
+  if (!endsWithConnection && !isIdentified(response, exchange)) {
+    // A copy of this response could not be told from the next one. Closes at
+    // the end, before the pool can give the connection to another request.
+    response.once("end", () => connection.close());
+  }
   if (!exchange.isRejected) exchange.request.onHead?.(statusCode, headers);
   const body = await readBody(response, exchange);
   if (!await ended) exchange.isRejected = true;
@@ -92,6 +97,8 @@
   exchange: Exchange,
 ): ClientRequest {
   const { request, protocol, controller } = exchange;
+  // The listener below does not hear of an earlier cancellation.
+  controller.signal.throwIfAborted();
   const limitMs = request.workLimitMs?.() ?? Infinity;
   const leftMs = exchange.deadlineAt - performance.now();
   const workMs = Math.floor(Math.min(limitMs, leftMs));
@@ -184,6 +191,15 @@
   return statusCode >= 500 || protocol.isNotRun(statusCode, headers);
 }
 
+/** True if the response carries a request id, or the protocol has none. */
+function isIdentified(
+  response: IncomingMessage,
+  { protocol }: Exchange,
+): boolean {
+  return !protocol.echoesRequestId ||
+    response.headers[protocol.requestIdHeader] !== undefined;
+}
+
 /** Applies the idle timeout that the server announces in `keep-alive`. */
 function limitIdle(connection: Connection, response: IncomingMessage): void {
   const hint = response.headers["keep-alive"];
