Keep the answers of callers' connections that break

An answer that was being written to a slow caller was cut off.

Cause: the server for callers had no handler of `clientError`, so Node.js answered the broken message itself, in the place of the requests before it, and destroyed the connection. It doesn't know whether these were passed on.

`network/callers` handles these errors. Requests that were read whole keep their own answers, in order; the last one closes the connection. Nothing is parsed any more: the socket is taken from the parser, and what still arrives is read and dropped, so that it takes no memory and the caller's leaving still cancels its requests. A request whose own body is broken was never passed on; the front answers it with 400 in its turn. Only a broken head on a connection without unanswered requests gets 400, 408 or 431, and the connection is read on for at most 1 s, since closing it with unread bytes would reset it.

--- a/packages/daemon/edge/src/process/metrics.ts
+++ b/packages/daemon/edge/src/process/metrics.ts
@@ -54,6 +54,7 @@
   readonly configurationSpread: Gauge;
   readonly catalogPulls: Histogram<"result">;
   readonly catalogAge: Gauge;
+  readonly brokenConnections: Counter<"code" | "action">;
   readonly unexpectedErrors: Counter;
   readonly stalledSeconds: Counter;
   readonly eventLoopUse: Gauge;
@@ -153,6 +154,12 @@
       help: "Time since the catalog was known to be current",
       registers,
     }),
+    brokenConnections: new Counter({
+      name: "dotterelmoor_broken_connections_total",
+      help: "Callers' connections that broke, by error code and what was done",
+      labelNames: ["code", "action"],
+      registers,
+    }),
     unexpectedErrors: new Counter({
       name: "dotterelmoor_unexpected_errors_total",
       help: "Errors that no part of the process handled",
--- a/packages/daemon/edge/src/request/body.ts
+++ b/packages/daemon/edge/src/request/body.ts
@@ -5,12 +5,15 @@
  */
 
 import type { IncomingMessage } from "node:http";
+import { BROKEN } from "@dotterelmoor/network.callers";
 
 /** The result of reading a body; `cut` if the connection closed before the end
- * of the body. */
+ * of the body, `broken` if what follows can't be read, but the connection is
+ * open. */
 export type BodyResult =
   | { readonly type: "body"; readonly bytes: Uint8Array }
   | { readonly type: "too-large" }
+  | { readonly type: "broken" }
   | { readonly type: "cut" };
 
 const EMPTY = new Uint8Array();
@@ -43,5 +46,6 @@
       resolve({ type: "body", bytes });
     });
     request.once("close", () => resolve({ type: "cut" }));
+    request.once(BROKEN, () => resolve({ type: "broken" }));
   });
 }
--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -113,6 +113,7 @@
     }
     const body = await readBody(request, document.limits.maxBodyBytes);
     if (body.type === "too-large") return reject("body-too-large");
+    if (body.type === "broken") return reject("malformed");
     if (body.type === "cut") {
       return { outcome: { type: "abandoned" }, sends: [] };
     }
--- a/packages/daemon/edge/src/request/front_fixture.ts
+++ b/packages/daemon/edge/src/request/front_fixture.ts
@@ -4,35 +4,46 @@
  * @module
  */
 
-import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { ExecutionContext } from "ava";
 import { createCatalog } from "@dotterelmoor/core.catalog";
 import { DisposableStore } from "@dotterelmoor/core.types";
 import { buildDocument, buildPlatform, buildRoute } from "../edge_fixture.ts";
 import { createMemoryStore } from "../edge_fixture.ts";
+import { createCallerServer } from "../process/caller_server.ts";
 import { createEdgeLog } from "../process/logging.ts";
 import { createEdgeMetrics } from "../process/metrics.ts";
 import type { Forwarder } from "./forwarding.ts";
 import { createFront } from "./front.ts";
 
+/** Options of `startFront`. */
+export interface FrontServerOptions {
+  /** Time in milliseconds in which a head must arrive. */
+  readonly headersMs?: number;
+  /** Interval in milliseconds between checks for late heads. */
+  readonly checkMs?: number;
+}
+
 /** Starts a front with one route; its server closes after the test. */
-export async function startFront(t: ExecutionContext, forwarder: Forwarder) {
+export async function startFront(
+  t: ExecutionContext,
+  forwarder: Forwarder,
+  options: FrontServerOptions = {},
+) {
   const catalog = createCatalog({ zones: {} });
   const document = buildDocument(1, [buildRoute()]);
   const changes = [{ type: "document", document } as const];
   catalog.applyTable("orders", { version: 1, isComplete: true, changes }, 0);
   const store = new DisposableStore();
-  const front = createFront({
-    catalog,
-    forwarder,
+  const parts = {
     protocol: buildPlatform(createMemoryStore().createClient("n1")).callers,
     metrics: createEdgeMetrics({ address: undefined, store }),
     log: createEdgeLog({ level: "silent", instance: "n1", region: "a" }),
-  });
-  const server = createServer((request, response) =>
-    front.handle(request, response)
-  );
+  };
+  const front = createFront({ catalog, forwarder, ...parts });
+  const server = createCallerServer({ front, ...parts, ...options });
+  const { headersMs } = options;
+  if (headersMs !== undefined) server.headersTimeout = headersMs;
   await new Promise<void>((resolve) => {
     server.listen(0, "127.0.0.1", resolve);
   });
@@ -41,5 +52,9 @@
     server.close();
   });
   const { port } = server.address() as AddressInfo;
-  return { front, address: { host: "127.0.0.1", port } };
+  return {
+    front,
+    metrics: parts.metrics,
+    address: { host: "127.0.0.1", port },
+  };
 }
--- /dev/null
+++ b/packages/daemon/edge/src/request/held_forwarder_fixture.ts
@@ -0,0 +1,46 @@
+/**
+ * A forwarder that holds requests, and the raw bytes of callers' requests.
+ *
+ * @module
+ */
+
+import type { ForwardRequest, ForwardResult } from "./forward_types.ts";
+
+/** Writes the bytes of a request without a body. */
+export function writeRequest(id: string): string {
+  return `GET /a/${id} HTTP/1.1\r\nhost: desk.example\r\n` +
+    `dotterelmoor-request-id: ${id}\r\n\r\n`;
+}
+
+/** Creates a forwarder that holds each request until the test answers it. */
+export function createHeldForwarder() {
+  const ends = new Map<string, (body: string) => void>();
+  const signals = new Map<string, AbortSignal>();
+  let markForwarded = () => {};
+  return {
+    ends,
+    /** Signals that cancel the requests. */
+    signals,
+    /** Resolves when `count` requests were forwarded. */
+    waitFor: async (count: number) => {
+      while (ends.size < count) {
+        await new Promise<void>((resolve) => markForwarded = resolve);
+      }
+    },
+    forward: ({ requestId, signal }: ForwardRequest) =>
+      new Promise<ForwardResult>((resolve) => {
+        signals.set(requestId, signal);
+        ends.set(requestId, (text) =>
+          resolve({
+            outcome: {
+              type: "answered",
+              status: 200,
+              headers: {},
+              body: Buffer.from(text),
+            },
+            sends: [],
+          }));
+        markForwarded();
+      }),
+  };
+}
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -5,7 +5,6 @@
  */
 
 import { randomBytes } from "node:crypto";
-import { createServer } from "node:http";
 import type { Server } from "node:http";
 import { createCatalog, createSplitter } from "@dotterelmoor/core.catalog";
 import type { Catalog } from "@dotterelmoor/core.catalog";
@@ -15,6 +14,7 @@
 import { createBackendClient } from "@dotterelmoor/network.backend";
 import type { EdgePlatform, EdgeSettings, ListenAddress } from "./ports.ts";
 import { Assignments } from "./process/assignments.ts";
+import { createCallerServer } from "./process/caller_server.ts";
 import { startCatalogWatch } from "./process/catalog_watch.ts";
 import type { CatalogWatch } from "./process/catalog_watch.ts";
 import { createConfigurationLog } from "./process/configuration_log.ts";
@@ -57,19 +57,11 @@
  * shorter keep-alive time that a server announces takes precedence. */
 const SERVER_IDLE_TIMEOUT_MS = 5_000;
 
-/** Header bytes that the HTTP parser accepts; the configuration's limit is
- * lower. */
-const MAX_HEADER_BYTES = 128 * 1_024;
-
 /** Time in milliseconds by which callers' idle connections stay open beyond the
  * configured idle timeout, so that a request sent just before the timeout does
  * not race with the close. */
 const IDLE_MARGIN_MS = 1_000;
 
-/** Idle timeout in milliseconds of callers' connections while no configuration
- * is known; longer than any that an installation configures. */
-const INITIAL_IDLE_TIMEOUT_MS = 60_000;
-
 /** Capacity in thousandths of a core below which an entry starts so slowly that
  * those on larger instances have read the store before it. */
 const SMALL_CAPACITY = 250;
@@ -191,7 +183,12 @@
     stalls,
     crashes: late.quarantine,
   });
-  const callers = createCallerServer(front);
+  const callers = createCallerServer({
+    front,
+    protocol: platform.callers,
+    metrics,
+    log,
+  });
   const watch = startWatch(shared, { peers, callers });
   startRegistration({
     source: platform.store,
@@ -362,15 +359,6 @@
   });
 }
 
-function createCallerServer(front: Front): Server {
-  const server = createServer(
-    { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true },
-    (request, response) => front.handle(request, response),
-  );
-  server.keepAliveTimeout = INITIAL_IDLE_TIMEOUT_MS;
-  return server;
-}
-
 function startWatch(
   shared: SharedParts,
   { peers, callers }: { readonly peers: Peers; readonly callers: Server },
--- /dev/null
+++ b/packages/network/callers/src/connections.ts
@@ -0,0 +1,147 @@
+/**
+ * Handles errors of callers' connections.
+ *
+ * @module
+ */
+
+import { STATUS_CODES } from "node:http";
+import type { IncomingMessage, Server } from "node:http";
+import type { Socket } from "node:net";
+import { answerBroken, watchExchanges } from "./exchanges.ts";
+import type { Exchange, Exchanges } from "./exchanges.ts";
+
+/** Time in milliseconds for which a connection is read after its last answer,
+ * for the caller to close it: closing it with unread bytes resets it, and the
+ * caller may lose the answer. */
+const LINGER_MS = 1_000;
+
+/** Status of the answer to a broken message by error code; 400 for others. */
+const STATUSES: Readonly<Record<string, number>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
+  HPE_HEADER_OVERFLOW: 431,
+};
+
+/** Code of the error with which a connection ends within a message. */
+const END_CODE = "HPE_INVALID_EOF_STATE";
+
+/** Error codes of messages that can't be read, while the connection itself
+ * works. */
+const MESSAGE_CODES = /^(HPE_|ERR_HTTP_REQUEST_TIMEOUT$)/;
+
+/** What was done about a broken connection:
+ *
+ * - `kept`: the unanswered requests get their own answers, then it is closed;
+ * - `answered`: the broken message was answered, and the connection closed;
+ * - `closed`: closed, as the broken message had its answer already;
+ * - `dropped`: the caller had closed or reset it.
+ */
+export type BrokenAction = "answered" | "closed" | "dropped" | "kept";
+
+/** A caller's connection from which no further request can be read. */
+export interface BrokenConnection {
+  readonly code: string;
+  readonly action: BrokenAction;
+  /** The requests that were not answered yet, in order. */
+  readonly pending: readonly IncomingMessage[];
+}
+
+/** Options of `watchConnections`. */
+export interface ConnectionOptions {
+  /** Called once for each connection that breaks. */
+  readonly onBroken: (connection: BrokenConnection) => void;
+}
+
+/** What an action has to do. */
+interface BrokenContext {
+  readonly socket: Socket;
+  readonly status: number;
+  readonly exchanges: Exchanges;
+  readonly pending: readonly Exchange[];
+}
+
+const ACTIONS: Readonly<
+  Record<BrokenAction, (context: BrokenContext) => void>
+> = {
+  answered: ({ socket, status }) => {
+    discardInput(socket);
+    const line = `HTTP/1.1 ${status} ${STATUS_CODES[status]}`;
+    socket.write(`${line}\r\nconnection: close\r\n\r\n`);
+    endConnection(socket);
+  },
+  closed: ({ socket }) => {
+    discardInput(socket);
+    endConnection(socket);
+  },
+  dropped: ({ socket }) => socket.destroy(),
+  kept: ({ socket, status, exchanges, pending }) => {
+    discardInput(socket);
+    const last = pending.at(-1)!;
+    const { response } = last;
+    if (!response.headersSent) response.setHeader("connection", "close");
+    response.once("finish", () => endConnection(socket));
+    if (exchanges.isInBody) answerBroken(last, status);
+  },
+};
+
+/** Handles the errors of a server's connections in the place of Node.js, which
+ * would write an answer to the broken message in the place of the answers to
+ * the requests before it. */
+export function watchConnections(
+  server: Server,
+  options: ConnectionOptions,
+): void {
+  const findExchanges = watchExchanges(server);
+  const broken = new WeakSet<Socket>();
+  server.on("clientError", (error: NodeJS.ErrnoException, stream) => {
+    const socket = stream as Socket;
+    const { code = "unknown" } = error;
+    if (broken.has(socket)) {
+      // Of the further errors, only the end of the connection is new.
+      if (code === END_CODE) socket.destroy();
+      return;
+    }
+    broken.add(socket);
+    const exchanges = findExchanges(socket);
+    const { pending } = exchanges;
+    const action = chooseAction(code, { socket, exchanges });
+    const status = STATUSES[code] ?? 400;
+    ACTIONS[action]({ socket, status, exchanges, pending });
+    options.onBroken({
+      code,
+      action,
+      pending: pending.map(({ request }) => request),
+    });
+  });
+}
+
+function chooseAction(
+  code: string,
+  { socket, exchanges }: {
+    readonly socket: Socket;
+    readonly exchanges: Exchanges;
+  },
+): BrokenAction {
+  const hasPending = exchanges.pending.length > 0;
+  if (!MESSAGE_CODES.test(code) || !socket.writable) return "dropped";
+  // As without an error, a caller that ends its connection has left.
+  if (code === END_CODE && hasPending) return "dropped";
+  if (hasPending) return "kept";
+  return exchanges.isInBody ? "closed" : "answered";
+}
+
+/** Reads and drops what still arrives: nothing of it becomes a request or takes
+ * memory, and the end of the connection is noticed. */
+function discardInput(socket: Socket): void {
+  // Takes the socket from the parser of Node.js.
+  socket.removeAllListeners("data");
+  socket.on("data", () => {});
+  socket.resume();
+}
+
+/** Closes a connection after what was written to it. */
+function endConnection(socket: Socket): void {
+  socket.end();
+  const timer = setTimeout(() => socket.destroy(), LINGER_MS);
+  socket.once("close", () => clearTimeout(timer));
+}
--- /dev/null
+++ b/packages/network/callers/src/exchanges.ts
@@ -0,0 +1,74 @@
+/**
+ * Tracks the requests of callers' connections until they are answered.
+ *
+ * @module
+ */
+
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+/** Event of a request whose body will not come whole, because its connection
+ * broke. The connection stays open for the answer. */
+export const BROKEN = "dotterelmoor-broken";
+
+/** A request and its response. */
+export interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
+/** The exchanges of one connection. */
+export class Exchanges {
+  readonly #pending = new Set<Exchange>();
+  #newest: IncomingMessage | undefined;
+
+  add(exchange: Exchange): void {
+    const { request, response } = exchange;
+    this.#newest = request;
+    this.#pending.add(exchange);
+    response.once("close", () => this.#pending.delete(exchange));
+  }
+
+  /** Exchanges whose answers are not written to the end, in order. */
+  get pending(): readonly Exchange[] {
+    return [...this.#pending].filter(({ response }) =>
+      !response.writableFinished
+    );
+  }
+
+  /** True if the newest request lacks a part of its body; false if the bytes
+   * behind it belong to no request yet. */
+  get isInBody(): boolean {
+    return this.#newest !== undefined && !this.#newest.complete;
+  }
+}
+
+/** Tracks the exchanges of a server; returns a function that finds those of a
+ * connection. */
+export function watchExchanges(server: Server): (socket: Socket) => Exchanges {
+  const connections = new WeakMap<Socket, Exchanges>();
+  const find = (socket: Socket) => {
+    let exchanges = connections.get(socket);
+    if (exchanges === undefined) {
+      exchanges = new Exchanges();
+      connections.set(socket, exchanges);
+    }
+    return exchanges;
+  };
+  server.prependListener("request", (request, response) => {
+    find(request.socket).add({ request, response });
+  });
+  return find;
+}
+
+/** Answers a request whose body is broken, in its turn, unless its handler has
+ * answered it or does so. */
+export function answerBroken(
+  { request, response }: Exchange,
+  status: number,
+): void {
+  if (response.headersSent || response.writableEnded) return;
+  if (request.emit(BROKEN)) return;
+  response.writeHead(status, { connection: "close", "content-length": 0 });
+  response.end();
+}
