Keep the answers of broken connections at the entry too

The listeners for callers and operators now use `network/callers`.

Measured with the new test: before, 400 in the place of the running request's answer; after, its own 200 with `connection: close`, and the line.

--- a/packages/daemon/entry/src/process/listeners.ts
+++ b/packages/daemon/entry/src/process/listeners.ts
@@ -7,6 +7,9 @@
 import { createServer } from "node:http";
 import type { RequestListener, Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { watchConnections } from "@dotterelmoor/network.callers";
+import type { Logger } from "pino";
+import { createBrokenLog } from "./broken_log.ts";
 
 const HEADERS_TIMEOUT_MS = 5_000;
 const REQUEST_TIMEOUT_MS = 15_000;
@@ -20,6 +23,7 @@
   readonly port: number;
   readonly maxConnections: number;
   readonly handler: RequestListener;
+  readonly log: Logger;
 }
 
 /** An open listener. */
@@ -40,6 +44,7 @@
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     maxHeaderSize: MAX_HEADER_BYTES,
   }, options.handler);
+  watchConnections(server, { onBroken: createBrokenLog(options.log) });
   server.maxConnections = options.maxConnections;
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
--- /dev/null
+++ b/packages/daemon/entry/src/process/listeners_test.ts
@@ -0,0 +1,38 @@
+import { EventEmitter, once } from "node:events";
+import type { ServerResponse } from "node:http";
+import { connect } from "node:net";
+import test from "ava";
+import { pino } from "pino";
+import { openListener } from "./listeners.ts";
+
+// The request runs, so the status of Node.js's answer would be a false promise.
+test("guards against answering a running request with the status of what follows it", async (t) => {
+  const arrivals = new EventEmitter();
+  const lines = new EventEmitter();
+  const listener = await openListener({
+    host: "127.0.0.1",
+    port: 0,
+    maxConnections: 1,
+    handler: (_request, response) => arrivals.emit("request", response),
+    log: pino({}, { write: (line) => lines.emit("line", JSON.parse(line)) }),
+  });
+  t.teardown(() => listener.close());
+  const socket = connect(Number(listener.address.split(":")[1]), "127.0.0.1");
+  let received = "";
+  socket.on("data", (chunk) => received += chunk);
+  const closed = once(socket, "close");
+  socket.write(
+    "POST /services/a/x HTTP/1.1\r\nhost: entry\r\n" +
+      "dotterelmoor-request-id: q1\r\n\r\n",
+  );
+  const [response] = await once(arrivals, "request") as [ServerResponse];
+  const logged = once(lines, "line");
+  socket.write("\0\0\0\r\n\r\n");
+  await Promise.race([logged, closed]);
+  response.end("answer to q1");
+  await closed;
+  t.deepEqual(received.match(/HTTP\/1.1 \d+/g), ["HTTP/1.1 200"]);
+  t.regex(received, /connection: close[^]*answer to q1/i);
+  const [line] = await logged;
+  t.like(line, { action: "kept", pending: 1, requests: ["q1"] });
+});
