Cancel a caller's pipelined requests when it leaves

Requests that a caller sent behind an unanswered one were not cancelled when the caller disconnected (noted in the review, by reading): servers worked on for nobody (GONE), and the entry counted the requests as in flight for ever. By reading, each later graceful stop then waits for its whole grace period. No false promise follows from it, since nobody reads the answers.

Cause: Node.js emits `close` only for the response that has the connection, not for those that wait for it; the front cancels and counts by that event.

--- a/packages/network/callers/src/connections_test.ts
+++ b/packages/network/callers/src/connections_test.ts
@@ -147,3 +147,22 @@
   t.is(await caller.received, "");
   t.deepEqual(server.broken.map(({ action }) => action), ["dropped"]);
 });
+
+// Node.js tells it of the first response only.
+test("guards against working on for requests in a pipeline whose caller has left", async (t) => {
+  const server = await startWatchedServer(t);
+  const caller = connectCaller(t, server.port, ["/q1", "/q2", "/q3"]);
+  await server.waitForRequests(3);
+  const responses = [...server.responses.values()];
+  const closes = responses.map(() => 0);
+  responses.forEach((response, index) =>
+    response.on("close", () => closes[index]! += 1)
+  );
+  const [first] = responses;
+  const { socket } = first!;
+  const closed = once(socket!, "close");
+  caller.socket.destroy();
+  await closed;
+  await new Promise((resolve) => setImmediate(resolve));
+  t.deepEqual(closes, [1, 1, 1]);
+});
--- a/packages/network/callers/src/exchanges.ts
+++ b/packages/network/callers/src/exchanges.ts
@@ -36,6 +36,15 @@
     );
   }
 
+  /** Closes the responses that wait for the connection, when it has closed:
+   * Node.js closes the one that has it, and not those behind it. */
+  closeWaiting(): void {
+    for (const { response } of this.pending) {
+      response.destroy();
+      response.emit("close");
+    }
+  }
+
   /** True if the newest request lacks a part of its body; false if the bytes
    * behind it belong to no request yet. */
   get isInBody(): boolean {
@@ -48,11 +57,15 @@
 export function watchExchanges(server: Server): (socket: Socket) => Exchanges {
   const connections = new WeakMap<Socket, Exchanges>();
   const find = (socket: Socket) => {
-    let exchanges = connections.get(socket);
-    if (exchanges === undefined) {
-      exchanges = new Exchanges();
-      connections.set(socket, exchanges);
-    }
+    const found = connections.get(socket);
+    if (found !== undefined) return found;
+    const exchanges = new Exchanges();
+    connections.set(socket, exchanges);
+    // After the listeners of Node.js, which close the first response.
+    socket.once(
+      "close",
+      () => process.nextTick(() => exchanges.closeWaiting()),
+    );
     return exchanges;
   };
   server.prependListener("request", (request, response) => {
