Keep running requests' answers from a CONNECT behind them

A caller that sent CONNECT behind requests that were under way saw its connection close at once, without their answers; servers had run them. Node.js destroys the connection of a CONNECT that has no listener.

The listener treats it as any message behind which nothing can be read: the requests keep their answers, the connection closes after the last, and a caller that leaves still cancels them. A lone CONNECT gets 400.

Measured with the new tests: before, no answer at all, and the responses closed; after, both answers, the last with `connection: close`. A test of bytes behind a request with `connection: close` came with it, since the parser takes them for an error; it passes, as it does not without the handler of `clientError`.

--- a/packages/network/callers/src/connections.ts
+++ b/packages/network/callers/src/connections.ts
@@ -25,9 +25,12 @@
 /** Code of the error with which a connection ends within a message. */
 const END_CODE = "HPE_INVALID_EOF_STATE";
 
-/** Error codes of messages that can't be read, while the connection itself
- * works. */
-const MESSAGE_CODES = /^(HPE_|ERR_HTTP_REQUEST_TIMEOUT$)/;
+/** Code of a connection on which a tunnel is asked for. */
+const CONNECT_CODE = "CONNECT";
+
+/** Codes of messages behind which nothing can be read, while the connection
+ * itself works. */
+const MESSAGE_CODES = /^(HPE_|ERR_HTTP_REQUEST_TIMEOUT$|CONNECT$)/;
 
 /** What was done about a broken connection:
  *
@@ -93,9 +96,7 @@
 ): void {
   const findExchanges = watchExchanges(server);
   const broken = new WeakSet<Socket>();
-  server.on("clientError", (error: NodeJS.ErrnoException, stream) => {
-    const socket = stream as Socket;
-    const { code = "unknown" } = error;
+  const handleBroken = (socket: Socket, code: string) => {
     if (broken.has(socket)) {
       // Of the further errors, only the end of the connection is new.
       if (code === END_CODE) socket.destroy();
@@ -112,6 +113,16 @@
       action,
       pending: pending.map(({ request }) => request),
     });
+  };
+  server.on("clientError", (error: NodeJS.ErrnoException, stream) => {
+    handleBroken(stream as Socket, error.code ?? "unknown");
+  });
+  server.on("connect", (_request, stream) => {
+    const socket = stream as Socket;
+    // Node.js has removed its own listeners.
+    socket.on("error", () => socket.destroy());
+    socket.on("end", () => socket.destroy());
+    handleBroken(socket, CONNECT_CODE);
   });
 }
 
--- a/packages/network/callers/src/connections_test.ts
+++ b/packages/network/callers/src/connections_test.ts
@@ -166,3 +166,47 @@
   await new Promise((resolve) => setImmediate(resolve));
   t.deepEqual(closes, [1, 1, 1]);
 });
+
+// Node.js closes the connection at once, while the requests run.
+test("guards against cutting off running requests by a CONNECT behind them", async (t) => {
+  const server = await startWatchedServer(t);
+  const caller = connectCaller(t, server.port, ["/q1", "/q2"]);
+  await server.waitForRequests(2);
+  caller.socket.write("CONNECT desk:1 HTTP/1.1\r\nhost: desk\r\n\r\n");
+  await Promise.race([server.waitForBroken(1), caller.received]);
+  server.responses.get("/q1")!.end("answer 1");
+  server.responses.get("/q2")!.end("answer 2");
+  const received = await caller.received;
+  t.deepEqual(listStatuses(received), [200, 200]);
+  t.regex(received, /answer 1[^]*connection: close[^]*answer 2/i);
+});
+
+test("guards against missing that a caller leaves behind its CONNECT", async (t) => {
+  const server = await startWatchedServer(t);
+  const caller = connectCaller(t, server.port, ["/q1"]);
+  await server.waitForRequests(1);
+  const response = server.responses.get("/q1")!;
+  const closed = once(response, "close");
+  caller.socket.write("CONNECT desk:1 HTTP/1.1\r\nhost: desk\r\n\r\n");
+  await Promise.race([server.waitForBroken(1), closed]);
+  t.false(response.closed);
+  caller.socket.end();
+  await closed;
+  t.false(response.writableFinished);
+});
+
+// The parser takes bytes behind such a request for an error.
+test("guards against an answer of Node.js's in the place of a request that ends its connection", async (t) => {
+  const server = await startWatchedServer(t);
+  const caller = connectCaller(t, server.port);
+  caller.socket.write(
+    "GET /q1 HTTP/1.1\r\nhost: desk\r\nconnection: close\r\n\r\n",
+  );
+  await server.waitForRequests(1);
+  caller.socket.write("GET /q2 HTTP/1.1\r\nhost: desk\r\n\r\n");
+  await Promise.race([server.waitForBroken(1), caller.received]);
+  server.responses.get("/q1")!.end("answer 1");
+  const received = await caller.received;
+  t.deepEqual(listStatuses(received), [200]);
+  t.deepEqual([...server.responses.keys()], ["/q1"]);
+});
