Read nothing behind a request that asks for another protocol

Behind a request with `connection: upgrade`, the body of a caller's next request could run as a request of its own, and its answer was taken for the next request's; or the next request was dropped without an answer.

Cause: the parser ends there, to leave what follows to the other protocol. Node.js, without a listener, drops the rest of the bytes that it has and starts again with the next ones, wherever they begin.

No protocol is changed here, so such a request gets its answer with `connection: close`, and nothing behind it is read, as behind any message that can't be. It is cut in the turn in which it was read, before further bytes.

Measured with the new tests, for such requests with and without a body: before, the body of the next request arrived at the handler as a request in both; after, in neither, and the answer closes the connection.

--- a/packages/network/callers/src/connections.ts
+++ b/packages/network/callers/src/connections.ts
@@ -28,9 +28,12 @@
 /** Code of a connection on which a tunnel is asked for. */
 const CONNECT_CODE = "CONNECT";
 
+/** Code of a connection on which another protocol is asked for. */
+const UPGRADE_CODE = "UPGRADE";
+
 /** Codes of messages behind which nothing can be read, while the connection
  * itself works. */
-const MESSAGE_CODES = /^(HPE_|ERR_HTTP_REQUEST_TIMEOUT$|CONNECT$)/;
+const MESSAGE_CODES = /^(HPE_|ERR_HTTP_REQUEST_TIMEOUT$|CONNECT$|UPGRADE$)/;
 
 /** What was done about a broken connection:
  *
@@ -124,6 +127,23 @@
     socket.on("end", () => socket.destroy());
     handleBroken(socket, CONNECT_CODE);
   });
+  server.on("request", (request) => {
+    if (!asksForUpgrade(request)) return;
+    const end = () => handleBroken(request.socket, UPGRADE_CODE);
+    // Both run before the connection is read again.
+    process.nextTick(() => {
+      if (request.complete) end();
+      else request.once("end", end);
+    });
+  });
+}
+
+/** True if the parser ends with a request, to leave what follows to another
+ * protocol. Without a listener, it drops the rest of the bytes that it has, and
+ * reads on in the middle of a message. */
+function asksForUpgrade({ headers }: IncomingMessage): boolean {
+  return headers.upgrade !== undefined &&
+    /\bupgrade\b/i.test(headers.connection ?? "");
 }
 
 function chooseAction(
@@ -138,7 +158,8 @@
   // As without an error, a caller that ends its connection has left.
   if (code === END_CODE && hasPending) return "dropped";
   if (hasPending) return "kept";
-  return exchanges.isInBody ? "closed" : "answered";
+  const hadAnswer = exchanges.isInBody || code === UPGRADE_CODE;
+  return hadAnswer ? "closed" : "answered";
 }
 
 /** Reads and drops what still arrives: nothing of it becomes a request or takes
--- a/packages/network/callers/src/connections_test.ts
+++ b/packages/network/callers/src/connections_test.ts
@@ -210,3 +210,49 @@
   t.deepEqual(listStatuses(received), [200]);
   t.deepEqual([...server.responses.keys()], ["/q1"]);
 });
+
+/** Requests that ask for another protocol. */
+const UPGRADES = {
+  "without a body": "\r\n",
+  "with a body": "content-length: 2\r\n\r\nhi",
+};
+
+// Node.js drops the beginning of what follows such a request, so that the rest
+// may read as another request.
+for (const [name, rest] of Object.entries(UPGRADES)) {
+  test(`guards against taking a body for a request behind one that asks for another protocol, ${name}`, async (t) => {
+    const server = await startWatchedServer(t);
+    const caller = connectCaller(t, server.port);
+    const body = "GET /body HTTP/1.1\r\nhost: desk\r\n\r\n";
+    caller.socket.write(
+      "GET /q1 HTTP/1.1\r\nhost: desk\r\nconnection: Upgrade\r\n" +
+        `upgrade: h2c\r\n${rest}POST /q2 HTTP/1.1\r\nhost: desk\r\n` +
+        `content-length: ${body.length}\r\n\r\n`,
+    );
+    await server.waitForRequests(1);
+    caller.socket.write(body);
+    // The request of another connection is read after the body.
+    connectCaller(t, server.port, ["/q3"]);
+    await server.waitForRequests(2);
+    t.deepEqual([...server.responses.keys()], ["/q1", "/q3"]);
+    server.responses.get("/q1")!.end("answer 1");
+    const received = await caller.received;
+    t.deepEqual(listStatuses(received), [200]);
+    t.regex(received, /connection: close[^]*answer 1/i);
+  });
+}
+
+// Nothing behind it is a message that lacks an answer.
+test("guards against a second answer to a request that asks for another protocol", async (t) => {
+  const server = await startWatchedServer(t);
+  const caller = connectCaller(t, server.port);
+  caller.socket.write(
+    "POST /q1 HTTP/1.1\r\nhost: desk\r\nconnection: upgrade\r\n" +
+      "upgrade: h2c\r\ncontent-length: 2\r\n\r\n",
+  );
+  await server.waitForRequests(1);
+  server.responses.get("/q1")!.end("answer 1");
+  await once(caller.socket, "data");
+  caller.socket.write("hi");
+  t.deepEqual(listStatuses(await caller.received), [200]);
+});
