Answer odd requests in the front, not by Node.js

A request without a host header was answered by Node.js, with 400 and `connection: close`. The front didn't know: it forwarded the requests behind it on the connection, which servers ran, and their answers were cut off. A request with an expectation other than 100-continue got 417 from Node.js, which no line or metric of the entry tells.

The front answers the first kind itself, 400 with the reason `malformed` and the request's id, and the connection goes on.

Measured with the new tests, three requests in a pipeline with the odd one in the middle: before, 200 and 400 without the third answer, and 200, 417, 200; after, 200, 400, 200 and three times 200.

--- a/packages/daemon/edge/src/process/caller_server.ts
+++ b/packages/daemon/edge/src/process/caller_server.ts
@@ -60,10 +60,17 @@
       requestTimeout: 0,
       noDelay: true,
       connectionsCheckingInterval: checkMs,
+      // The front answers requests without a host itself.
+      requireHostHeader: false,
     },
     (request, response) => front.handle(request, response),
   );
   server.keepAliveTimeout = INITIAL_IDLE_TIMEOUT_MS;
+  // Expectations other than 100-continue may be passed over.
+  server.on(
+    "checkExpectation",
+    (request, response) => server.emit("request", request, response),
+  );
   watchConnections(server, {
     onBroken: (connection) => recordBroken(connection, options),
   });
--- a/packages/daemon/edge/src/request/broken_connections_test.ts
+++ b/packages/daemon/edge/src/request/broken_connections_test.ts
@@ -2,6 +2,7 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import test from "ava";
+import type { ExecutionContext } from "ava";
 import { wait } from "../process/intervals.ts";
 import type { EdgeMetrics } from "../process/metrics.ts";
 import { startFront } from "./front_fixture.ts";
@@ -82,3 +83,35 @@
     { value: 1, labels: { reason: "malformed" } },
   );
 });
+
+/** Waits for three requests in a pipeline, of which the second has the given
+ * head, and answers those that are forwarded. */
+async function answerThree(t: ExecutionContext, odd: string, count: number) {
+  const forwarder = createHeldForwarder();
+  const { address } = await startFront(t, forwarder);
+  const socket = connect(address);
+  const received = readAll(socket);
+  const last = writeRequest("q3").replace(/\r\n$/, "connection: close\r\n\r\n");
+  socket.write(writeRequest("q1") + odd + last);
+  await Promise.race([forwarder.waitFor(count), received]);
+  for (const [id, end] of forwarder.ends) end(`answer to ${id}`);
+  return await received;
+}
+
+// Node.js closes the connection with its answer to the one without a host; the
+// requests behind it are forwarded before.
+test("guards against cutting off running requests by one that lacks its host", async (t) => {
+  const odd = writeRequest("q2").replace("host: desk.example\r\n", "");
+  const answers = await answerThree(t, odd, 2);
+  const statuses = [...answers.matchAll(/HTTP\/1.1 (\d+)/g)].map(([, s]) => s);
+  t.deepEqual(statuses, ["200", "400", "200"]);
+  t.regex(answers, /request-id: q2\r[^]*malformed[^]*answer to q3$/);
+});
+
+// The header may be passed over, and an answer of Node.js's has no line.
+test("guards against an answer of Node.js's to a request with an unknown expectation", async (t) => {
+  const odd = writeRequest("q2").replace(/\r\n$/, "expect: x\r\n\r\n");
+  const answers = await answerThree(t, odd, 3);
+  const statuses = [...answers.matchAll(/HTTP\/1.1 (\d+)/g)].map(([, s]) => s);
+  t.deepEqual(statuses, ["200", "200", "200"]);
+});
--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -103,7 +103,8 @@
       return reject("header-too-large");
     }
     const path = (request.url ?? "").split("?", 1)[0]!;
-    const { host = "" } = request.headers;
+    const { host } = request.headers;
+    if (host === undefined) return reject("malformed");
     const route = routes.find(host, path);
     if (route === undefined) return reject("no-route");
     const caller = protocol.readRequest(request.headers);
