Answer pipelined requests when the product's entry leaves

An entry that leaves cut off the answers to requests behind the first one of a connection, which servers had run: it set `connection: close` on each answer, as the edge once did.

`Pipelines` moves to `network/callers`, and the entry uses it too: only the answer to the newest request closes the connection, and a request behind such an answer isn't run. A body that is too large is read without ending the request's stream, since that takes the connection from the request.

--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Catalog, RouteRecord } from "@dotterelmoor/core.catalog";
 import { computeFingerprint } from "@dotterelmoor/core.quarantine";
+import { Pipelines } from "@dotterelmoor/network.callers";
 import type { CallerProtocol } from "../ports.ts";
 import type { EdgeLog } from "../process/logging.ts";
 import type { EdgeMetrics } from "../process/metrics.ts";
@@ -14,7 +15,6 @@
 import type { ForwardResult } from "./forward_types.ts";
 import type { Forwarder } from "./forwarding.ts";
 import { answer } from "./outcomes.ts";
-import { Pipelines } from "./pipelines.ts";
 
 /** Time in milliseconds after which callers may retry while an entry has no
  * configuration yet. */
--- a/packages/daemon/entry/src/request/caller_app.ts
+++ b/packages/daemon/entry/src/request/caller_app.ts
@@ -9,6 +9,8 @@
 import Koa from "koa";
 import type { Context } from "koa";
 import type { NotRunReason, Outcome } from "@dotterelmoor/core.types";
+import { Pipelines } from "@dotterelmoor/network.callers";
+import type { Logger } from "pino";
 import type { CallerRequest } from "./front.ts";
 import { makeNotRun } from "./not_run.ts";
 
@@ -51,6 +53,7 @@
   readonly isLeaving: () => boolean;
   readonly nowMs: () => number;
   readonly onAnswer: (answer: AnswerReport) => void;
+  readonly log: Logger;
 }
 
 /** JSON body of the answer to a lookup. */
@@ -66,9 +69,15 @@
 /** Creates the HTTP interface for callers. */
 export function createCallerApp(options: CallerAppOptions): Koa {
   const app = new Koa();
+  const pipelines = new Pipelines();
   app.silent = true;
   app.use(async (context) => {
-    if (options.isLeaving()) context.set("connection", "close");
+    if (!pipelines.admit(context.req)) {
+      // The connection closes before an answer could be written.
+      context.respond = false;
+      options.log.info("Request behind the last answer.");
+      return;
+    }
     if (!options.isReady()) {
       answerOutcome(context, makeNotRun("not-configured", RETRY_AFTER_MS));
     } else if (context.path === "/v1/lookup") {
@@ -78,6 +87,9 @@
     } else {
       context.status = 404;
     }
+    if (options.isLeaving() && pipelines.end(context.req)) {
+      context.set("connection", "close");
+    }
   });
   return app;
 }
@@ -154,18 +166,22 @@
   return address.startsWith("::ffff:") ? address.slice(7) : address;
 }
 
-/** Reads the body; undefined if it exceeds `MAX_REQUEST_BYTES`. */
-async function readBody(
-  request: IncomingMessage,
-): Promise<Uint8Array | undefined> {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
-  for await (const chunk of request) {
-    size += (chunk as Uint8Array).byteLength;
-    if (size > MAX_REQUEST_BYTES) return undefined;
-    chunks.push(chunk as Uint8Array);
-  }
-  return Buffer.concat(chunks);
+/** Reads the body; undefined if it exceeds `MAX_REQUEST_BYTES`. What exceeds
+ * it is dropped; the connection stays open for the answer. Rejects if the
+ * connection closes before the end of the body. */
+function readBody(request: IncomingMessage): Promise<Uint8Array | undefined> {
+  return new Promise((resolve, reject) => {
+    const chunks: Uint8Array[] = [];
+    let size = 0;
+    request.on("data", (chunk: Uint8Array) => {
+      size += chunk.byteLength;
+      if (size > MAX_REQUEST_BYTES) resolve(undefined);
+      else chunks.push(chunk);
+    });
+    request.once("end", () => resolve(Buffer.concat(chunks)));
+    request.once("error", reject);
+    request.once("close", () => reject(new Error("The connection closed")));
+  });
 }
 
 /** Writes the HTTP response for an outcome. */
--- a/packages/daemon/entry/src/wiring/requests.ts
+++ b/packages/daemon/entry/src/wiring/requests.ts
@@ -80,6 +80,7 @@
     isLeaving: () => state.leaving,
     nowMs: clock.nowMs,
     onAnswer: (report) => recordAnswer(context, report),
+    log: context.getLogger("entry"),
   });
   const peerHandlers = createPeerHandlers({
     ...components,
--- a/packages/network/callers/src/mod.ts
+++ b/packages/network/callers/src/mod.ts
@@ -1,11 +1,12 @@
 /**
- * Keeps the answers of callers' connections on which something breaks.
+ * Keeps the answers of callers' connections that break or close.
  *
  * @module
  */
 
 export { BROKEN } from "./exchanges.ts";
 export { watchConnections } from "./connections.ts";
+export { Pipelines } from "./pipelines.ts";
 export type {
   BrokenAction,
   BrokenConnection,
