Keep answers that are being written when a server stops

A graceful stop cut off the answer to a caller that read it slowly, and those to the requests behind it, which servers had run. `close` of Node.js's server closes idle connections, and to it a connection is idle once its answer is handed over, although most of it may wait in the process.

So that a caller which reads nothing can't hold the product's own entry, its listeners cut off what is left 5 s after they close, with a line; the edge has its grace period.

--- a/packages/daemon/entry/src/process/listeners.ts
+++ b/packages/daemon/entry/src/process/listeners.ts
@@ -15,6 +15,9 @@
 const REQUEST_TIMEOUT_MS = 15_000;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 const MAX_HEADER_BYTES = 16 * 1_024;
+/** Time for callers to read the answers that are written to them when the
+ * listener closes. */
+const CLOSE_TIMEOUT_MS = 5_000;
 
 /** Options of `openListener`. */
 export interface ListenerOptions {
@@ -30,7 +33,8 @@
 export interface Listener {
   /** Address that it listens on, as `host:port`. */
   readonly address: string;
-  /** Stops accepting, closes idle connections and waits for the others. */
+  /** Stops accepting, closes idle connections and waits a while for the
+   * others. */
   close(): Promise<void>;
 }
 
@@ -53,13 +57,19 @@
   const { port } = server.address() as AddressInfo;
   return {
     address: `${options.host}:${port}`,
-    close: () => closeServer(server),
+    close: () => closeServer(server, options.log),
   };
 }
 
-function closeServer(server: Server): Promise<void> {
+function closeServer(server: Server, log: Logger): Promise<void> {
   return new Promise((resolve) => {
-    server.close(() => resolve());
-    server.closeIdleConnections();
+    const timer = setTimeout(() => {
+      log.warn("Connections cut off; their callers did not read.");
+      server.closeAllConnections();
+    }, CLOSE_TIMEOUT_MS);
+    server.close(() => {
+      clearTimeout(timer);
+      resolve();
+    });
   });
 }
--- a/packages/daemon/entry/src/process/listeners_test.ts
+++ b/packages/daemon/entry/src/process/listeners_test.ts
@@ -36,3 +36,24 @@
   const [line] = await logged;
   t.like(line, { action: "kept", pending: 1, requests: ["q1"] });
 });
+
+// Its connection stays open for the rest of its answer.
+test("guards against a stop that waits for a caller which reads nothing", async (t) => {
+  const arrivals = new EventEmitter();
+  const lines: { msg: string }[] = [];
+  const listener = await openListener({
+    host: "127.0.0.1",
+    port: 0,
+    maxConnections: 1,
+    handler: (_request, response) => arrivals.emit("request", response),
+    log: pino({}, { write: (line) => lines.push(JSON.parse(line)) }),
+  });
+  const socket = connect(Number(listener.address.split(":")[1]), "127.0.0.1");
+  t.teardown(() => socket.destroy());
+  socket.write("GET / HTTP/1.1\r\nhost: entry\r\n\r\n");
+  const [response] = await once(arrivals, "request") as [ServerResponse];
+  response.end("x".repeat(32 * 1_024 * 1_024));
+  await listener.close();
+  t.false(response.writableFinished);
+  t.regex(lines.at(-1)?.msg ?? "", /^Connections cut off/);
+});
--- a/packages/network/callers/src/connections.ts
+++ b/packages/network/callers/src/connections.ts
@@ -7,13 +7,10 @@
 import { STATUS_CODES } from "node:http";
 import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
-import { answerBroken, watchExchanges } from "./exchanges.ts";
-import type { Exchange, Exchanges } from "./exchanges.ts";
-
-/** Time in milliseconds for which a connection is read after its last answer,
- * for the caller to close it: closing it with unread bytes resets it, and the
- * caller may lose the answer. */
-const LINGER_MS = 1_000;
+import { endConnection } from "./ending.ts";
+import { answerBroken, Exchanges, watchExchanges } from "./exchanges.ts";
+import type { Exchange } from "./exchanges.ts";
+import { keepUnwritten } from "./idle.ts";
 
 /** Status of the answer to a broken message by error code; 400 for others. */
 const STATUSES: Readonly<Record<string, number>> = {
@@ -97,7 +94,8 @@
   server: Server,
   options: ConnectionOptions,
 ): void {
-  const findExchanges = watchExchanges(server);
+  const connections = watchExchanges(server);
+  keepUnwritten(server, connections);
   const broken = new WeakSet<Socket>();
   const handleBroken = (socket: Socket, code: string) => {
     if (broken.has(socket)) {
@@ -106,7 +104,7 @@
       return;
     }
     broken.add(socket);
-    const exchanges = findExchanges(socket);
+    const exchanges = connections.get(socket) ?? new Exchanges();
     const { pending } = exchanges;
     const action = chooseAction(code, { socket, exchanges });
     const status = STATUSES[code] ?? 400;
@@ -170,10 +168,3 @@
   socket.on("data", () => {});
   socket.resume();
 }
-
-/** Closes a connection after what was written to it. */
-function endConnection(socket: Socket): void {
-  socket.end();
-  const timer = setTimeout(() => socket.destroy(), LINGER_MS);
-  socket.once("close", () => clearTimeout(timer));
-}
--- a/packages/network/callers/src/connections_test.ts
+++ b/packages/network/callers/src/connections_test.ts
@@ -256,3 +256,28 @@
   caller.socket.write("hi");
   t.deepEqual(listStatuses(await caller.received), [200]);
 });
+
+// Node.js takes a connection for idle whose answer is not written to the end.
+test("guards against cutting off an answer that is being written when its server stops", async (t) => {
+  const server = await startWatchedServer(t);
+  const caller = connectCaller(t, server.port, ["/q1", "/q2"]);
+  caller.socket.pause();
+  await server.waitForRequests(2);
+  server.responses.get("/q1")!.end("x".repeat(LARGE_BYTES));
+  server.close();
+  caller.socket.resume();
+  server.responses.get("/q2")!.setHeader("connection", "close").end("answer 2");
+  const received = await caller.received;
+  t.deepEqual(listStatuses(received), [200, 200]);
+  t.is(received.match(/x{1000}/g)?.length, Math.floor(LARGE_BYTES / 1_000));
+});
+
+test("guards against a server that stops and keeps idle connections", async (t) => {
+  const server = await startWatchedServer(t);
+  const caller = connectCaller(t, server.port, ["/q1"]);
+  await server.waitForRequests(1);
+  server.responses.get("/q1")!.end("answer 1");
+  await once(caller.socket, "data");
+  server.close();
+  t.deepEqual(listStatuses(await caller.received), [200]);
+});
--- a/packages/network/callers/src/exchanges.ts
+++ b/packages/network/callers/src/exchanges.ts
@@ -52,26 +52,34 @@
   }
 }
 
-/** Tracks the exchanges of a server; returns a function that finds those of a
- * connection. */
-export function watchExchanges(server: Server): (socket: Socket) => Exchanges {
-  const connections = new WeakMap<Socket, Exchanges>();
-  const find = (socket: Socket) => {
-    const found = connections.get(socket);
-    if (found !== undefined) return found;
-    const exchanges = new Exchanges();
-    connections.set(socket, exchanges);
-    // After the listeners of Node.js, which close the first response.
-    socket.once(
-      "close",
-      () => process.nextTick(() => exchanges.closeWaiting()),
-    );
-    return exchanges;
-  };
+/** Tracks the exchanges of a server's open connections. */
+export function watchExchanges(
+  server: Server,
+): ReadonlyMap<Socket, Exchanges> {
+  const connections = new Map<Socket, Exchanges>();
   server.prependListener("request", (request, response) => {
-    find(request.socket).add({ request, response });
+    const { socket } = request;
+    let exchanges = connections.get(socket);
+    if (exchanges === undefined) {
+      exchanges = openConnection(socket, connections);
+    }
+    exchanges.add({ request, response });
+  });
+  return connections;
+}
+
+function openConnection(
+  socket: Socket,
+  connections: Map<Socket, Exchanges>,
+): Exchanges {
+  const exchanges = new Exchanges();
+  connections.set(socket, exchanges);
+  socket.once("close", () => {
+    connections.delete(socket);
+    // After the listeners of Node.js, which close the first response.
+    process.nextTick(() => exchanges.closeWaiting());
   });
-  return find;
+  return exchanges;
 }
 
 /** Answers a request whose body is broken, in its turn, unless its handler has
--- a/packages/network/callers/src/watched_server_fixture.ts
+++ b/packages/network/callers/src/watched_server_fixture.ts
@@ -36,6 +36,8 @@
   readonly responses: Map<string, ServerResponse>;
   /** Connections that broke so far. */
   readonly broken: BrokenConnection[];
+  /** Stops accepting connections, and closes idle ones. */
+  close(): void;
   /** Resolves when a number of requests has arrived. */
   waitForRequests(count: number): Promise<void>;
   /** Resolves when a number of connections has broken. */
@@ -78,6 +80,7 @@
     port: (server.address() as AddressInfo).port,
     responses,
     broken,
+    close: () => server.close(),
     waitForRequests: (count) => waitUntil(() => responses.size >= count),
     waitForBroken: (count) => waitUntil(() => broken.length >= count),
   };
