--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Catalog, RouteRecord } from "@dotterelmoor/core.catalog";
 import { computeFingerprint } from "@dotterelmoor/core.quarantine";
+import { Pipelines } from "@dotterelmoor/network.callers";
 import type { CallerProtocol } from "../ports.ts";
 import type { EdgeLog } from "../process/logging.ts";
 import type { EdgeMetrics } from "../process/metrics.ts";
@@ -14,7 +15,6 @@
 import type { ForwardResult } from "./forward_types.ts";
 import type { Forwarder } from "./forwarding.ts";
 import { answer } from "./outcomes.ts";
-import { Pipelines } from "./pipelines.ts";
 
 /** Time in milliseconds after which callers may retry while an entry has no
  * configuration yet. */
@@ -103,7 +103,8 @@
       return reject("header-too-large");
     }
     const path = (request.url ?? "").split("?", 1)[0]!;
-    const { host = "" } = request.headers;
+    const { host } = request.headers;
+    if (host === undefined) return reject("malformed");
     const route = routes.find(host, path);
     if (route === undefined) return reject("no-route");
     const caller = protocol.readRequest(request.headers);
@@ -113,6 +114,7 @@
     }
     const body = await readBody(request, document.limits.maxBodyBytes);
     if (body.type === "too-large") return reject("body-too-large");
+    if (body.type === "broken") return reject("malformed");
     if (body.type === "cut") {
       return { outcome: { type: "abandoned" }, sends: [] };
     }
--- a/packages/daemon/entry/src/process/listeners.ts
+++ b/packages/daemon/entry/src/process/listeners.ts
@@ -7,11 +7,17 @@
 import { createServer } from "node:http";
 import type { RequestListener, Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { watchConnections } from "@dotterelmoor/network.callers";
+import type { Logger } from "pino";
+import { createBrokenLog } from "./broken_log.ts";
 
 const HEADERS_TIMEOUT_MS = 5_000;
 const REQUEST_TIMEOUT_MS = 15_000;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 const MAX_HEADER_BYTES = 16 * 1_024;
+/** Time for callers to read the answers that are written to them when the
+ * listener closes. */
+const CLOSE_TIMEOUT_MS = 5_000;
 
 /** Options of `openListener`. */
 export interface ListenerOptions {
@@ -20,13 +26,15 @@
   readonly port: number;
   readonly maxConnections: number;
   readonly handler: RequestListener;
+  readonly log: Logger;
 }
 
 /** An open listener. */
 export interface Listener {
   /** Address that it listens on, as `host:port`. */
   readonly address: string;
-  /** Stops accepting, closes idle connections and waits for the others. */
+  /** Stops accepting, closes idle connections and waits a while for the
+   * others. */
   close(): Promise<void>;
 }
 
@@ -40,6 +48,7 @@
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     maxHeaderSize: MAX_HEADER_BYTES,
   }, options.handler);
+  watchConnections(server, { onBroken: createBrokenLog(options.log) });
   server.maxConnections = options.maxConnections;
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
@@ -48,13 +57,19 @@
   const { port } = server.address() as AddressInfo;
   return {
     address: `${options.host}:${port}`,
-    close: () => closeServer(server),
+    close: () => closeServer(server, options.log),
   };
 }
 
-function closeServer(server: Server): Promise<void> {
+function closeServer(server: Server, log: Logger): Promise<void> {
   return new Promise((resolve) => {
-    server.close(() => resolve());
-    server.closeIdleConnections();
+    const timer = setTimeout(() => {
+      log.warn("Connections cut off; their callers did not read.");
+      server.closeAllConnections();
+    }, CLOSE_TIMEOUT_MS);
+    server.close(() => {
+      clearTimeout(timer);
+      resolve();
+    });
   });
 }
