Keep answers in progress when an edge stops listening

Callers that read a large answer slowly lost the rest of it at 0.7 of the grace period of a planned stop, and with it the answers to the requests behind, although servers ran these and the grace period was not over.

Cause: `closeIdleConnections`, which `close` of an HTTP server calls too, takes a connection as idle once its oldest answer is ended, although it is not sent.

Fix: only the listening socket is closed.

--- a/packages/daemon/edge/src/process/leaving.ts
+++ b/packages/daemon/edge/src/process/leaving.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Server } from "node:http";
+import { Server as TcpServer } from "node:net";
 import type { Front } from "../request/front.ts";
 import { wait } from "./intervals.ts";
 import type { Peers } from "./peers.ts";
@@ -40,9 +41,15 @@
   peers.leave();
   front.startLeaving(graceMs);
   await wait(graceMs * ACCEPT_SHARE);
-  callers.close();
-  callers.closeIdleConnections();
+  stopListening(callers);
   while (front.inFlight > 0 && performance.now() < endAtMs) {
     await wait(CHECK_MS);
   }
 }
+
+/** Accepts no new connection and keeps all open ones. The `close` of an HTTP
+ * server also destroys connections whose oldest answer is not sent yet, and
+ * with it the answers to the requests behind. */
+function stopListening(callers: Server): void {
+  TcpServer.prototype.close.call(callers);
+}
--- a/packages/daemon/edge/src/request/front_fixture.ts
+++ b/packages/daemon/edge/src/request/front_fixture.ts
@@ -41,5 +41,5 @@
     server.close();
   });
   const { port } = server.address() as AddressInfo;
-  return { front, address: { host: "127.0.0.1", port } };
+  return { front, callers: server, address: { host: "127.0.0.1", port } };
 }
--- a/packages/daemon/edge/src/request/pipelined_test.ts
+++ b/packages/daemon/edge/src/request/pipelined_test.ts
@@ -1,42 +1,8 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import test from "ava";
-import type { ForwardResult } from "./forward_types.ts";
 import { startFront } from "./front_fixture.ts";
-
-function writeRequest(id: string): string {
-  return `GET /a/${id} HTTP/1.1\r\nhost: desk.example\r\n` +
-    `dotterelmoor-request-id: ${id}\r\n\r\n`;
-}
-
-/** Creates a forwarder that holds each request until the test answers it. */
-function createHeldForwarder() {
-  const ends = new Map<string, (body: string) => void>();
-  let markForwarded = () => {};
-  return {
-    ends,
-    /** Resolves when `count` requests were forwarded. */
-    waitFor: async (count: number) => {
-      while (ends.size < count) {
-        await new Promise<void>((resolve) => markForwarded = resolve);
-      }
-    },
-    forward: ({ requestId }: { readonly requestId: string }) =>
-      new Promise<ForwardResult>((resolve) => {
-        ends.set(requestId, (text) =>
-          resolve({
-            outcome: {
-              type: "answered",
-              status: 200,
-              headers: {},
-              body: Buffer.from(text),
-            },
-            sends: [],
-          }));
-        markForwarded();
-      }),
-  };
-}
+import { createHeldForwarder, writeRequest } from "./held_requests_fixture.ts";
 
 // Servers run the requests that were forwarded, so only the last answer may
 // close the connection.
