Refuse requests that may last longer than a leaving edge

Cause: nothing compared the longest time of a request (the caller's wait or the route's timeout) with the time of the exit. With a grace period of 6 s, any request with more than 2.8 s could be cut. Requests in flight at the SIGTERM that no server had run yet were sent on as well.

The tests of the forwarder failed before as well: a request that waited for a connection as the stop began was sent, and one that a server had refused went to the next server.

Fix: a leaving edge refuses a request as not run if its last moment is after the exit: at its arrival, and before each send and its first byte while no server may have run it, which covers bodies still being read and waits for a connection. A repeatable request that may have run is still retried, since its caller can only gain. The share of the grace period bounds the others as before. The times of a stop are computed in one place.

--- a/packages/daemon/edge/src/process/leaving.ts
+++ b/packages/daemon/edge/src/process/leaving.ts
@@ -10,14 +10,6 @@
 import { wait } from "./intervals.ts";
 import type { Peers } from "./peers.ts";
 
-/** Time in milliseconds before the end of the grace period at which the process
- * exits, because timers fire late on a busy instance. */
-const EXIT_MARGIN_MS = 500;
-
-/** Share of the grace period after which no new connection is accepted: by
- * then, callers have looked up entries again. */
-const ACCEPT_SHARE = 0.7;
-
 /** Interval in milliseconds between checks for requests in flight. */
 const CHECK_MS = 50;
 
@@ -36,13 +28,11 @@
   options: GracefulStopOptions,
 ): Promise<void> {
   const { graceMs, front, peers, callers } = options;
-  const startedAtMs = performance.now();
-  const endAtMs = startedAtMs + graceMs - EXIT_MARGIN_MS;
   peers.leave();
-  front.startLeaving(graceMs);
-  await wait(graceMs * ACCEPT_SHARE);
+  const { closesAtMs, endsAtMs } = front.startLeaving(graceMs);
+  await wait(closesAtMs - performance.now());
   stopListening(callers);
-  while (front.inFlight > 0 && performance.now() < endAtMs) {
+  while (front.inFlight > 0 && performance.now() < endsAtMs) {
     await wait(CHECK_MS);
   }
 }
--- a/packages/daemon/edge/src/request/forward_types.ts
+++ b/packages/daemon/edge/src/request/forward_types.ts
@@ -29,6 +29,9 @@
    * answer. */
   readonly arrivedAtMs: number;
   readonly deadlineAtMs: number;
+  /** Monotonic time in milliseconds at which the process exits; infinite unless
+   * it is leaving. */
+  readonly exitsAtMs: () => number;
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
 }
--- a/packages/daemon/edge/src/request/forwarding.ts
+++ b/packages/daemon/edge/src/request/forwarding.ts
@@ -14,6 +14,7 @@
 import type { QuarantineInputs } from "../process/crash_quarantine.ts";
 import type { RetryBudgets } from "../process/retry_budgets.ts";
 import type { ForwardRequest, ForwardResult } from "./forward_types.ts";
+import { LEAVING_RETRY_MS } from "./outcomes.ts";
 import type { NotRunReason, RequestOutcome } from "./outcomes.ts";
 import { QuarantineGate } from "./quarantine_gate.ts";
 import {
@@ -117,6 +118,9 @@
     if (!this.#policyReader.isConfirmed(policy)) {
       return this.#stop("configuration-unconfirmed");
     }
+    if (!this.#mayHaveRun && !this.#policyReader.endsInTime(policy)) {
+      return this.#stop("leaving", LEAVING_RETRY_MS);
+    }
     if (!this.#isCounted) budgets.recordRequest(service);
     this.#isCounted = true;
     const { tried } = this.#sender;
--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -8,27 +8,20 @@
 import type { Catalog, RouteRecord } from "@dotterelmoor/core.catalog";
 import { computeFingerprint } from "@dotterelmoor/core.quarantine";
 import type { CallerProtocol } from "../ports.ts";
+import { computeGracePeriod } from "../process/grace_period.ts";
+import type { GracePeriod } from "../process/grace_period.ts";
 import type { EdgeLog } from "../process/logging.ts";
 import type { EdgeMetrics } from "../process/metrics.ts";
 import { readBody } from "./body.ts";
 import type { ForwardResult } from "./forward_types.ts";
 import type { Forwarder } from "./forwarding.ts";
-import { answer } from "./outcomes.ts";
+import { answer, LEAVING_RETRY_MS } from "./outcomes.ts";
 import { Pipelines } from "./pipelines.ts";
 
 /** Time in milliseconds after which callers may retry while an entry has no
  * configuration yet. */
 const STARTING_RETRY_MS = 500;
 
-/** Time in milliseconds after which callers may retry when an entry is shutting
- * down; they reach another entry on a new connection. */
-const LEAVING_RETRY_MS = 20;
-
-/** Share of the grace period after which requests are refused. By then, most
- * callers have moved to other entries; the rest of the period is left for
- * requests in flight to finish. */
-const ACCEPT_SHARE = 0.45;
-
 /** Options of `createFront`. */
 export interface FrontOptions {
   readonly catalog: Catalog;
@@ -42,8 +35,9 @@
 export interface Front {
   handle(request: IncomingMessage, response: ServerResponse): void;
   /** Starts the graceful shutdown: closes each connection after its last
-   * answer, and refuses new requests after a share of the grace period. */
-  startLeaving(graceMs: number): void;
+   * answer, and refuses new requests after a share of the grace period, or if
+   * they may last longer than it. */
+  startLeaving(graceMs: number): GracePeriod;
   /** Number of requests that are not answered yet. */
   readonly inFlight: number;
 }
@@ -63,15 +57,20 @@
 class CallerFront implements Front {
   readonly #options: FrontOptions;
   readonly #pipelines = new Pipelines();
-  #refusesAtMs: number | undefined;
+  #gracePeriod: GracePeriod | undefined;
   inFlight = 0;
 
   constructor(options: FrontOptions) {
     this.#options = options;
   }
 
-  startLeaving(graceMs: number): void {
-    this.#refusesAtMs = performance.now() + ACCEPT_SHARE * graceMs;
+  startLeaving(graceMs: number): GracePeriod {
+    this.#gracePeriod = computeGracePeriod(graceMs);
+    return this.#gracePeriod;
+  }
+
+  #exitsAtMs(): number {
+    return this.#gracePeriod?.endsAtMs ?? Infinity;
   }
 
   handle(request: IncomingMessage, response: ServerResponse): void {
@@ -108,7 +107,11 @@
     if (route === undefined) return reject("no-route");
     const caller = protocol.readRequest(request.headers);
     if (caller.requestId === undefined) return reject("malformed");
-    if (context.arrivedAtMs >= (this.#refusesAtMs ?? Infinity)) {
+    const { arrivedAtMs } = context;
+    const waitMs = Math.min(caller.waitMs ?? Infinity, route.timeoutMs);
+    const isClosed =
+      arrivedAtMs >= (this.#gracePeriod?.refusesAtMs ?? Infinity);
+    if (isClosed || arrivedAtMs + waitMs > this.#exitsAtMs()) {
       return { ...refuse("leaving", LEAVING_RETRY_MS), route };
     }
     const body = await readBody(request, document.limits.maxBodyBytes);
@@ -116,7 +119,6 @@
     if (body.type === "cut") {
       return { outcome: { type: "abandoned" }, sends: [] };
     }
-    const waitMs = Math.min(caller.waitMs ?? Infinity, route.timeoutMs);
     const { method = "GET", url = "/" } = request;
     const result = await this.#options.forwarder.forward({
       route,
@@ -134,8 +136,9 @@
       path: url,
       headers: joinHeaders(request),
       body: body.bytes,
-      arrivedAtMs: context.arrivedAtMs,
-      deadlineAtMs: context.arrivedAtMs + waitMs,
+      arrivedAtMs,
+      deadlineAtMs: arrivedAtMs + waitMs,
+      exitsAtMs: () => this.#exitsAtMs(),
       signal: context.signal,
     });
     return { ...result, route, routeVersion: document.version };
@@ -152,7 +155,7 @@
     if (response.destroyed) return;
     // The rest of an unread body would be parsed as the next request.
     const isUnread = !context.request.complete;
-    const isLast = this.#refusesAtMs !== undefined || isUnread;
+    const isLast = this.#gracePeriod !== undefined || isUnread;
     answer(end.outcome, response, {
       requestId,
       requestIdHeader: protocol.requestIdHeader,
--- a/packages/daemon/edge/src/request/front_fixture.ts
+++ b/packages/daemon/edge/src/request/front_fixture.ts
@@ -17,9 +17,13 @@
 import { createFront } from "./front.ts";
 
 /** Starts a front with one route; its server closes after the test. */
-export async function startFront(t: ExecutionContext, forwarder: Forwarder) {
+export async function startFront(
+  t: ExecutionContext,
+  forwarder: Forwarder,
+  route = buildRoute(),
+) {
   const catalog = createCatalog({ zones: {} });
-  const document = buildDocument(1, [buildRoute()]);
+  const document = buildDocument(1, [route]);
   const changes = [{ type: "document", document } as const];
   catalog.applyTable("orders", { version: 1, isComplete: true, changes }, 0);
   const store = new DisposableStore();
--- a/packages/daemon/edge/src/request/held_back_test.ts
+++ b/packages/daemon/edge/src/request/held_back_test.ts
@@ -30,6 +30,7 @@
   const written: string[] = [];
   const contact = { isInContact: true };
   const suspended = { ms: 0 };
+  const exit = { atMs: Infinity };
   const backend = {
     send: (request) => {
       const result = responders[Math.min(sends, responders.length - 1)]!(apply);
@@ -94,10 +95,11 @@
       body: new Uint8Array(),
       arrivedAtMs: nowMs,
       deadlineAtMs: nowMs + 1_000,
+      exitsAtMs: () => exit.atMs,
       signal: new AbortController().signal,
     });
   };
-  return { apply, forward, written, contact, suspended };
+  return { apply, forward, written, contact, suspended, exit };
 }
 
 type Apply = (table: "orders" | "servers", change: CatalogChange) => void;
@@ -209,3 +211,44 @@
   t.deepEqual(written, []);
   t.is(outcome.type, "not-run");
 });
+
+// Its time may end after the process's; another entry can still run it.
+test("guards against sending a request that waits for a connection when a shutdown starts which may cut it off", async (t) => {
+  const { apply, forward, written, exit } = setUp([() => {
+    exit.atMs = performance.now() + 500;
+    return ANSWER;
+  }]);
+  putRoute(apply, 1);
+  putServer(apply, "s1");
+  const { outcome } = await forward();
+  t.like(outcome, { type: "not-run", reason: "leaving" });
+  t.deepEqual(written, []);
+});
+
+// As above; the shutdown starts once the first send is written.
+test("guards against sending a request again, which a server refused, in a shutdown that may cut it off", async (t) => {
+  const { apply, forward, written, exit } = setUp([() => {
+    queueMicrotask(() => exit.atMs = performance.now() + 500);
+    return { type: "refused" } as BackendResult;
+  }]);
+  putRoute(apply, 1);
+  for (const id of ["s1", "s2"]) putServer(apply, id);
+  const { outcome } = await forward();
+  t.like(outcome, { type: "not-run", reason: "leaving" });
+  t.is(written.length, 1);
+});
+
+// The caller would get the lost answer of the first server instead.
+test("guards against a repeatable request that is not retried because a shutdown may cut it off", async (t) => {
+  const { apply, forward, written, exit } = setUp([
+    () => ({ type: "connection_lost" }) as BackendResult,
+    () => {
+      exit.atMs = performance.now() + 500;
+      return ANSWER;
+    },
+  ]);
+  putRoute(apply, 1);
+  for (const id of ["s1", "s2"]) putServer(apply, id);
+  t.like((await forward()).outcome, { type: "answered", status: 200 });
+  t.is(written.length, 2);
+});
--- a/packages/daemon/edge/src/request/outcomes.ts
+++ b/packages/daemon/edge/src/request/outcomes.ts
@@ -6,6 +6,10 @@
 
 import type { ServerResponse } from "node:http";
 
+/** Time in milliseconds after which callers may retry when an entry is shutting
+ * down; they reach another entry on a new connection. */
+export const LEAVING_RETRY_MS = 20;
+
 /** Why a request was not run by any server. */
 export type NotRunReason =
   | "configuration-unconfirmed"
--- a/packages/daemon/edge/src/request/send_policy.ts
+++ b/packages/daemon/edge/src/request/send_policy.ts
@@ -85,6 +85,12 @@
     return route.allowedRegions.length === 0 || this.#options.isInContact();
   }
 
+  /** False if the process may exit before the request's last moment, so that
+   * its answer could be cut off. */
+  endsInTime({ deadlineAtMs }: SendPolicy): boolean {
+    return deadlineAtMs <= this.#request.exitsAtMs();
+  }
+
   #build(document: RoutingDocument): SendPolicy | undefined {
     const { host, path, arrivedAtMs, deadlineAtMs } = this.#request;
     const [pathname] = path.split("?", 1);
--- a/packages/daemon/edge/src/request/sending.ts
+++ b/packages/daemon/edge/src/request/sending.ts
@@ -212,6 +212,7 @@
     written.isHeldBack = newest === undefined ||
       !policyReader.isConfirmed(newest) ||
       !isAllowed(decision, newest) || !this.#isListed(decision) ||
+      !(decision.isRepeat || policyReader.endsInTime(newest)) ||
       !(decision.isTrial || gate.isOpen(server)) ||
       placer.wantsNone(server, nowMs);
     if (written.isHeldBack) return 0;
--- a/packages/daemon/edge/src/request/stalled_backup_test.ts
+++ b/packages/daemon/edge/src/request/stalled_backup_test.ts
@@ -39,6 +39,7 @@
     body: new Uint8Array(),
     arrivedAtMs: nowMs,
     deadlineAtMs: nowMs + 5_000,
+    exitsAtMs: () => Infinity,
     signal: new AbortController().signal,
   });
   clearTimeout(timer);
