Notice that the callers of waiting pipelined requests have left

Servers worked on for callers that had disconnected, if their requests waited behind another one of the connection. Each such request also counted as in flight for the rest of the process's life, so that a planned stop always waited until its last moment.

Cause: Node.js emits `close` only for the response that is being written. A response that waits behind it, on a connection that closes, emits nothing.

Evidence: the new test, three requests on one connection that closes. Before: only the first request's signal was aborted. After: all three are, and none is in flight.

Fix: the pipeline of a connection listens to its `close` once, for all of its requests whose answers are not sent.

--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -81,7 +81,7 @@
     const arrivedAtMs = performance.now();
     const controller = new AbortController();
     this.inFlight += 1;
-    response.once("close", () => {
+    this.#pipelines.onEnd(request, response, () => {
       this.inFlight -= 1;
       if (!response.writableFinished) controller.abort();
     });
--- a/packages/daemon/edge/src/request/pipelined_test.ts
+++ b/packages/daemon/edge/src/request/pipelined_test.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import test from "ava";
+import type { ForwardResult } from "./forward_types.ts";
 import { startFront } from "./front_fixture.ts";
 import { createHeldForwarder, writeRequest } from "./held_requests_fixture.ts";
 
@@ -44,3 +45,26 @@
   t.true(bytes >= body.length);
   t.deepEqual([...forwarder.ends.keys()], ["q1"]);
 });
+
+// Node.js tells only the oldest request of a connection that it closed.
+test("guards against working for a caller that disconnected while its requests waited behind another", async (t) => {
+  const signals: AbortSignal[] = [];
+  let markForwarded = () => {};
+  const forwarded = new Promise<void>((resolve) => markForwarded = resolve);
+  const { address, callers, front } = await startFront(t, {
+    forward: ({ signal }) => {
+      signals.push(signal);
+      if (signals.length === 3) markForwarded();
+      return new Promise<ForwardResult>(() => {});
+    },
+  });
+  const closed = once(callers, "connection")
+    .then(([caller]) => once(caller, "close"));
+  const socket = connect(address);
+  socket.write(["q1", "q2", "q3"].map(writeRequest).join(""));
+  await forwarded;
+  socket.destroy();
+  await closed;
+  t.deepEqual(signals.map(({ aborted }) => aborted), [true, true, true]);
+  t.is(front.inFlight, 0);
+});
--- a/packages/daemon/edge/src/request/pipelines.ts
+++ b/packages/daemon/edge/src/request/pipelines.ts
@@ -9,13 +9,15 @@
  * @module
  */
 
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 
 interface Pipeline {
   newest: IncomingMessage;
   /** True once an answer with `connection: close` was written. */
   isEnding: boolean;
+  /** Callbacks of the requests whose answers are not sent yet. */
+  readonly waiting: Set<() => void>;
 }
 
 /** The pipelined requests of all callers' connections. */
@@ -26,8 +28,7 @@
   admit(request: IncomingMessage): boolean {
     const pipeline = this.#pipelines.get(request.socket);
     if (pipeline === undefined) {
-      const started = { newest: request, isEnding: false };
-      this.#pipelines.set(request.socket, started);
+      this.#pipelines.set(request.socket, startPipeline(request));
       return true;
     }
     if (pipeline.isEnding) return false;
@@ -35,6 +36,21 @@
     return true;
   }
 
+  /** Calls back once the answer to an admitted request is sent, or the
+   * connection closed before. Node.js emits no `close` for a response that
+   * waits behind another one. */
+  onEnd(
+    request: IncomingMessage,
+    response: ServerResponse,
+    callback: () => void,
+  ): void {
+    const { waiting } = this.#pipelines.get(request.socket)!;
+    waiting.add(callback);
+    response.once("close", () => {
+      if (waiting.delete(callback)) callback();
+    });
+  }
+
   /** Marks the connection as closing with a request's answer; false if a newer
    * request is behind it, and the connection must stay open. */
   end(request: IncomingMessage): boolean {
@@ -44,3 +60,12 @@
     return true;
   }
 }
+
+function startPipeline(request: IncomingMessage): Pipeline {
+  const waiting = new Set<() => void>();
+  request.socket.once("close", () => {
+    for (const callback of waiting) callback();
+    waiting.clear();
+  });
+  return { newest: request, isEnding: false, waiting };
+}
