Give unanswered requests a last answer before an edge exits

Cause: the process waited for requests in flight until its last moment, and then closed their connections.

Evidence: an edge with a grace period of 2 s, a server that does not answer. Before: a non-repeatable request sent before the stop ended in ECONNRESET, and two pipelined ones in a connection closed without an answer. After: the first gets 504 with the reason `leaving` 1.5 s after the stop began; of the pipelined ones, the first, at its server, gets 504, the second, whose body is incomplete, 503.

Fix: in the last moment, each request that was passed to the forwarder is answered as unknown, since a server may have run it; one that was not, as not run, and its signal keeps it from being sent later. Then the process waits up to 0.1 s until these answers are in the sockets. `[edge] Stopping.` gives the counts.

--- a/packages/daemon/edge/src/leaving_edge_test.ts
+++ b/packages/daemon/edge/src/leaving_edge_test.ts
@@ -1,3 +1,5 @@
+import { connect } from "node:net";
+import { text } from "node:stream/consumers";
 import test from "ava";
 import {
   buildRoute,
@@ -5,6 +7,7 @@
   createMemoryStore,
   TEST_BOUNDS,
 } from "./edge_fixture.ts";
+import { EXIT_MARGIN_MS } from "./process/grace_period.ts";
 import {
   putRouteAndServers,
   startBackends,
@@ -32,7 +35,15 @@
       method: "POST",
       headers: { "dotterelmoor-deadline-ms": String(LONG_MS) },
     });
-  return { backend: backend!, call, leave, sent };
+  const { port } = settings.callers;
+  return { backend: backend!, call, leave, port, sent };
+}
+
+function writePost(id: string, body: string): string {
+  return `POST /a/x HTTP/1.1\r\nhost: desk.example\r\n` +
+    `dotterelmoor-request-id: ${id}\r\n` +
+    `dotterelmoor-deadline-ms: ${LONG_MS}\r\n` +
+    `content-length: ${body.length}\r\n\r\n${body}`;
 }
 
 // It may not be sent again once it was cut, as a server may have run it.
@@ -44,3 +55,31 @@
   t.deepEqual(backend.requests, []);
   await left;
 });
+
+// A closed connection would not tell whether a server may have run the request.
+test("guards against closing a connection without an answer when the process exits while its servers are at work", async (t) => {
+  const { call, leave, sent } = await startSilentEdge(t);
+  const answer = call();
+  await Promise.race([answer, sent]);
+  const startedAtMs = performance.now();
+  const left = leave();
+  t.like(await answer, { status: 504, body: "leaving\n" });
+  // An earlier answer would take the place of the server's.
+  t.true(performance.now() - startedAtMs >= GRACE_MS - EXIT_MARGIN_MS);
+  await left;
+});
+
+// Only the request whose body is incomplete has certainly not run.
+test("guards against a promise for a request that a server may have run when the process exits", async (t) => {
+  const { backend, port, leave, sent } = await startSilentEdge(t);
+  const socket = connect(port, "127.0.0.1");
+  socket.write(
+    writePost("q1", "text") + writePost("q2", "text").slice(0, -2),
+  );
+  await sent;
+  const left = leave();
+  const answers = (await text(socket)).match(/HTTP\/1.1 \d+|close/g);
+  t.deepEqual(answers, ["HTTP/1.1 504", "HTTP/1.1 503", "close"]);
+  t.deepEqual(backend.requests, ["q1"]);
+  await left;
+});
--- a/packages/daemon/edge/src/process/grace_period.ts
+++ b/packages/daemon/edge/src/process/grace_period.ts
@@ -15,7 +15,7 @@
 
 /** Time in milliseconds before the end of the grace period at which the process
  * exits, because timers fire late on a busy instance. */
-const EXIT_MARGIN_MS = 500;
+export const EXIT_MARGIN_MS = 500;
 
 /** Monotonic times in milliseconds of a graceful shutdown. */
 export interface GracePeriod {
--- a/packages/daemon/edge/src/process/leaving.ts
+++ b/packages/daemon/edge/src/process/leaving.ts
@@ -13,6 +13,9 @@
 /** Interval in milliseconds between checks for requests in flight. */
 const CHECK_MS = 50;
 
+/** Longest time in milliseconds for the last answers to reach the sockets. */
+const LAST_ANSWERS_MS = 100;
+
 /** Options of `leave`. */
 export interface GracefulStopOptions {
   /** Grace period in milliseconds, after which the process is killed. */
@@ -23,16 +26,24 @@
 }
 
 /** Announces the shutdown to peers and callers, then waits until requests have
- * finished or the grace period is nearly over. */
+ * finished or the grace period is nearly over, when the others get their last
+ * answers. Returns the number of these. */
 export async function stopGracefully(
   options: GracefulStopOptions,
-): Promise<void> {
+): Promise<number> {
   const { graceMs, front, peers, callers } = options;
   peers.leave();
   const { closesAtMs, endsAtMs } = front.startLeaving(graceMs);
   await wait(closesAtMs - performance.now());
   stopListening(callers);
-  while (front.inFlight > 0 && performance.now() < endsAtMs) {
+  await waitForAnswers(front, endsAtMs);
+  const lastAnswers = front.answerLast();
+  await waitForAnswers(front, endsAtMs + LAST_ANSWERS_MS);
+  return lastAnswers;
+}
+
+async function waitForAnswers(front: Front, untilMs: number): Promise<void> {
+  while (front.inFlight > 0 && performance.now() < untilMs) {
     await wait(CHECK_MS);
   }
 }
--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -15,6 +15,7 @@
 import { readBody } from "./body.ts";
 import type { ForwardResult } from "./forward_types.ts";
 import type { Forwarder } from "./forwarding.ts";
+import { countHeaderBytes, joinHeaders } from "./headers.ts";
 import { answer, LEAVING_RETRY_MS } from "./outcomes.ts";
 import { Pipelines } from "./pipelines.ts";
 
@@ -38,8 +39,13 @@
    * answer, and refuses new requests after a share of the grace period, or if
    * they may last longer than it. */
   startLeaving(graceMs: number): GracePeriod;
-  /** Number of requests that are not answered yet. */
+  /** Answers all requests that are unanswered, because the process is about to
+   * exit; returns their number. */
+  answerLast(): number;
+  /** Number of requests whose answers are not sent yet. */
   readonly inFlight: number;
+  /** Number of requests that were refused because of the shutdown. */
+  readonly refusedCount: number;
 }
 
 /** The result of a request, with the route that matched it. */
@@ -58,17 +64,38 @@
   readonly #options: FrontOptions;
   readonly #pipelines = new Pipelines();
   #gracePeriod: GracePeriod | undefined;
-  inFlight = 0;
+  readonly #inFlight = new Map<ServerResponse, RequestContext>();
+  refusedCount = 0;
 
   constructor(options: FrontOptions) {
     this.#options = options;
   }
 
+  get inFlight(): number {
+    return this.#inFlight.size;
+  }
+
   startLeaving(graceMs: number): GracePeriod {
     this.#gracePeriod = computeGracePeriod(graceMs);
     return this.#gracePeriod;
   }
 
+  answerLast(): number {
+    let count = 0;
+    for (const [response, context] of this.#inFlight) {
+      // A caller reads its answer slowly.
+      if (response.writableEnded) continue;
+      count += 1;
+      const { forwardedRoute: route } = context;
+      const end: RequestEnd = route === undefined
+        ? refuse("leaving", LEAVING_RETRY_MS)
+        : { outcome: { type: "unknown", reason: "leaving" }, sends: [], route };
+      this.#answer(end, response, context);
+      context.controller.abort();
+    }
+    return count;
+  }
+
   #exitsAtMs(): number {
     return this.#gracePeriod?.endsAtMs ?? Infinity;
   }
@@ -80,12 +107,12 @@
     }
     const arrivedAtMs = performance.now();
     const controller = new AbortController();
-    this.inFlight += 1;
     this.#pipelines.onEnd(request, response, () => {
-      this.inFlight -= 1;
+      this.#inFlight.delete(response);
       if (!response.writableFinished) controller.abort();
     });
-    const context = { request, arrivedAtMs, signal: controller.signal };
+    const context: RequestContext = { request, arrivedAtMs, controller };
+    this.#inFlight.set(response, context);
     this.#run(context)
       .then((end) => this.#answer(end, response, context))
       .catch((error) => this.#answerError(error, response, context));
@@ -120,6 +147,7 @@
       return { outcome: { type: "abandoned" }, sends: [] };
     }
     const { method = "GET", url = "/" } = request;
+    context.forwardedRoute = route;
     const result = await this.#options.forwarder.forward({
       route,
       host,
@@ -139,7 +167,7 @@
       arrivedAtMs,
       deadlineAtMs: arrivedAtMs + waitMs,
       exitsAtMs: () => this.#exitsAtMs(),
-      signal: context.signal,
+      signal: context.controller.signal,
     });
     return { ...result, route, routeVersion: document.version };
   }
@@ -149,6 +177,8 @@
     response: ServerResponse,
     context: RequestContext,
   ): void {
+    // It got its last answer while its servers were at work.
+    if (response.writableEnded) return;
     const { protocol } = this.#options;
     const { requestId } = protocol.readRequest(context.request.headers);
     this.#record(end, requestId, context);
@@ -171,6 +201,7 @@
     context: RequestContext,
   ): void {
     this.#options.log.part("request").error({ err: error }, "Failed.");
+    if (response.writableEnded) return;
     if (response.headersSent || response.destroyed) {
       response.destroy();
       return;
@@ -189,6 +220,9 @@
   ): void {
     const { log, metrics, catalog, protocol } = this.#options;
     const { outcome, sends, route, routeVersion, service = "none" } = end;
+    if (outcome.type === "not-run" && outcome.reason === "leaving") {
+      this.refusedCount += 1;
+    }
     const elapsedMs = performance.now() - arrivedAtMs;
     const reason = "reason" in outcome ? outcome.reason : "none";
     metrics.requests.inc({ service, outcome: outcome.type, reason });
@@ -214,7 +248,10 @@
 interface RequestContext {
   readonly request: IncomingMessage;
   readonly arrivedAtMs: number;
-  readonly signal: AbortSignal;
+  /** Aborts the sends to servers. */
+  readonly controller: AbortController;
+  /** The route; undefined until the request was passed to the forwarder. */
+  forwardedRoute?: RouteRecord;
 }
 
 /** Chooses the message of a request's log line; each message is rate-limited
@@ -247,19 +284,3 @@
 ): ForwardResult {
   return { outcome: { type: "invalid", reason }, sends: [] };
 }
-
-function countHeaderBytes(request: IncomingMessage): number {
-  let bytes = 0;
-  for (const text of request.rawHeaders) bytes += text.length + 2;
-  return bytes;
-}
-
-/** Joins repeated headers into one comma-separated value, as HTTP allows. */
-function joinHeaders(request: IncomingMessage): Record<string, string> {
-  const joined: Record<string, string> = {};
-  for (const [name, value] of Object.entries(request.headers)) {
-    if (value === undefined) continue;
-    joined[name] = Array.isArray(value) ? value.join(", ") : value;
-  }
-  return joined;
-}
--- /dev/null
+++ b/packages/daemon/edge/src/request/headers.ts
@@ -0,0 +1,24 @@
+/**
+ * Headers of callers' requests.
+ *
+ * @module
+ */
+
+import type { IncomingMessage } from "node:http";
+
+/** Counts the bytes of a request's header lines. */
+export function countHeaderBytes(request: IncomingMessage): number {
+  let bytes = 0;
+  for (const text of request.rawHeaders) bytes += text.length + 2;
+  return bytes;
+}
+
+/** Joins repeated headers into one comma-separated value, as HTTP allows. */
+export function joinHeaders(request: IncomingMessage): Record<string, string> {
+  const joined: Record<string, string> = {};
+  for (const [name, value] of Object.entries(request.headers)) {
+    if (value === undefined) continue;
+    joined[name] = Array.isArray(value) ? value.join(", ") : value;
+  }
+  return joined;
+}
--- a/packages/daemon/edge/src/request/outcomes.ts
+++ b/packages/daemon/edge/src/request/outcomes.ts
@@ -31,7 +31,11 @@
   | "no-route";
 
 /** Why it is unknown whether a request ran. */
-export type UnknownReason = "answer-lost" | "internal-error" | "timed-out";
+export type UnknownReason =
+  | "answer-lost"
+  | "internal-error"
+  | "leaving"
+  | "timed-out";
 
 /** The outcome of one request; `abandoned` if its caller disconnected. */
 export type RequestOutcome =
@@ -60,6 +64,7 @@
 const UNKNOWN_STATUS: Readonly<Record<UnknownReason, number>> = {
   "answer-lost": 502,
   "internal-error": 502,
+  leaving: 504,
   "timed-out": 504,
 };
 
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -460,8 +460,10 @@
   const edgeLog = log.part("edge");
   const { front } = parts;
   edgeLog.info({ inFlight: front.inFlight }, "Leaving.");
-  await stopGracefully({ graceMs: settings.bounds.graceMs, ...parts });
-  edgeLog.info({ inFlight: front.inFlight }, "Stopping.");
+  const { graceMs } = settings.bounds;
+  const lastAnswers = await stopGracefully({ graceMs, ...parts });
+  const { inFlight, refusedCount: refused } = front;
+  edgeLog.info({ refused, lastAnswers, inFlight }, "Stopping.");
   await store.dispose();
   log.flush();
 }
