Keep answers in progress when an entry closes its listeners

Callers that read a large answer slowly lost the rest of it when an entry left the system, and with it the answers to the requests behind. An entry whose caller's connection became idle after that moment was kept from exiting by the connection's keep-alive time.

Cause: as in the edge, `close` and `closeIdleConnections` of an HTTP server take a connection as idle once its oldest answer is ended, although it is not sent; later they are not called again.

Fix: only the listening socket is closed at once. Idle connections are closed when all answers are sent, and again after each later one. A caller that does not read is waited for as long as for a request, 15 s, with a log line.

--- a/packages/daemon/entry/src/process/listeners.ts
+++ b/packages/daemon/entry/src/process/listeners.ts
@@ -6,7 +6,9 @@
 
 import { createServer } from "node:http";
 import type { RequestListener, Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import { Server as TcpServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import type { Logger } from "pino";
 
 const HEADERS_TIMEOUT_MS = 5_000;
 const REQUEST_TIMEOUT_MS = 15_000;
@@ -20,13 +22,18 @@
   readonly port: number;
   readonly maxConnections: number;
   readonly handler: RequestListener;
+  readonly log: Logger;
+  /** Longest time in milliseconds that `close` waits for callers to read their
+   * answers; by default as long as for their requests. */
+  readonly unreadTimeoutMs?: number;
 }
 
 /** An open listener. */
 export interface Listener {
   /** Address that it listens on, as `host:port`. */
   readonly address: string;
-  /** Stops accepting, closes idle connections and waits for the others. */
+  /** Stops accepting, waits until callers have read their answers, and closes
+   * each connection when it is idle. */
   close(): Promise<void>;
 }
 
@@ -41,6 +48,7 @@
     maxHeaderSize: MAX_HEADER_BYTES,
   }, options.handler);
   server.maxConnections = options.maxConnections;
+  const closer = new ServerCloser(server, options);
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
     server.listen(options.port, options.host, resolve);
@@ -48,13 +56,68 @@
   const { port } = server.address() as AddressInfo;
   return {
     address: `${options.host}:${port}`,
-    close: () => closeServer(server),
+    close: () => closer.close(),
   };
 }
 
-function closeServer(server: Server): Promise<void> {
-  return new Promise((resolve) => {
-    server.close(() => resolve());
-    server.closeIdleConnections();
-  });
+/** Closes a server without cutting off answers. The `close` of an HTTP server
+ * also destroys connections whose oldest answer is not sent yet, and with it the
+ * answers to the requests behind. */
+class ServerCloser {
+  readonly #server: Server;
+  readonly #options: ListenerOptions;
+  /** Number of answers that are not sent yet, by connection. */
+  readonly #unsent = new Map<Socket, number>();
+  #isClosing = false;
+  #isOverdue = false;
+
+  constructor(server: Server, options: ListenerOptions) {
+    this.#server = server;
+    this.#options = options;
+    server.on("connection", (socket) => {
+      // A response that waits behind another one emits no `close`.
+      socket.once("close", () => this.#count(socket, -Infinity));
+    });
+    server.on("request", ({ socket }, response) => {
+      this.#count(socket, 1);
+      response.once("close", () => this.#count(socket, -1));
+    });
+  }
+
+  close(): Promise<void> {
+    this.#isClosing = true;
+    const { unreadTimeoutMs = REQUEST_TIMEOUT_MS } = this.#options;
+    const timer = setTimeout(() => this.#cut(), unreadTimeoutMs);
+    return new Promise((resolve) => {
+      TcpServer.prototype.close.call(this.#server, () => {
+        clearTimeout(timer);
+        resolve();
+      });
+      this.#closeIdle();
+    });
+  }
+
+  #count(socket: Socket, change: number): void {
+    const count = (this.#unsent.get(socket) ?? 0) + change;
+    if (count > 0) this.#unsent.set(socket, count);
+    else this.#unsent.delete(socket);
+    // By then, a connection whose last answer was sent is idle.
+    if (this.#isClosing) setImmediate(() => this.#closeIdle());
+  }
+
+  #closeIdle(): void {
+    if (this.#unsent.size > 0 && !this.#isOverdue) return;
+    this.#server.closeIdleConnections();
+  }
+
+  /** Closes the connections of callers that do not read their answers. */
+  #cut(): void {
+    this.#isOverdue = true;
+    const connections = this.#unsent.size;
+    if (connections > 0) {
+      const { log } = this.#options;
+      log.warn({ connections }, "Unread answers are not waited for.");
+    }
+    this.#closeIdle();
+  }
 }
--- a/packages/daemon/entry/src/process/operators.ts
+++ b/packages/daemon/entry/src/process/operators.ts
@@ -42,5 +42,6 @@
     port: options.port,
     maxConnections: MAX_CONNECTIONS,
     handler: app.callback(),
+    log: options.log,
   });
 }
--- a/packages/daemon/entry/src/wiring.ts
+++ b/packages/daemon/entry/src/wiring.ts
@@ -55,6 +55,7 @@
     port: settings.callers.port,
     maxConnections: MAX_CALLER_CONNECTIONS,
     handler: (request, response) => callerHandler.get()?.(request, response),
+    log: context.getLogger("entry"),
   });
   const peerHandlers = createRef<PeerHandlers>();
   const peers = await createPeerServer({
