--- a/packages/daemon/edge/src/process/leaving.ts
+++ b/packages/daemon/edge/src/process/leaving.ts
@@ -9,17 +9,12 @@
 import { wait } from "./intervals.ts";
 import type { Peers } from "./peers.ts";
 
-/** Time in milliseconds before the end of the grace period at which the process
- * exits, because timers fire late on a busy instance. */
-const EXIT_MARGIN_MS = 500;
-
-/** Share of the grace period after which no new connection is accepted: by
- * then, callers have looked up entries again. */
-const ACCEPT_SHARE = 0.7;
-
 /** Interval in milliseconds between checks for requests in flight. */
 const CHECK_MS = 50;
 
+/** Longest time in milliseconds for the last answers to reach the sockets. */
+const LAST_ANSWERS_MS = 100;
+
 /** Options of `leave`. */
 export interface GracefulStopOptions {
   /** Grace period in milliseconds, after which the process is killed. */
@@ -30,19 +25,25 @@
 }
 
 /** Announces the shutdown to peers and callers, then waits until requests have
- * finished or the grace period is nearly over. */
+ * finished or the grace period is nearly over, when the others get their last
+ * answers. Returns the number of these. */
 export async function stopGracefully(
   options: GracefulStopOptions,
-): Promise<void> {
+): Promise<number> {
   const { graceMs, front, peers, callers } = options;
-  const startedAtMs = performance.now();
-  const endAtMs = startedAtMs + graceMs - EXIT_MARGIN_MS;
   peers.leave();
-  front.startLeaving(graceMs);
-  await wait(graceMs * ACCEPT_SHARE);
+  const { closesAtMs, endsAtMs } = front.startLeaving(graceMs);
+  await wait(closesAtMs - performance.now());
   callers.close();
   callers.closeIdleConnections();
-  while (front.inFlight > 0 && performance.now() < endAtMs) {
+  await waitForAnswers(front, endsAtMs);
+  const lastAnswers = front.answerLast();
+  await waitForAnswers(front, endsAtMs + LAST_ANSWERS_MS);
+  return lastAnswers;
+}
+
+async function waitForAnswers(front: Front, untilMs: number): Promise<void> {
+  while (front.inFlight > 0 && performance.now() < untilMs) {
     await wait(CHECK_MS);
   }
 }
--- a/packages/daemon/edge/src/request/backup_outcome_test.ts
+++ b/packages/daemon/edge/src/request/backup_outcome_test.ts
@@ -34,6 +34,7 @@
     body: new Uint8Array(),
     arrivedAtMs: nowMs,
     deadlineAtMs: nowMs + 5_000,
+    exitsAtMs: () => Infinity,
     signal: new AbortController().signal,
   });
   return { outcome, sends };
--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -9,26 +9,20 @@
 import { computeFingerprint } from "@dotterelmoor/core.quarantine";
 import { Pipelines } from "@dotterelmoor/network.callers";
 import type { CallerProtocol } from "../ports.ts";
+import { computeGracePeriod } from "../process/grace_period.ts";
+import type { GracePeriod } from "../process/grace_period.ts";
 import type { EdgeLog } from "../process/logging.ts";
 import type { EdgeMetrics } from "../process/metrics.ts";
 import { readBody } from "./body.ts";
 import type { ForwardResult } from "./forward_types.ts";
 import type { Forwarder } from "./forwarding.ts";
-import { answer } from "./outcomes.ts";
+import { countHeaderBytes, joinHeaders } from "./headers.ts";
+import { answer, LEAVING_RETRY_MS } from "./outcomes.ts";
 
 /** Time in milliseconds after which callers may retry while an entry has no
  * configuration yet. */
 const STARTING_RETRY_MS = 500;
 
-/** Time in milliseconds after which callers may retry when an entry is shutting
- * down; they reach another entry on a new connection. */
-const LEAVING_RETRY_MS = 20;
-
-/** Share of the grace period after which requests are refused. By then, most
- * callers have moved to other entries; the rest of the period is left for
- * requests in flight to finish. */
-const ACCEPT_SHARE = 0.45;
-
 /** Options of `createFront`. */
 export interface FrontOptions {
   readonly catalog: Catalog;
@@ -42,10 +36,16 @@
 export interface Front {
   handle(request: IncomingMessage, response: ServerResponse): void;
   /** Starts the graceful shutdown: closes each connection after its last
-   * answer, and refuses new requests after a share of the grace period. */
-  startLeaving(graceMs: number): void;
-  /** Number of requests that are not answered yet. */
+   * answer, and refuses new requests after a share of the grace period, or if
+   * they may last longer than it. */
+  startLeaving(graceMs: number): GracePeriod;
+  /** Answers all requests that are unanswered, because the process is about to
+   * exit; returns their number. */
+  answerLast(): number;
+  /** Number of requests whose answers are not sent yet. */
   readonly inFlight: number;
+  /** Number of requests that were refused because of the shutdown. */
+  readonly refusedCount: number;
 }
 
 /** The result of a request, with the route that matched it. */
@@ -63,15 +63,41 @@
 class CallerFront implements Front {
   readonly #options: FrontOptions;
   readonly #pipelines = new Pipelines();
-  #refusesAtMs: number | undefined;
-  inFlight = 0;
+  #gracePeriod: GracePeriod | undefined;
+  readonly #inFlight = new Map<ServerResponse, RequestContext>();
+  refusedCount = 0;
 
   constructor(options: FrontOptions) {
     this.#options = options;
   }
 
-  startLeaving(graceMs: number): void {
-    this.#refusesAtMs = performance.now() + ACCEPT_SHARE * graceMs;
+  get inFlight(): number {
+    return this.#inFlight.size;
+  }
+
+  startLeaving(graceMs: number): GracePeriod {
+    this.#gracePeriod = computeGracePeriod(graceMs);
+    return this.#gracePeriod;
+  }
+
+  answerLast(): number {
+    let count = 0;
+    for (const [response, context] of this.#inFlight) {
+      // A caller reads its answer slowly.
+      if (response.writableEnded) continue;
+      count += 1;
+      const { forwardedRoute: route } = context;
+      const end: RequestEnd = route === undefined
+        ? refuse("leaving", LEAVING_RETRY_MS)
+        : { outcome: { type: "unknown", reason: "leaving" }, sends: [], route };
+      this.#answer(end, response, context);
+      context.controller.abort();
+    }
+    return count;
+  }
+
+  #exitsAtMs(): number {
+    return this.#gracePeriod?.endsAtMs ?? Infinity;
   }
 
   handle(request: IncomingMessage, response: ServerResponse): void {
@@ -81,12 +107,12 @@
     }
     const arrivedAtMs = performance.now();
     const controller = new AbortController();
-    this.inFlight += 1;
     response.once("close", () => {
-      this.inFlight -= 1;
+      this.#inFlight.delete(response);
       if (!response.writableFinished) controller.abort();
     });
-    const context = { request, arrivedAtMs, signal: controller.signal };
+    const context: RequestContext = { request, arrivedAtMs, controller };
+    this.#inFlight.set(response, context);
     this.#run(context)
       .then((end) => this.#answer(end, response, context))
       .catch((error) => this.#answerError(error, response, context));
@@ -109,7 +135,11 @@
     if (route === undefined) return reject("no-route");
     const caller = protocol.readRequest(request.headers);
     if (caller.requestId === undefined) return reject("malformed");
-    if (context.arrivedAtMs >= (this.#refusesAtMs ?? Infinity)) {
+    const { arrivedAtMs } = context;
+    const waitMs = Math.min(caller.waitMs ?? Infinity, route.timeoutMs);
+    const isClosed =
+      arrivedAtMs >= (this.#gracePeriod?.refusesAtMs ?? Infinity);
+    if (isClosed || arrivedAtMs + waitMs > this.#exitsAtMs()) {
       return { ...refuse("leaving", LEAVING_RETRY_MS), route };
     }
     const body = await readBody(request, document.limits.maxBodyBytes);
@@ -118,8 +148,8 @@
     if (body.type === "cut") {
       return { outcome: { type: "abandoned" }, sends: [] };
     }
-    const waitMs = Math.min(caller.waitMs ?? Infinity, route.timeoutMs);
     const { method = "GET", url = "/" } = request;
+    context.forwardedRoute = route;
     const result = await this.#options.forwarder.forward({
       route,
       host,
@@ -136,9 +166,10 @@
       path: url,
       headers: joinHeaders(request),
       body: body.bytes,
-      arrivedAtMs: context.arrivedAtMs,
-      deadlineAtMs: context.arrivedAtMs + waitMs,
-      signal: context.signal,
+      arrivedAtMs,
+      deadlineAtMs: arrivedAtMs + waitMs,
+      exitsAtMs: () => this.#exitsAtMs(),
+      signal: context.controller.signal,
     });
     return { ...result, route, routeVersion: document.version };
   }
@@ -148,13 +179,15 @@
     response: ServerResponse,
     context: RequestContext,
   ): void {
+    // It got its last answer while its servers were at work.
+    if (response.writableEnded) return;
     const { protocol } = this.#options;
     const { requestId } = protocol.readRequest(context.request.headers);
     this.#record(end, requestId, context);
     if (response.destroyed) return;
     // The rest of an unread body would be parsed as the next request.
     const isUnread = !context.request.complete;
-    const isLast = this.#refusesAtMs !== undefined || isUnread;
+    const isLast = this.#gracePeriod !== undefined || isUnread;
     answer(end.outcome, response, {
       requestId,
       requestIdHeader: protocol.requestIdHeader,
@@ -170,6 +203,7 @@
     context: RequestContext,
   ): void {
     this.#options.log.part("request").error({ err: error }, "Failed.");
+    if (response.writableEnded) return;
     if (response.headersSent || response.destroyed) {
       response.destroy();
       return;
@@ -188,6 +222,9 @@
   ): void {
     const { log, metrics, catalog, protocol } = this.#options;
     const { outcome, sends, route, routeVersion, service = "none" } = end;
+    if (outcome.type === "not-run" && outcome.reason === "leaving") {
+      this.refusedCount += 1;
+    }
     const elapsedMs = performance.now() - arrivedAtMs;
     const reason = "reason" in outcome ? outcome.reason : "none";
     metrics.requests.inc({ service, outcome: outcome.type, reason });
@@ -213,7 +250,10 @@
 interface RequestContext {
   readonly request: IncomingMessage;
   readonly arrivedAtMs: number;
-  readonly signal: AbortSignal;
+  /** Aborts the sends to servers. */
+  readonly controller: AbortController;
+  /** The route; undefined until the request was passed to the forwarder. */
+  forwardedRoute?: RouteRecord;
 }
 
 /** Chooses the message of a request's log line; each message is rate-limited
@@ -246,19 +286,3 @@
 ): ForwardResult {
   return { outcome: { type: "invalid", reason }, sends: [] };
 }
-
-function countHeaderBytes(request: IncomingMessage): number {
-  let bytes = 0;
-  for (const text of request.rawHeaders) bytes += text.length + 2;
-  return bytes;
-}
-
-/** Joins repeated headers into one comma-separated value, as HTTP allows. */
-function joinHeaders(request: IncomingMessage): Record<string, string> {
-  const joined: Record<string, string> = {};
-  for (const [name, value] of Object.entries(request.headers)) {
-    if (value === undefined) continue;
-    joined[name] = Array.isArray(value) ? value.join(", ") : value;
-  }
-  return joined;
-}
--- a/packages/daemon/edge/src/request/front_fixture.ts
+++ b/packages/daemon/edge/src/request/front_fixture.ts
@@ -7,6 +7,7 @@
 import type { AddressInfo } from "node:net";
 import type { ExecutionContext } from "ava";
 import { createCatalog } from "@dotterelmoor/core.catalog";
+import type { RouteRecord } from "@dotterelmoor/core.catalog";
 import { DisposableStore } from "@dotterelmoor/core.types";
 import { buildDocument, buildPlatform, buildRoute } from "../edge_fixture.ts";
 import { createMemoryStore } from "../edge_fixture.ts";
@@ -18,6 +19,7 @@
 
 /** Options of `startFront`. */
 export interface FrontServerOptions {
+  readonly route?: RouteRecord;
   /** Time in milliseconds in which a head must arrive. */
   readonly headersMs?: number;
   /** Interval in milliseconds between checks for late heads. */
@@ -31,7 +33,7 @@
   options: FrontServerOptions = {},
 ) {
   const catalog = createCatalog({ zones: {} });
-  const document = buildDocument(1, [buildRoute()]);
+  const document = buildDocument(1, [options.route ?? buildRoute()]);
   const changes = [{ type: "document", document } as const];
   catalog.applyTable("orders", { version: 1, isComplete: true, changes }, 0);
   const store = new DisposableStore();
@@ -54,6 +56,7 @@
   const { port } = server.address() as AddressInfo;
   return {
     front,
+    callers: server,
     metrics: parts.metrics,
     address: { host: "127.0.0.1", port },
   };
--- a/packages/daemon/edge/src/request/outcomes.ts
+++ b/packages/daemon/edge/src/request/outcomes.ts
@@ -6,6 +6,10 @@
 
 import type { ServerResponse } from "node:http";
 
+/** Time in milliseconds after which callers may retry when an entry is shutting
+ * down; they reach another entry on a new connection. */
+export const LEAVING_RETRY_MS = 20;
+
 /** Why a request was not run by any server. */
 export type NotRunReason =
   | "configuration-unconfirmed"
@@ -31,6 +35,7 @@
 export type UnknownReason =
   | "answer-lost"
   | "internal-error"
+  | "leaving"
   | "timed-out"
   | "unmarked-refusal";
 
@@ -61,6 +66,7 @@
 const UNKNOWN_STATUS: Readonly<Record<UnknownReason, number>> = {
   "answer-lost": 502,
   "internal-error": 502,
+  leaving: 504,
   "timed-out": 504,
   "unmarked-refusal": 502,
 };
--- a/packages/daemon/entry/src/process/listeners.ts
+++ b/packages/daemon/entry/src/process/listeners.ts
@@ -15,9 +15,8 @@
 const REQUEST_TIMEOUT_MS = 15_000;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 const MAX_HEADER_BYTES = 16 * 1_024;
-/** Time for callers to read the answers that are written to them when the
- * listener closes. */
-const CLOSE_TIMEOUT_MS = 5_000;
+/** Keep-alive time of a closing listener: the shortest that Node.js takes. */
+const CLOSING_KEEP_ALIVE_MS = 1;
 
 /** Options of `openListener`. */
 export interface ListenerOptions {
@@ -27,6 +26,9 @@
   readonly maxConnections: number;
   readonly handler: RequestListener;
   readonly log: Logger;
+  /** Longest time in milliseconds that `close` waits for callers to read their
+   * answers; by default as long as for their requests. */
+  readonly unreadTimeoutMs?: number;
 }
 
 /** An open listener. */
@@ -57,16 +59,20 @@
   const { port } = server.address() as AddressInfo;
   return {
     address: `${options.host}:${port}`,
-    close: () => closeServer(server, options.log),
+    close: () => closeServer(server, options),
   };
 }
 
-function closeServer(server: Server, log: Logger): Promise<void> {
+function closeServer(
+  server: Server,
+  { log, unreadTimeoutMs = REQUEST_TIMEOUT_MS }: ListenerOptions,
+): Promise<void> {
+  server.keepAliveTimeout = CLOSING_KEEP_ALIVE_MS;
   return new Promise((resolve) => {
     const timer = setTimeout(() => {
       log.warn("Connections cut off; their callers did not read.");
       server.closeAllConnections();
-    }, CLOSE_TIMEOUT_MS);
+    }, unreadTimeoutMs);
     server.close(() => {
       clearTimeout(timer);
       resolve();
--- a/packages/daemon/entry/src/process/listeners_test.ts
+++ b/packages/daemon/entry/src/process/listeners_test.ts
@@ -47,6 +47,7 @@
     maxConnections: 1,
     handler: (_request, response) => arrivals.emit("request", response),
     log: pino({}, { write: (line) => lines.push(JSON.parse(line)) }),
+    unreadTimeoutMs: 500,
   });
   const socket = connect(Number(listener.address.split(":")[1]), "127.0.0.1");
   t.teardown(() => socket.destroy());
