Claim the ports of tests instead of choosing free ones

Cause: tests that hand ports to programs let the kernel choose a port, freed it and bound it later. In between, another process may get it from the kernel, to listen on or as the local port of a connection. Tests that expect a closed port to refuse connections have the same fault.

Change: these tests claim their ports. The edge's tests no longer retry on other ports. The ports of servers that end during a test are claimed as well.

--- a/packages/daemon/edge/src/crashing_servers_fixture.ts
+++ b/packages/daemon/edge/src/crashing_servers_fixture.ts
@@ -7,8 +7,8 @@
 
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
 import type { ExecutionContext } from "ava";
+import { claimPort } from "../../../network/peering/src/claimed_ports_fixture.ts";
 import { buildServer, callEdge } from "./edge_fixture.ts";
 import type { MemoryStore } from "./edge_fixture.ts";
 
@@ -106,12 +106,13 @@
     const server = createServer((request, response) =>
       this.#handle({ id, place, server }, request, response)
     );
+    // The server may end before the test; nothing else may listen there then.
+    const port = await claimPort();
     await new Promise<void>((resolve) =>
-      server.listen(0, "127.0.0.1", resolve)
+      server.listen(port, "127.0.0.1", resolve)
     );
     this.#servers.set(id, server);
     if (this.#isClosed) return this.#end(id);
-    const { port } = server.address() as AddressInfo;
     const { zones } = this.#options;
     const record = buildServer(id, `127.0.0.1:${port}`, {
       zone: zones[place.number % zones.length]!,
--- a/packages/daemon/edge/src/edge_fixture.ts
+++ b/packages/daemon/edge/src/edge_fixture.ts
@@ -21,6 +21,7 @@
 } from "@dotterelmoor/core.catalog";
 import { DEFAULT_PROTOCOL } from "@dotterelmoor/network.backend";
 import { Err, Ok } from "ts-results-es";
+import { claimPort } from "../../../network/peering/src/claimed_ports_fixture.ts";
 import type {
   CallerProtocol,
   CatalogStore,
@@ -243,14 +244,6 @@
   return (server.address() as AddressInfo).port;
 }
 
-/** Finds a free port; another process may take it before it is used. */
-export async function findFreePort(): Promise<number> {
-  const server = createServer();
-  const port = await listenOnFreePort(server);
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 /** The caller protocol with the product's own header names. */
 const CALLERS: CallerProtocol = {
   requestIdHeader: "dotterelmoor-request-id",
@@ -291,14 +284,14 @@
   configurationApplyMs: 2_500,
 };
 
-/** Builds settings with free ports on loopback. */
+/** Builds settings with claimed ports on loopback. */
 export async function buildSettings(
   instance: string,
   changes: Partial<EdgeSettings> = {},
 ): Promise<EdgeSettings> {
   const listen = async () => ({
     host: "127.0.0.1",
-    port: await findFreePort(),
+    port: await claimPort(),
   });
   return {
     instance,
--- a/packages/daemon/edge/src/late_pulls_test.ts
+++ b/packages/daemon/edge/src/late_pulls_test.ts
@@ -4,13 +4,13 @@
 import test from "ava";
 import type { ExecutionContext } from "ava";
 import type { RouteRecord } from "@dotterelmoor/core.catalog";
+import { claimPort } from "../../../network/peering/src/claimed_ports_fixture.ts";
 import {
   buildDocument,
   buildRoute,
   buildServer,
   callEdge,
   createMemoryStore,
-  findFreePort,
   TEST_BOUNDS,
 } from "./edge_fixture.ts";
 import {
@@ -73,7 +73,7 @@
   const store = createMemoryStore();
   const backends = await startBackends(t, [undefined, undefined]);
   putRouteAndServers(store, backends);
-  const port = await findFreePort();
+  const port = await claimPort();
   await startSlowProxy(t, port);
   const reader = await startReadyEdge(t, store, {
     instance: "reader",
--- a/packages/daemon/edge/src/started_fixture.ts
+++ b/packages/daemon/edge/src/started_fixture.ts
@@ -32,25 +32,6 @@
   t.pass();
 }
 
-/** Retries on other ports, as another process may take a port between its
- * choice and the start. */
-async function startOnFreePorts(
-  store: MemoryStore,
-  name: string,
-  changes: Partial<EdgeSettings>,
-) {
-  for (let attempt = 0;; attempt++) {
-    const settings = await buildSettings(name, changes);
-    const platform = buildPlatform(store.createClient(name));
-    try {
-      return { settings, edge: await startEdge(settings, platform) };
-    } catch (error) {
-      const { code } = error as NodeJS.ErrnoException;
-      if (code !== "EADDRINUSE" || attempt === 4) throw error;
-    }
-  }
-}
-
 /** Starts an entry that shuts down after the test; resolves when it is ready. */
 export async function startReadyEdge(
   t: ExecutionContext,
@@ -58,7 +39,9 @@
   changes: Partial<EdgeSettings> = {},
 ) {
   const name = changes.instance ?? "n1";
-  const { settings, edge } = await startOnFreePorts(store, name, changes);
+  const settings = await buildSettings(name, changes);
+  const platform = buildPlatform(store.createClient(name));
+  const edge = await startEdge(settings, platform);
   let hasLeft = false;
   const leave = () => {
     hasLeft = true;
--- a/packages/network/backend/src/listening_test.ts
+++ b/packages/network/backend/src/listening_test.ts
@@ -1,9 +1,10 @@
 import { spawn } from "node:child_process";
 import { once } from "node:events";
 import { createServer } from "node:net";
-import type { AddressInfo, Socket } from "node:net";
+import type { Socket } from "node:net";
 import process from "node:process";
 import test from "ava";
+import { claimPort } from "../../peering/src/claimed_ports_fixture.ts";
 import { createBackendClient } from "./mod.ts";
 
 const TIMEOUT_MS = 500;
@@ -14,8 +15,11 @@
   const client = createBackendClient();
   t.teardown(() => client.close());
   const server = createServer((socket: Socket) => socket.resetAndDestroy());
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const port = await claimPort();
+  await new Promise<void>((resolve) =>
+    server.listen(port, "127.0.0.1", resolve)
+  );
+  const address = `127.0.0.1:${port}`;
   t.is(await client.checkListening(address, TIMEOUT_MS), "accepts");
   await new Promise((resolve) => server.close(resolve));
   t.is(await client.checkListening(address, TIMEOUT_MS), "refuses");
--- a/packages/network/peering/src/peering_test.ts
+++ b/packages/network/peering/src/peering_test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import type { ExecutionContext } from "ava";
 import test from "ava";
+import { claimPort } from "./claimed_ports_fixture.ts";
 import { decodeFrame, encodeFrame, FrameReader } from "./frames.ts";
 import { buildHello } from "./hello.ts";
 import type { PeerIdentity, PeerMessage } from "./messages.ts";
@@ -164,12 +165,8 @@
     type: "not_sent",
   });
   t.is(received, 1);
-  const closed = createServer().listen(0, "127.0.0.1");
-  await once(closed, "listening");
-  const port = (closed.address() as AddressInfo).port;
-  closed.close();
-  await once(closed, "close");
-  const refused = await pool.call(`127.0.0.1:${port}`, makeMessage(1), {
+  const closed = `127.0.0.1:${await claimPort()}`;
+  const refused = await pool.call(closed, makeMessage(1), {
     timeoutMs: 5_000,
   });
   t.deepEqual(refused, { type: "not_sent" });
@@ -179,7 +176,8 @@
   const answerSame: PeerHandlers = {
     membership: (message) => Promise.resolve(message),
   };
-  const first = await openServer(t, answerSame);
+  const port = await claimPort();
+  const first = await openServer(t, answerSame, undefined, port);
   const { address } = first;
   const pool = openPool(t);
   const call = () => pool.call(address, makeMessage(1), { timeoutMs: 5_000 });
@@ -188,7 +186,7 @@
   t.not((await call()).type, "answered");
 
   const frozen = createServer((socket) => socket.resume());
-  frozen.listen(Number(address.split(":")[1]), "127.0.0.1");
+  frozen.listen(port, "127.0.0.1");
   await once(frozen, "listening");
   const connected = once(frozen, "connection");
   const other = openPool(t);
@@ -199,7 +197,6 @@
   frozen.close();
   await once(frozen, "close");
 
-  const port = Number(address.split(":")[1]);
   await openServer(t, answerSame, undefined, port);
   while ((await call()).type !== "answered") {
     await new Promise((resolve) => setImmediate(resolve));
--- a/packages/testing/soak/src/silent_links_test.ts
+++ b/packages/testing/soak/src/silent_links_test.ts
@@ -1,11 +1,10 @@
 import { request as openRequest } from "node:http";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import process from "node:process";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import test from "ava";
 import type { ExecutionContext } from "ava";
 import { encodeRequestHeaders } from "@dotterelmoor/platform";
+import { claimPorts } from "../../../network/peering/src/claimed_ports_fixture.ts";
 import { buildDocument, HOST } from "./documents.ts";
 import { startInstallation } from "./installation.ts";
 import type { SoakEntry } from "./installation.ts";
@@ -25,15 +24,10 @@
 
 const CALLS = 24;
 
-const wait = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
+/** Ports of one entry; all entries use the same, each on its own address. */
+const ENTRY_PORTS = 4;
 
-async function findPort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
+const wait = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
 
 let requests = 0;
 
@@ -73,7 +67,7 @@
   const installation = await startInstallation({
     // Concurrent runs of this file should use different addresses.
     network: `127.${network + process.pid % 100}`,
-    firstPort: await findPort(),
+    firstPort: await claimPorts(ENTRY_PORTS),
     entries: 4,
     servers: 6,
     random: () => (generator.next() >>> 0) / 2 ** 32,
