Bound the memory of all answers together

Callers saw: when servers send bodies without end, or stop before the end of a large one, the process that called them grows with each request in progress until it ends, and the requests of other clients end with it. One faulty server is enough: 64 connections times 4 MiB, and as much again for blocks that are copied and not collected yet.

Cause: the limits on an answer hold for one answer; nothing limited their sum. Heads were no part of it: 1,000 heads of 16 KiB, or of 100 KB of spaces, that never end took 59 and 67 MB.

Change: bodies share a budget (24 MiB; 9% of the memory limit that an entry's settings give). Beyond it, the answer that may come to take the most is cut off as incomplete: by the length that it announced, or twice what it has if it announced none. An answer of at most 64 KiB is never cut off, nor one that has ended. A longer body is kept in blocks of a pool, which the next body uses at once. With a budget of 32 MiB alone the memory still grew by 163 to 267 MB, as ended blocks wait for the collection of garbage.

--- a/packages/daemon/edge/src/ports.ts
+++ b/packages/daemon/edge/src/ports.ts
@@ -142,6 +142,8 @@
   readonly zones: Readonly<Record<string, string>>;
   /** CPU capacity of the instance in thousandths of a core. */
   readonly capacity: number;
+  /** Memory in bytes that the process may take; undefined if unknown. */
+  readonly memoryBytes?: number | undefined;
   readonly callers: ListenAddress;
   readonly lookups: ListenAddress;
   readonly readiness: ListenAddress;
--- a/packages/daemon/edge/src/process/metrics.ts
+++ b/packages/daemon/edge/src/process/metrics.ts
@@ -45,6 +45,7 @@
   readonly sends: Counter<"service" | "outcome">;
   readonly boundSends: Counter<"place">;
   readonly serverNotices: Counter<"notice">;
+  readonly answersRejected: Counter;
   readonly serverCrashes: Counter<"service">;
   readonly quarantined: Gauge;
   readonly lookups: Counter<"source">;
@@ -101,6 +102,11 @@
       labelNames: ["notice"],
       registers,
     }),
+    answersRejected: new Counter({
+      name: "dotterelmoor_answers_rejected_total",
+      help: "Answers rejected because all answers took too much memory",
+      registers,
+    }),
     serverCrashes: new Counter({
       name: "dotterelmoor_server_crashes_total",
       help: "Servers that ended under requests of this entry, by service",
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -57,6 +57,10 @@
  * shorter keep-alive time that a server announces takes precedence. */
 const SERVER_IDLE_TIMEOUT_MS = 5_000;
 
+/** Share of the process's memory for answers that are being read. As much again
+ * is needed for bytes that were read but are not collected yet. */
+const ANSWERS_SHARE = 0.09;
+
 /** Header bytes that the HTTP parser accepts; the configuration's limit is
  * lower. */
 const MAX_HEADER_BYTES = 128 * 1_024;
@@ -331,6 +335,11 @@
     protocol: platform.servers,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     idleMs: SERVER_IDLE_TIMEOUT_MS,
+    ...limitAnswers(settings),
+    onAnswerRejected: (rejection) => {
+      metrics.answersRejected.inc();
+      log.decide("Answer rejected for memory.", { ...rejection });
+    },
   });
   store.add(() => backend.close());
   const budgets = createRetryBudgets({
@@ -362,6 +371,13 @@
   });
 }
 
+function limitAnswers(
+  { memoryBytes }: EdgeSettings,
+): { readonly maxAnswersBytes?: number } {
+  if (memoryBytes === undefined) return {};
+  return { maxAnswersBytes: Math.floor(ANSWERS_SHARE * memoryBytes) };
+}
+
 function createCallerServer(front: Front): Server {
   const server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true },
--- a/packages/network/backend/src/client.ts
+++ b/packages/network/backend/src/client.ts
@@ -6,8 +6,9 @@
 
 import { performance } from "node:perf_hooks";
 import { startTimeout } from "@dotterelmoor/network.timing";
+import { AnswerBudget } from "./answer_budget.ts";
 import type { Connection } from "./connection.ts";
-import { runExchange } from "./exchange.ts";
+import { rejectAnswer, runExchange } from "./exchange.ts";
 import type { Exchange } from "./exchange.ts";
 import { fetchHealth } from "./health.ts";
 import { checkListening } from "./listening.ts";
@@ -15,6 +16,7 @@
 import { DEFAULT_PROTOCOL } from "./protocol.ts";
 import type { ServerProtocol } from "./protocol.ts";
 import type {
+  AnswerRejection,
   BackendClient,
   BackendClientOptions,
   BackendRequest,
@@ -24,6 +26,8 @@
 const DEFAULTS = {
   maxConnectionsPerServer: 64,
   maxAnswerBytes: 4 * 1024 * 1024,
+  maxAnswersBytes: 24 * 1024 * 1024,
+  onAnswerRejected: () => {},
   // A connection in the same region opens in about 1 ms.
   connectTimeoutMs: 500,
   // Less than the 5 s after which Node.js servers close idle connections: a
@@ -38,8 +42,9 @@
 ): BackendClient {
   const settings = { ...DEFAULTS, ...options };
   const pool = new ConnectionPool(settings);
+  const budget = new AnswerBudget(settings.maxAnswersBytes);
   return {
-    send: (request) => sendRequest(request, { pool, ...settings }),
+    send: (request) => sendRequest(request, { pool, budget, ...settings }),
     fetchHealth,
     checkListening,
     close: () => pool.close(),
@@ -48,7 +53,9 @@
 
 interface SendOptions {
   readonly pool: ConnectionPool;
+  readonly budget: AnswerBudget;
   readonly maxAnswerBytes: number;
+  readonly onAnswerRejected: (rejection: AnswerRejection) => void;
   readonly protocol: ServerProtocol;
 }
 
@@ -70,6 +77,10 @@
     maxAnswerBytes: options.maxAnswerBytes,
     protocol: options.protocol,
     controller,
+    share: options.budget.open((rejection) => {
+      rejectAnswer(exchange);
+      options.onAnswerRejected({ address: request.address, ...rejection });
+    }),
     sent: false,
     responseStarted: false,
     bodyBytes: 0,
@@ -79,6 +90,7 @@
   try {
     return await runOnConnection(options.pool, exchange);
   } finally {
+    exchange.share.release();
     timeout.stop();
     request.signal?.removeEventListener("abort", abort);
   }
--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -11,6 +11,7 @@
   IncomingMessage,
 } from "node:http";
 import { performance } from "node:perf_hooks";
+import type { AnswerShare } from "./answer_budget.ts";
 import { BodyBuffer } from "./body_buffer.ts";
 import type { Connection } from "./connection.ts";
 import { buildRequestHeaders, pickEndToEnd } from "./headers.ts";
@@ -34,6 +35,8 @@
   readonly maxAnswerBytes: number;
   readonly protocol: ServerProtocol;
   readonly controller: AbortController;
+  /** What the response takes of the budget of all. */
+  readonly share: AnswerShare;
   /** True once bytes of the request may have been sent. */
   sent: boolean;
   /** True once the head of the response has arrived. */
@@ -142,20 +145,36 @@
   exchange: Exchange,
 ): Promise<Uint8Array> {
   return new Promise((resolve, reject) => {
-    const body = new BodyBuffer();
+    const { share, controller } = exchange;
+    const body = new BodyBuffer(share.pool);
+    let isCut = false;
+    controller.signal.addEventListener("abort", () => {
+      // A complete answer is still delivered.
+      if (response.complete) return;
+      isCut = true;
+      body.clear();
+    });
+    const length = response.headers["content-length"];
+    if (length !== undefined) share.setAnnounced(Number(length));
     response.on("data", (chunk: Buffer) => {
+      if (isCut) return;
       body.append(chunk);
+      share.setHeld(body.allocatedBytes);
       exchange.bodyBytes += chunk.length;
       if (exchange.bodyBytes > exchange.maxAnswerBytes) rejectAnswer(exchange);
     });
-    response.once("end", () => resolve(body.take()));
+    response.once("end", () => {
+      share.release();
+      if (isCut) reject(controller.signal.reason);
+      else resolve(body.take());
+    });
     response.once("error", reject);
     // A close before the end means that the response is truncated; after the
     // end, this has no effect.
-    response.once(
-      "close",
-      () => reject(new Error("The response is truncated")),
-    );
+    response.once("close", () => {
+      body.clear();
+      reject(new Error("The response is truncated"));
+    });
   });
 }
 
@@ -204,7 +223,8 @@
     headers["transfer-encoding"]?.toLowerCase() === "chunked";
 }
 
-function rejectAnswer(exchange: Exchange): void {
+/** Rejects the response and closes its connection. */
+export function rejectAnswer(exchange: Exchange): void {
   exchange.isRejected = true;
   exchange.controller.abort(new Error("The response is not acceptable"));
 }
--- a/packages/network/backend/src/mod.ts
+++ b/packages/network/backend/src/mod.ts
@@ -9,6 +9,7 @@
 export { DEFAULT_PROTOCOL } from "./protocol.ts";
 export type { ServerProtocol } from "./protocol.ts";
 export type {
+  AnswerRejection,
   BackendClient,
   BackendClientOptions,
   BackendRequest,
--- a/packages/network/backend/src/types.ts
+++ b/packages/network/backend/src/types.ts
@@ -5,6 +5,7 @@
  */
 
 import type { IncomingHttpHeaders } from "node:http";
+import type { BudgetRejection } from "./answer_budget.ts";
 import type { ServerProtocol } from "./protocol.ts";
 
 /** Options of a backend client. */
@@ -14,6 +15,11 @@
   readonly maxConnectionsPerServer?: number;
   /** Largest response body in bytes; a larger one gives `incomplete_answer`. */
   readonly maxAnswerBytes?: number;
+  /** Bytes that all response bodies being read may take together; beyond them,
+   * the largest give `incomplete_answer`. */
+  readonly maxAnswersBytes?: number;
+  /** Called when a response is rejected because of `maxAnswersBytes`. */
+  readonly onAnswerRejected?: (rejection: AnswerRejection) => void;
   /** Time in milliseconds for opening a connection. */
   readonly connectTimeoutMs?: number;
   /** Time in milliseconds after which an idle connection is closed. */
@@ -23,6 +29,12 @@
   readonly protocol?: ServerProtocol;
 }
 
+/** A response that was rejected because all together took too much. */
+export interface AnswerRejection extends BudgetRejection {
+  /** `host:port` of the backend server. */
+  readonly address: string;
+}
+
 /** One request to one backend server. */
 export interface BackendRequest {
   /** `host:port` of the backend server. */
