Bound the memory of callers' bodies together

Cause: readBody kept each body whole and, for a moment, twice. Only the size of one body was limited.

Change: bodies draw on a budget. One of at most 16 KiB is free. Those up to 256 KiB share 12 MiB, and the larger ones share 18% of the memory limit (48 MiB without one); one beyond that is read while there is no other. A body waits unread for its room, in order of arrival, so small ones go on beside large ones. A chunked body has no length: it moves from one size to the next, and claims the largest size above 256 KiB. A request without room in its caller's time is refused with 503, reason "no-memory" and Retry-After; one whose body does not end in that time with "too-late", so that a silent caller does not keep the room. Both are true, as nothing was passed on. The parts of a body are hashed and sent without a copy of the whole; short parts are put together, as one byte would take about 190.

Without the budget, two tests of body_wait_test fail and one never ends.

--- a/packages/core/quarantine/src/fingerprint.ts
+++ b/packages/core/quarantine/src/fingerprint.ts
@@ -14,7 +14,8 @@
   readonly path: string;
   /** Idempotency key; if set, the body is not part of the fingerprint. */
   readonly key?: string;
-  readonly body?: Uint8Array;
+  /** The body: whole, or its parts in order. */
+  readonly body?: Uint8Array | readonly Uint8Array[];
   /**
    * Address of the caller. Set it to match only repeats by the same caller: an
    * otherwise equal request of another caller may be harmless.
@@ -32,6 +33,8 @@
   hash.update(
     JSON.stringify(caller === undefined ? parts : [...parts, caller]),
   );
-  hash.update(options.key ?? options.body ?? "");
+  const content = options.key ?? options.body ?? "";
+  const isWhole = typeof content === "string" || content instanceof Uint8Array;
+  for (const part of isWhole ? [content] : content) hash.update(part);
   return hash.digest("hex").slice(0, 32);
 }
--- a/packages/daemon/edge/src/request/forward_types.ts
+++ b/packages/daemon/edge/src/request/forward_types.ts
@@ -6,6 +6,7 @@
 
 import type { RouteRecord } from "@dotterelmoor/core.catalog";
 import type { RefusalInputs } from "@dotterelmoor/core.placing";
+import type { RequestBody } from "@dotterelmoor/network.backend";
 import type { QuarantineInputs } from "../process/crash_quarantine.ts";
 import type { RequestOutcome } from "./outcomes.ts";
 
@@ -24,7 +25,7 @@
   readonly method: string;
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
-  readonly body: Uint8Array;
+  readonly body: RequestBody;
   /** Monotonic times in milliseconds of the arrival and of the deadline for the
    * answer. */
   readonly arrivedAtMs: number;
--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -10,7 +10,7 @@
 import type { CallerProtocol } from "../ports.ts";
 import type { EdgeLog } from "../process/logging.ts";
 import type { EdgeMetrics } from "../process/metrics.ts";
-import { readBody } from "./body.ts";
+import type { BodyReader, BodyResult } from "./body.ts";
 import type { ForwardResult } from "./forward_types.ts";
 import type { Forwarder } from "./forwarding.ts";
 import { answer } from "./outcomes.ts";
@@ -24,6 +24,10 @@
  * down; they reach another entry on a new connection. */
 const LEAVING_RETRY_MS = 20;
 
+/** Time in milliseconds after which callers may retry a request for whose body
+ * there was no room. */
+const MEMORY_RETRY_MS = 1_000;
+
 /** Share of the grace period after which requests are refused. By then, most
  * callers have moved to other entries; the rest of the period is left for
  * requests in flight to finish. */
@@ -33,6 +37,7 @@
 export interface FrontOptions {
   readonly catalog: Catalog;
   readonly forwarder: Forwarder;
+  readonly bodies: BodyReader;
   readonly protocol: CallerProtocol;
   readonly metrics: EdgeMetrics;
   readonly log: EdgeLog;
@@ -111,34 +116,40 @@
     if (context.arrivedAtMs >= (this.#refusesAtMs ?? Infinity)) {
       return { ...refuse("leaving", LEAVING_RETRY_MS), route };
     }
-    const body = await readBody(request, document.limits.maxBodyBytes);
-    if (body.type === "too-large") return reject("body-too-large");
-    if (body.type === "cut") {
-      return { outcome: { type: "abandoned" }, sends: [] };
-    }
     const waitMs = Math.min(caller.waitMs ?? Infinity, route.timeoutMs);
-    const { method = "GET", url = "/" } = request;
-    const result = await this.#options.forwarder.forward({
-      route,
-      host,
-      requestId: caller.requestId,
-      fingerprint: computeFingerprint({
-        service: host,
+    const deadlineAtMs = context.arrivedAtMs + waitMs;
+    const body = await this.#options.bodies.read(request, {
+      maxBytes: document.limits.maxBodyBytes,
+      deadlineAtMs,
+      signal: context.signal,
+    });
+    if (body.type !== "body") return { ...UNREAD_RESULTS[body.type], route };
+    try {
+      const { method = "GET", url = "/" } = request;
+      const result = await this.#options.forwarder.forward({
+        route,
+        host,
+        requestId: caller.requestId,
+        fingerprint: computeFingerprint({
+          service: host,
+          method,
+          path: url,
+          body: body.bytes,
+          caller: request.socket.remoteAddress ?? "",
+        }),
+        object: caller.object,
         method,
         path: url,
+        headers: joinHeaders(request),
         body: body.bytes,
-        caller: request.socket.remoteAddress ?? "",
-      }),
-      object: caller.object,
-      method,
-      path: url,
-      headers: joinHeaders(request),
-      body: body.bytes,
-      arrivedAtMs: context.arrivedAtMs,
-      deadlineAtMs: context.arrivedAtMs + waitMs,
-      signal: context.signal,
-    });
-    return { ...result, route, routeVersion: document.version };
+        arrivedAtMs: context.arrivedAtMs,
+        deadlineAtMs,
+        signal: context.signal,
+      });
+      return { ...result, route, routeVersion: document.version };
+    } finally {
+      body.release();
+    }
   }
 
   #answer(
@@ -232,8 +243,18 @@
   return sends.length > 1 ? "Request served by a retry." : "Request served.";
 }
 
+/** Results of requests whose body was not read to its end. */
+const UNREAD_RESULTS: Readonly<
+  Record<Exclude<BodyResult["type"], "body">, ForwardResult>
+> = {
+  cut: { outcome: { type: "abandoned" }, sends: [] },
+  late: refuse("too-late", 0),
+  "no-memory": refuse("no-memory", MEMORY_RETRY_MS),
+  "too-large": reject("body-too-large"),
+};
+
 function refuse(
-  reason: "leaving" | "no-configuration",
+  reason: "leaving" | "no-configuration" | "no-memory" | "too-late",
   retryAfterMs: number,
 ): ForwardResult {
   return { outcome: { type: "not-run", reason, retryAfterMs }, sends: [] };
--- a/packages/daemon/edge/src/request/outcomes.ts
+++ b/packages/daemon/edge/src/request/outcomes.ts
@@ -11,6 +11,7 @@
   | "configuration-unconfirmed"
   | "leaving"
   | "no-configuration"
+  | "no-memory"
   | "no-server"
   | "quarantined"
   | "retry-budget"
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -42,6 +42,7 @@
   MeasuringStallDetector,
   StallDetector,
 } from "./process/stalls.ts";
+import { BodyReader } from "./request/body.ts";
 import { createForwarder } from "./request/forwarding.ts";
 import { createFront } from "./request/front.ts";
 import type { Front } from "./request/front.ts";
@@ -61,6 +62,9 @@
  * is needed for bytes that were read but are not collected yet. */
 const ANSWERS_SHARE = 0.09;
 
+/** Share of the process's memory for callers' large bodies. */
+const BODIES_SHARE = 0.18;
+
 /** Header bytes that the HTTP parser accepts; the configuration's limit is
  * lower. */
 const MAX_HEADER_BYTES = 128 * 1_024;
@@ -365,12 +369,19 @@
         return contactAgeMs <= settings.bounds.configurationApplyMs;
       },
     }),
+    bodies: createBodyReader(settings),
     protocol,
     metrics,
     log,
   });
 }
 
+function createBodyReader({ memoryBytes }: EdgeSettings): BodyReader {
+  if (memoryBytes === undefined) return new BodyReader();
+  const maxLargeBytes = Math.floor(BODIES_SHARE * memoryBytes);
+  return new BodyReader({ maxLargeBytes });
+}
+
 function limitAnswers(
   { memoryBytes }: EdgeSettings,
 ): { readonly maxAnswersBytes?: number } {
--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -102,8 +102,10 @@
     ...buildRequestHeaders(request.headers, { requestId, protocol }),
     [protocol.deadlineHeader]: String(workMs),
   };
-  const body = request.body ?? new Uint8Array();
-  if (body.length > 0) headers["content-length"] = String(body.length);
+  const { body = [] } = request;
+  const parts = body instanceof Uint8Array ? [body] : body;
+  const length = parts.reduce((sum, part) => sum + part.length, 0);
+  if (length > 0) headers["content-length"] = String(length);
   // Throws if the path or a header cannot be encoded.
   const separator = request.address.lastIndexOf(":");
   const clientRequest = openRequest({
@@ -123,7 +125,8 @@
   signal.addEventListener("abort", abort, { once: true });
   exchange.notWritten = false;
   exchange.sent = true;
-  clientRequest.end(body);
+  for (const part of parts.slice(0, -1)) clientRequest.write(part);
+  clientRequest.end(parts.at(-1));
   return clientRequest;
 }
 
--- a/packages/network/backend/src/mod.ts
+++ b/packages/network/backend/src/mod.ts
@@ -16,4 +16,5 @@
   BackendResult,
   HealthResult,
   ListenState,
+  RequestBody,
 } from "./types.ts";
--- a/packages/network/backend/src/types.ts
+++ b/packages/network/backend/src/types.ts
@@ -35,6 +35,9 @@
   readonly address: string;
 }
 
+/** The body of a request: whole, or its parts in order. */
+export type RequestBody = Uint8Array | readonly Uint8Array[];
+
 /** One request to one backend server. */
 export interface BackendRequest {
   /** `host:port` of the backend server. */
@@ -43,7 +46,7 @@
   /** Path and query, beginning with `/`. */
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
-  readonly body?: Uint8Array;
+  readonly body?: RequestBody;
   /** Time in milliseconds after which the response is no longer needed. */
   readonly deadlineMs: number;
   readonly requestId: string;
