--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -13,7 +13,7 @@
 import type { GracePeriod } from "../process/grace_period.ts";
 import type { EdgeLog } from "../process/logging.ts";
 import type { EdgeMetrics } from "../process/metrics.ts";
-import { readBody } from "./body.ts";
+import type { BodyReader, BodyResult } from "./body.ts";
 import type { ForwardResult } from "./forward_types.ts";
 import type { Forwarder } from "./forwarding.ts";
 import { countHeaderBytes, joinHeaders } from "./headers.ts";
@@ -23,10 +23,15 @@
  * configuration yet. */
 const STARTING_RETRY_MS = 500;
 
+/** Time in milliseconds after which callers may retry a request for whose body
+ * there was no room. */
+const MEMORY_RETRY_MS = 1_000;
+
 /** Options of `createFront`. */
 export interface FrontOptions {
   readonly catalog: Catalog;
   readonly forwarder: Forwarder;
+  readonly bodies: BodyReader;
   readonly protocol: CallerProtocol;
   readonly metrics: EdgeMetrics;
   readonly log: EdgeLog;
@@ -142,36 +147,42 @@
     if (isClosed || arrivedAtMs + waitMs > this.#exitsAtMs()) {
       return { ...refuse("leaving", LEAVING_RETRY_MS), route };
     }
-    const body = await readBody(request, document.limits.maxBodyBytes);
-    if (body.type === "too-large") return reject("body-too-large");
-    if (body.type === "broken") return reject("malformed");
-    if (body.type === "cut") {
-      return { outcome: { type: "abandoned" }, sends: [] };
-    }
-    const { method = "GET", url = "/" } = request;
-    context.forwardedRoute = route;
-    const result = await this.#options.forwarder.forward({
-      route,
-      host,
-      requestId: caller.requestId,
-      fingerprint: computeFingerprint({
-        service: host,
+    const deadlineAtMs = arrivedAtMs + waitMs;
+    const { signal } = context.controller;
+    const body = await this.#options.bodies.read(request, {
+      maxBytes: document.limits.maxBodyBytes,
+      deadlineAtMs,
+      signal,
+    });
+    if (body.type !== "body") return { ...UNREAD_RESULTS[body.type], route };
+    try {
+      const { method = "GET", url = "/" } = request;
+      context.forwardedRoute = route;
+      const result = await this.#options.forwarder.forward({
+        route,
+        host,
+        requestId: caller.requestId,
+        fingerprint: computeFingerprint({
+          service: host,
+          method,
+          path: url,
+          body: body.bytes,
+          caller: request.socket.remoteAddress ?? "",
+        }),
+        object: caller.object,
         method,
         path: url,
+        headers: joinHeaders(request),
         body: body.bytes,
-        caller: request.socket.remoteAddress ?? "",
-      }),
-      object: caller.object,
-      method,
-      path: url,
-      headers: joinHeaders(request),
-      body: body.bytes,
-      arrivedAtMs,
-      deadlineAtMs: arrivedAtMs + waitMs,
-      exitsAtMs: () => this.#exitsAtMs(),
-      signal: context.controller.signal,
-    });
-    return { ...result, route, routeVersion: document.version };
+        arrivedAtMs,
+        deadlineAtMs,
+        exitsAtMs: () => this.#exitsAtMs(),
+        signal,
+      });
+      return { ...result, route, routeVersion: document.version };
+    } finally {
+      body.release();
+    }
   }
 
   #answer(
@@ -274,8 +285,19 @@
   return sends.length > 1 ? "Request served by a retry." : "Request served.";
 }
 
+/** Results of requests whose body was not read to its end. */
+const UNREAD_RESULTS: Readonly<
+  Record<Exclude<BodyResult["type"], "body">, ForwardResult>
+> = {
+  broken: reject("malformed"),
+  cut: { outcome: { type: "abandoned" }, sends: [] },
+  late: refuse("too-late", 0),
+  "no-memory": refuse("no-memory", MEMORY_RETRY_MS),
+  "too-large": reject("body-too-large"),
+};
+
 function refuse(
-  reason: "leaving" | "no-configuration",
+  reason: "leaving" | "no-configuration" | "no-memory" | "too-late",
   retryAfterMs: number,
 ): ForwardResult {
   return { outcome: { type: "not-run", reason, retryAfterMs }, sends: [] };
--- a/packages/daemon/edge/src/request/front_fixture.ts
+++ b/packages/daemon/edge/src/request/front_fixture.ts
@@ -7,19 +7,23 @@
 import type { AddressInfo } from "node:net";
 import type { ExecutionContext } from "ava";
 import { createCatalog } from "@dotterelmoor/core.catalog";
-import type { RouteRecord } from "@dotterelmoor/core.catalog";
+import type { RouteRecord, RoutingDocument } from "@dotterelmoor/core.catalog";
 import { DisposableStore } from "@dotterelmoor/core.types";
 import { buildDocument, buildPlatform, buildRoute } from "../edge_fixture.ts";
 import { createMemoryStore } from "../edge_fixture.ts";
 import { createCallerServer } from "../process/caller_server.ts";
 import { createEdgeLog } from "../process/logging.ts";
 import { createEdgeMetrics } from "../process/metrics.ts";
+import { BodyReader } from "./body.ts";
 import type { Forwarder } from "./forwarding.ts";
 import { createFront } from "./front.ts";
 
 /** Options of `startFront`. */
 export interface FrontServerOptions {
-  readonly route?: RouteRecord;
+  readonly route?: Partial<RouteRecord>;
+  readonly limits?: Partial<RoutingDocument["limits"]>;
+  /** Bytes that all large bodies may take together. */
+  readonly maxLargeBytes?: number;
   /** Time in milliseconds in which a head must arrive. */
   readonly headersMs?: number;
   /** Interval in milliseconds between checks for late heads. */
@@ -28,16 +32,19 @@
 
 /** Starts a front with one route; its server closes after the test. */
 export async function startFront(
-  t: ExecutionContext,
+  t: Pick<ExecutionContext, "teardown">,
   forwarder: Forwarder,
   options: FrontServerOptions = {},
 ) {
+  const { route, limits, maxLargeBytes } = options;
   const catalog = createCatalog({ zones: {} });
-  const document = buildDocument(1, [options.route ?? buildRoute()]);
+  const built = buildDocument(1, [buildRoute(route)]);
+  const document = { ...built, limits: { ...built.limits, ...limits } };
   const changes = [{ type: "document", document } as const];
   catalog.applyTable("orders", { version: 1, isComplete: true, changes }, 0);
   const store = new DisposableStore();
   const parts = {
+    bodies: new BodyReader({ maxLargeBytes }),
     protocol: buildPlatform(createMemoryStore().createClient("n1")).callers,
     metrics: createEdgeMetrics({ address: undefined, store }),
     log: createEdgeLog({ level: "silent", instance: "n1", region: "a" }),
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -42,6 +42,7 @@
   MeasuringStallDetector,
   StallDetector,
 } from "./process/stalls.ts";
+import { BodyReader } from "./request/body.ts";
 import { createForwarder } from "./request/forwarding.ts";
 import { createFront } from "./request/front.ts";
 import type { Front } from "./request/front.ts";
@@ -57,6 +58,13 @@
  * shorter keep-alive time that a server announces takes precedence. */
 const SERVER_IDLE_TIMEOUT_MS = 5_000;
 
+/** Share of the process's memory for answers that are being read. As much again
+ * is needed for bytes that were read but are not collected yet. */
+const ANSWERS_SHARE = 0.09;
+
+/** Share of the process's memory for callers' large bodies. */
+const BODIES_SHARE = 0.18;
+
 /** Time in milliseconds by which callers' idle connections stay open beyond the
  * configured idle timeout, so that a request sent just before the timeout does
  * not race with the close. */
@@ -328,6 +336,11 @@
     protocol: platform.servers,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     idleMs: SERVER_IDLE_TIMEOUT_MS,
+    ...limitAnswers(settings),
+    onAnswerRejected: (rejection) => {
+      metrics.answersRejected.inc();
+      log.decide("Answer rejected for memory.", { ...rejection });
+    },
   });
   store.add(() => backend.close());
   const budgets = createRetryBudgets({
@@ -353,12 +366,26 @@
         return contactAgeMs <= settings.bounds.configurationApplyMs;
       },
     }),
+    bodies: createBodyReader(settings),
     protocol,
     metrics,
     log,
   });
 }
 
+function createBodyReader({ memoryBytes }: EdgeSettings): BodyReader {
+  if (memoryBytes === undefined) return new BodyReader();
+  const maxLargeBytes = Math.floor(BODIES_SHARE * memoryBytes);
+  return new BodyReader({ maxLargeBytes });
+}
+
+function limitAnswers(
+  { memoryBytes }: EdgeSettings,
+): { readonly maxAnswersBytes?: number } {
+  if (memoryBytes === undefined) return {};
+  return { maxAnswersBytes: Math.floor(ANSWERS_SHARE * memoryBytes) };
+}
+
 function startWatch(
   shared: SharedParts,
   { peers, callers }: { readonly peers: Peers; readonly callers: Server },
--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -11,6 +11,7 @@
   IncomingMessage,
 } from "node:http";
 import { performance } from "node:perf_hooks";
+import type { AnswerShare } from "./answer_budget.ts";
 import { BodyBuffer } from "./body_buffer.ts";
 import type { Connection } from "./connection.ts";
 import { buildRequestHeaders, pickEndToEnd } from "./headers.ts";
@@ -34,6 +35,8 @@
   readonly maxAnswerBytes: number;
   readonly protocol: ServerProtocol;
   readonly controller: AbortController;
+  /** What the response takes of the budget of all. */
+  readonly share: AnswerShare;
   /** True once bytes of the request may have been sent. */
   sent: boolean;
   /** True once the head of the response has arrived. */
@@ -109,8 +112,10 @@
     ...buildRequestHeaders(request.headers, { requestId, protocol }),
     [protocol.deadlineHeader]: String(workMs),
   };
-  const body = request.body ?? new Uint8Array();
-  if (body.length > 0) headers["content-length"] = String(body.length);
+  const { body = [] } = request;
+  const parts = body instanceof Uint8Array ? [body] : body;
+  const length = parts.reduce((sum, part) => sum + part.length, 0);
+  if (length > 0) headers["content-length"] = String(length);
   // Throws if the path or a header cannot be encoded.
   const separator = request.address.lastIndexOf(":");
   const clientRequest = openRequest({
@@ -130,7 +135,8 @@
   signal.addEventListener("abort", abort, { once: true });
   exchange.notWritten = false;
   exchange.sent = true;
-  clientRequest.end(body);
+  for (const part of parts.slice(0, -1)) clientRequest.write(part);
+  clientRequest.end(parts.at(-1));
   request.onWrite?.(connection.number);
   return clientRequest;
 }
@@ -153,20 +159,36 @@
   exchange: Exchange,
 ): Promise<Uint8Array> {
   return new Promise((resolve, reject) => {
-    const body = new BodyBuffer();
+    const { share, controller } = exchange;
+    const body = new BodyBuffer(share.pool);
+    let isCut = false;
+    controller.signal.addEventListener("abort", () => {
+      // A complete answer is still delivered.
+      if (response.complete) return;
+      isCut = true;
+      body.clear();
+    });
+    const length = response.headers["content-length"];
+    if (length !== undefined) share.setAnnounced(Number(length));
     response.on("data", (chunk: Buffer) => {
+      if (isCut) return;
       body.append(chunk);
+      share.setHeld(body.allocatedBytes);
       exchange.bodyBytes += chunk.length;
       if (exchange.bodyBytes > exchange.maxAnswerBytes) rejectAnswer(exchange);
     });
-    response.once("end", () => resolve(body.take()));
+    response.once("end", () => {
+      share.release();
+      if (isCut) reject(controller.signal.reason);
+      else resolve(body.take());
+    });
     response.once("error", reject);
     // A close before the end means that the response is truncated; after the
     // end, this has no effect.
-    response.once(
-      "close",
-      () => reject(new Error("The response is truncated")),
-    );
+    response.once("close", () => {
+      body.clear();
+      reject(new Error("The response is truncated"));
+    });
   });
 }
 
@@ -232,7 +254,8 @@
     headers["transfer-encoding"]?.toLowerCase() === "chunked";
 }
 
-function rejectAnswer(exchange: Exchange): void {
+/** Rejects the response and closes its connection. */
+export function rejectAnswer(exchange: Exchange): void {
   exchange.isRejected = true;
   exchange.controller.abort(new Error("The response is not acceptable"));
 }
--- a/packages/network/backend/src/mod.ts
+++ b/packages/network/backend/src/mod.ts
@@ -9,10 +9,12 @@
 export { DEFAULT_PROTOCOL } from "./protocol.ts";
 export type { ServerProtocol } from "./protocol.ts";
 export type {
+  AnswerRejection,
   BackendClient,
   BackendClientOptions,
   BackendRequest,
   BackendResult,
   HealthResult,
   ListenState,
+  RequestBody,
 } from "./types.ts";
