Refuse requests that an entry knows as quarantined before sending them on

Seen in the trace of crashing_request_test: an entry that had received the conviction 30 to 400 ms before still waited 50 to 100 ms for bytes of the link to the home region, with each attempt.

Cause: only the owner of a group asked the quarantine. The entry that gets a request has the convictions of all regions, but claimed the key, took bytes of the link's budget, and reported `link-budget` if no owner could be asked.

Change: that entry refuses the request first, with the time that its quarantine lasts. A service in one region, whose owner was asked over the link alone, is refused as `quarantined` too while there is no permit.

Before: front_test fails (`link-budget` instead of `quarantined`). After: it passes, and 4 of 4 runs of crashing_request_test (3 tests), and live_replay, at_most_once and entry_path (10 tests), at load 2 to 11.

--- a/packages/daemon/entry/src/request/front.ts
+++ b/packages/daemon/entry/src/request/front.ts
@@ -58,6 +58,8 @@
     request: CallerRequest,
     key: string | undefined,
   ) => string;
+  /** Time until the quarantine of a request ends; 0 without one. */
+  readonly getQuarantineMs: (fingerprint: string) => number;
   readonly claimKey: (
     request: CallerRequest,
     key: string,
@@ -125,6 +127,10 @@
     return makeNotRun("key-missing", RETRY_AFTER_MS);
   }
   const execution = buildExecution(options, { request, kind, key, view });
+  const quarantineMs = options.getQuarantineMs(execution.fingerprint);
+  if (quarantineMs > 0) {
+    return makeNotRun("quarantined", Math.ceil(quarantineMs));
+  }
   if (kind.repeatable || key === undefined) {
     return runRounds(options, execution, signal);
   }
--- a/packages/daemon/entry/src/wiring/requests.ts
+++ b/packages/daemon/entry/src/wiring/requests.ts
@@ -110,6 +110,11 @@
     getView: () => state.view,
     computeFingerprint: (request, key) =>
       computeFingerprint({ ...request, key }),
+    getQuarantineMs: (fingerprint) =>
+      components.quarantine.quarantine.getRemainingMs(
+        fingerprint,
+        clock.nowMs(),
+      ),
     takeRetry: budgets.takeRetry,
     claimKey: createKeyClaimer({
       processId,
