Apply a server's idle timeout from its first answer on

Callers got 502 for a request that was sent on a connection which its server was closing: the idle timeout that a server states in `keep-alive` was not applied before the second answer of a connection.

Cause: the timer of an idle connection starts at the end of the response, when Node.js frees the connection; the limit was lowered after that, one step later.

Change: the limit is lowered at the head of the response.

Evidence: with `timeout=2`, and 5 s as the client's own limit, the connection stayed open for 5,006 ms before and 506 ms after (2 s less the margin of 1.5 s). Connections of servers that state 1 s are no longer kept after their first answer, as they weren't after the second; this may cost new connections.

--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -67,6 +67,8 @@
     ? connection.waitForCleanEnd()
     : Promise.resolve(true);
   exchange.responseStarted = true;
+  // Before the connection becomes idle, at the end of the response.
+  limitIdle(connection, response);
   const { statusCode = 0, headers } = response;
   if (statusCode < MIN_FINAL_STATUS) rejectAnswer(exchange);
   const isMatching = hasMatchingId(response, exchange, connection.isReused);
@@ -83,7 +85,6 @@
   if (!exchange.isRejected) exchange.request.onHead?.(statusCode, headers);
   const body = await readBody(response, exchange);
   if (!await ended) exchange.isRejected = true;
-  limitIdle(connection, response);
   return buildResult(response, body, exchange);
 }
 
