Close a connection whose server answered early and reads no more

Callers got 503 (`too-late`; the requests had not run) once all connections to a server were in use by nobody: the server had refused requests before it had read their bodies, and read no further.

Cause: a connection becomes idle only when its request is written. Until then, after the answer, nothing watched it: neither a timeout nor bytes that arrive, which were dropped. A copy of the refusal of which a part was dropped would have left the rest to the next request (by reading; HTTP's parser rejects it).

Change: from the end of an answer on, the connection has its idle timeout, and further bytes close it, whether its request is written or not. A server that reads on in time keeps the connection.

--- a/packages/network/backend/src/connection.ts
+++ b/packages/network/backend/src/connection.ts
@@ -93,7 +93,7 @@
     this.#socket = socket;
     this.#idleMs = options.idleMs;
     this.agent = new SingleSocketAgent(socket, () => {
-      this.#markIdle();
+      this.expectNothing();
       // The agent frees the socket only after this callback returns.
       queueMicrotask(() => options.events.onIdle(this));
     });
@@ -176,10 +176,14 @@
     this.#socket.destroy();
   }
 
-  #markIdle(): void {
-    this.#socket.removeListener("data", this.#handleResponseData);
-    // Unsolicited bytes would be read as the response to the next request.
-    this.#socket.on("data", this.#handleUnsolicitedData);
+  /** Closes the connection if it isn't used again in time, or if further bytes
+   * arrive: they would be read as the response to the next request. */
+  expectNothing(): void {
+    const socket = this.#socket;
+    socket.removeListener("data", this.#handleResponseData);
+    socket.removeListener("data", this.#handleUnsolicitedData);
+    socket.on("data", this.#handleUnsolicitedData);
+    clearTimeout(this.#idleTimer);
     this.#idleTimer = setTimeout(() => this.close(), this.#idleMs);
     this.#idleTimer.unref();
   }
--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -84,6 +84,8 @@
   }
   if (!exchange.isRejected) exchange.request.onHead?.(statusCode, headers);
   const body = await readBody(response, exchange);
+  // Node.js has not freed the connection: a part of the request is not written.
+  if (!clientRequest.destroyed) connection.expectNothing();
   if (!await ended) exchange.isRejected = true;
   return buildResult(response, body, exchange);
 }
