Give no request the connection of an answer that does not count

Callers got 502 for a request that was written to a connection just before the client closed it, because of the answer to an earlier request.

Cause: the pool hands over a connection in the turn in which its response ends; the client found out two steps later that the answer is incomplete, and closed the connection, which a waiting request had by then.

Change: the answer is checked in the step in which it ends, before the pool.

Evidence: `incomplete_answer_test` (status 204 with a length, and a request that waits): before, `connection_lost` for the second request; after, it is answered on a second connection.

--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -84,8 +84,10 @@
   }
   if (!exchange.isRejected) exchange.request.onHead?.(statusCode, headers);
   const body = await readBody(response, exchange);
+  // Before the pool can give the connection to another request.
+  if (isIncomplete(response, body, exchange)) connection.close();
   // Node.js has not freed the connection: a part of the request is not written.
-  if (!clientRequest.destroyed) connection.expectNothing();
+  else if (!clientRequest.destroyed) connection.expectNothing();
   if (!await ended) exchange.isRejected = true;
   return buildResult(response, body, exchange);
 }
@@ -240,17 +242,26 @@
   exchange.controller.abort(new Error("The response is not acceptable"));
 }
 
+function isIncomplete(
+  { statusCode, headers, complete }: IncomingMessage,
+  body: Uint8Array,
+  { isRejected, request }: Exchange,
+): boolean {
+  const length = headers["content-length"];
+  return isRejected || !complete ||
+    (length !== undefined && request.method !== "HEAD" &&
+      statusCode !== 304 && Number(length) !== body.length);
+}
+
 function buildResult(
   response: IncomingMessage,
   body: Uint8Array,
   exchange: Exchange,
 ): BackendResult {
   const { statusCode: status = 0, headers } = response;
-  const length = headers["content-length"];
-  const isIncomplete = exchange.isRejected || !response.complete ||
-    (length !== undefined && exchange.request.method !== "HEAD" &&
-      status !== 304 && Number(length) !== body.length);
-  if (isIncomplete) return { type: "incomplete_answer" };
+  if (isIncomplete(response, body, exchange)) {
+    return { type: "incomplete_answer" };
+  }
   const { protocol } = exchange;
   if (protocol.isNotRun(status, headers)) {
     return { type: "refused", draining: protocol.isDraining(headers) };
