--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -70,6 +70,8 @@
     ? connection.waitForCleanEnd()
     : Promise.resolve(true);
   exchange.responseStarted = true;
+  // Before the connection becomes idle, at the end of the response.
+  limitIdle(connection, response);
   const { statusCode = 0, headers } = response;
   if (statusCode < MIN_FINAL_STATUS) rejectAnswer(exchange);
   const isMatching = hasMatchingId(response, exchange, connection.isReused);
@@ -85,8 +87,11 @@
   }
   if (!exchange.isRejected) exchange.request.onHead?.(statusCode, headers);
   const body = await readBody(response, exchange);
+  // Before the pool can give the connection to another request.
+  if (isIncomplete(response, body, exchange)) connection.close();
+  // Node.js has not freed the connection: a part of the request is not written.
+  else if (!clientRequest.destroyed) connection.expectNothing();
   if (!await ended) exchange.isRejected = true;
-  limitIdle(connection, response);
   return buildResult(response, body, exchange);
 }
 
@@ -260,17 +265,26 @@
   exchange.controller.abort(new Error("The response is not acceptable"));
 }
 
+function isIncomplete(
+  { statusCode, headers, complete }: IncomingMessage,
+  body: Uint8Array,
+  { isRejected, request }: Exchange,
+): boolean {
+  const length = headers["content-length"];
+  return isRejected || !complete ||
+    (length !== undefined && request.method !== "HEAD" &&
+      statusCode !== 304 && Number(length) !== body.length);
+}
+
 function buildResult(
   response: IncomingMessage,
   body: Uint8Array,
   exchange: Exchange,
 ): BackendResult {
   const { statusCode: status = 0, headers } = response;
-  const length = headers["content-length"];
-  const isIncomplete = exchange.isRejected || !response.complete ||
-    (length !== undefined && exchange.request.method !== "HEAD" &&
-      status !== 304 && Number(length) !== body.length);
-  if (isIncomplete) return { type: "incomplete_answer" };
+  if (isIncomplete(response, body, exchange)) {
+    return { type: "incomplete_answer" };
+  }
   const { protocol } = exchange;
   if (protocol.isNotRun(status, headers)) {
     return { type: "refused", draining: protocol.isDraining(headers) };
