Write no interim response into an answer of a pipeline

Callers that sent a request with `expect: 100-continue` behind an unanswered one got its answer with `HTTP/1.1 100 Continue` between the head and the body: the first bytes of it as the body, and the rest where the next answer was due.

Cause: Node.js writes the interim response to the request's response at once. If that one waits for the connection, the text is kept, and the head of the answer is later put in front of it.

Change: `watchConnections` writes it when the answers before are written, unless the answer has begun by then.

--- a/packages/network/callers/src/connections.ts
+++ b/packages/network/callers/src/connections.ts
@@ -10,6 +10,7 @@
 import { endConnection } from "./ending.ts";
 import { answerBroken, Exchanges, watchExchanges } from "./exchanges.ts";
 import type { Exchange } from "./exchanges.ts";
+import { continueInTurn } from "./expectations.ts";
 import { keepUnwritten } from "./idle.ts";
 
 /** Status of the answer to a broken message by error code; 400 for others. */
@@ -96,6 +97,7 @@
 ): void {
   const connections = watchExchanges(server);
   keepUnwritten(server, connections);
+  continueInTurn(server, connections);
   const broken = new WeakSet<Socket>();
   const handleBroken = (socket: Socket, code: string) => {
     if (broken.has(socket)) {
--- a/packages/network/callers/src/exchanges.ts
+++ b/packages/network/callers/src/exchanges.ts
@@ -36,6 +36,11 @@
     );
   }
 
+  /** The response of the newest exchange that has not closed. */
+  get last(): ServerResponse | undefined {
+    return [...this.#pending].at(-1)?.response;
+  }
+
   /** Closes the responses that wait for the connection, when it has closed:
    * Node.js closes the one that has it, and not those behind it. */
   closeWaiting(): void {
