--- a/packages/daemon/edge/src/repeated_refusals_test.ts
+++ b/packages/daemon/edge/src/repeated_refusals_test.ts
@@ -66,7 +66,16 @@
   const { settings } = await startReadyEdge(t, store, { instance: "n1" });
   const call = async (id: string) =>
     (await callEdge(settings.callers, { id, method: "POST" })).status;
-  return { call, runs };
+  /** Sends requests one after the other; resolves to their statuses by id. */
+  const callAll = async () => {
+    const statuses = new Map<string, number>();
+    for (let number = 0; number < CALLS; number++) {
+      const id = `q${number}`;
+      statuses.set(id, await call(id));
+    }
+    return statuses;
+  };
+  return { call, callAll, runs };
 }
 
 /** Fails if a request ran after it was refused, or more than once. */
@@ -86,30 +95,20 @@
 // A server that starts again at its address has a new record beside the old
 // one, and sends for both use the same connections.
 test("guards against a copied refusal that counts for a request sent again to the address that refused it", async (t) => {
-  const { call, runs } = await startSystem(t, {
+  const { callAll, runs } = await startSystem(t, {
     servers: 1,
     recordsPerServer: 2,
   });
-  const statuses = new Map<string, number>();
-  for (let number = 0; number < CALLS; number++) {
-    const id = `q${number}`;
-    statuses.set(id, await call(id));
-  }
-  assertNoUntrueRefusal(t, statuses, runs);
+  assertNoUntrueRefusal(t, await callAll(), runs);
 });
 
 // After a refusal that counts for a running request, the request is sent on.
 test("guards against a second run after a copied refusal that counts for the first one", async (t) => {
-  const { call, runs } = await startSystem(t, {
+  const { callAll, runs } = await startSystem(t, {
     servers: 2,
     recordsPerServer: 2,
   });
-  const statuses = new Map<string, number>();
-  for (let number = 0; number < CALLS; number++) {
-    const id = `q${number}`;
-    statuses.set(id, await call(id));
-  }
-  assertNoUntrueRefusal(t, statuses, runs);
+  assertNoUntrueRefusal(t, await callAll(), runs);
 });
 
 // The promise of a refusal allows callers to send the request again.
