--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -5,7 +5,11 @@
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Catalog, RouteRecord } from "@dotterelmoor/core.catalog";
+import type {
+  Catalog,
+  RouteRecord,
+  RoutingDocument,
+} from "@dotterelmoor/core.catalog";
 import { computeFingerprint } from "@dotterelmoor/core.quarantine";
 import { Pipelines } from "@dotterelmoor/network.callers";
 import type { CallerProtocol } from "../ports.ts";
@@ -13,20 +17,18 @@
 import type { GracePeriod } from "../process/grace_period.ts";
 import type { EdgeLog } from "../process/logging.ts";
 import type { EdgeMetrics } from "../process/metrics.ts";
-import type { BodyReader, BodyResult } from "./body.ts";
-import type { ForwardResult } from "./forward_types.ts";
+import type { BodyReader } from "./body.ts";
 import type { Forwarder } from "./forwarding.ts";
 import { countHeaderBytes, joinHeaders } from "./headers.ts";
 import { answer, LEAVING_RETRY_MS } from "./outcomes.ts";
+import { refuse, reject, UNREAD_RESULTS } from "./own_results.ts";
+import { chooseMessage } from "./request_log.ts";
+import type { RequestEnd } from "./request_log.ts";
 
 /** Time in milliseconds after which callers may retry while an entry has no
  * configuration yet. */
 const STARTING_RETRY_MS = 500;
 
-/** Time in milliseconds after which callers may retry a request for whose body
- * there was no room. */
-const MEMORY_RETRY_MS = 1_000;
-
 /** Options of `createFront`. */
 export interface FrontOptions {
   readonly catalog: Catalog;
@@ -53,13 +55,6 @@
   readonly refusedCount: number;
 }
 
-/** The result of a request, with the route that matched it. */
-interface RequestEnd extends ForwardResult {
-  readonly route?: RouteRecord;
-  /** Version of the configuration in which the route was found. */
-  readonly routeVersion?: number;
-}
-
 /** Creates the handler of callers' requests. */
 export function createFront(options: FrontOptions): Front {
   return new CallerFront(options);
@@ -147,31 +142,39 @@
     if (isClosed || arrivedAtMs + waitMs > this.#exitsAtMs()) {
       return { ...refuse("leaving", LEAVING_RETRY_MS), route };
     }
-    const deadlineAtMs = arrivedAtMs + waitMs;
-    const { signal } = context.controller;
-    const body = await this.#options.bodies.read(request, {
-      maxBytes: document.limits.maxBodyBytes,
-      deadlineAtMs,
-      signal,
-    });
+    const { requestId, object } = caller;
+    const target = { document, route, host, requestId, object };
+    return await this.#forward(context, target, arrivedAtMs + waitMs);
+  }
+
+  async #forward(
+    context: RequestContext,
+    { document, route, host, requestId, object }: RequestTarget,
+    deadlineAtMs: number,
+  ): Promise<RequestEnd> {
+    const { bodies, forwarder } = this.#options;
+    const { request, arrivedAtMs, controller: { signal } } = context;
+    const { maxBodyBytes: maxBytes } = document.limits;
+    const limits = { maxBytes, deadlineAtMs, signal };
+    const body = await bodies.read(request, limits);
     if (body.type !== "body") return { ...UNREAD_RESULTS[body.type], route };
     try {
-      const { method = "GET", url = "/" } = request;
+      const { method = "GET", url: path = "/" } = request;
       context.forwardedRoute = route;
-      const result = await this.#options.forwarder.forward({
+      const result = await forwarder.forward({
         route,
         host,
-        requestId: caller.requestId,
+        requestId,
         fingerprint: computeFingerprint({
           service: host,
           method,
-          path: url,
+          path,
           body: body.bytes,
           caller: request.socket.remoteAddress ?? "",
         }),
-        object: caller.object,
+        object,
         method,
-        path: url,
+        path,
         headers: joinHeaders(request),
         body: body.bytes,
         arrivedAtMs,
@@ -258,6 +261,15 @@
   }
 }
 
+/** Where a request goes, and what its caller states. */
+interface RequestTarget {
+  readonly document: RoutingDocument;
+  readonly route: RouteRecord;
+  readonly host: string;
+  readonly requestId: string;
+  readonly object: string | undefined;
+}
+
 interface RequestContext {
   readonly request: IncomingMessage;
   readonly arrivedAtMs: number;
@@ -266,45 +278,3 @@
   /** The route; undefined until the request was passed to the forwarder. */
   forwardedRoute?: RouteRecord;
 }
-
-/** Chooses the message of a request's log line; each message is rate-limited
- * separately. */
-function chooseMessage(end: RequestEnd, elapsedMs: number): string {
-  const { outcome, route, sends } = end;
-  if (sends.some(({ place }) => place === "outside")) {
-    return "Request sent outside its route's regions.";
-  }
-  if (outcome.type === "not-run" && outcome.reason === "quarantined") {
-    return "Request quarantined.";
-  }
-  if (outcome.type !== "answered") return `Request ${outcome.type}.`;
-  if (outcome.status >= 500) return "Request failed by its server.";
-  if (route !== undefined && elapsedMs > route.targetLatencyMs) {
-    return "Request late.";
-  }
-  return sends.length > 1 ? "Request served by a retry." : "Request served.";
-}
-
-/** Results of requests whose body was not read to its end. */
-const UNREAD_RESULTS: Readonly<
-  Record<Exclude<BodyResult["type"], "body">, ForwardResult>
-> = {
-  broken: reject("malformed"),
-  cut: { outcome: { type: "abandoned" }, sends: [] },
-  late: refuse("too-late", 0),
-  "no-memory": refuse("no-memory", MEMORY_RETRY_MS),
-  "too-large": reject("body-too-large"),
-};
-
-function refuse(
-  reason: "leaving" | "no-configuration" | "no-memory" | "too-late",
-  retryAfterMs: number,
-): ForwardResult {
-  return { outcome: { type: "not-run", reason, retryAfterMs }, sends: [] };
-}
-
-function reject(
-  reason: "body-too-large" | "header-too-large" | "malformed" | "no-route",
-): ForwardResult {
-  return { outcome: { type: "invalid", reason }, sends: [] };
-}
