Answer odd requests in the product's entry, not by Node.js

Callers of the product's own entry lost answers behind a request without a host header: Node.js answered it with 400 and closed the connection, while the entry ran the requests behind it. A request with an expectation other than 100-continue got 417 from Node.js.

Change: the listeners hand both to their handler; the interface for callers answers the first kind with 400, and passes over the expectation.

--- a/packages/daemon/entry/src/process/listeners.ts
+++ b/packages/daemon/entry/src/process/listeners.ts
@@ -49,7 +49,15 @@
     requestTimeout: REQUEST_TIMEOUT_MS,
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     maxHeaderSize: MAX_HEADER_BYTES,
+    // The handler answers requests without a host: Node.js would close their
+    // connections under the requests behind them.
+    requireHostHeader: false,
   }, options.handler);
+  // Expectations other than 100-continue may be passed over.
+  server.on(
+    "checkExpectation",
+    (request, response) => server.emit("request", request, response),
+  );
   watchConnections(server, { onBroken: createBrokenLog(options.log) });
   server.maxConnections = options.maxConnections;
   await new Promise<void>((resolve, reject) => {
--- a/packages/daemon/entry/src/request/caller_app.ts
+++ b/packages/daemon/entry/src/request/caller_app.ts
@@ -81,7 +81,9 @@
     }
     const requestId = context.get(REQUEST_ID_HEADER);
     if (requestId !== "") context.set(REQUEST_ID_HEADER, requestId);
-    if (!options.isReady()) {
+    if (context.headers.host === undefined) {
+      context.status = 400;
+    } else if (!options.isReady()) {
       answerOutcome(context, makeNotRun("not-configured", RETRY_AFTER_MS));
     } else if (context.path === "/v1/lookup") {
       answerLookup(context, options);
