End the copies of a restarted server in the soak with their fault

'server_restart' never took its copies of refusals back, so they went on while the soak checks that service is back. Found by reading; its end does so now.

--- a/packages/testing/soak/src/faults.ts
+++ b/packages/testing/soak/src/faults.ts
@@ -103,14 +103,19 @@
   server_lost: (context) => setServerFaults(context, { lostShare: 0.4 }),
   server_slow: (context) => setServerFaults(context, { slowness: 8 }),
   server_shed: (context) => setServerFaults(context, { shedShare: 0.5 }),
-  // Refuses requests of two records at its address, and repeats refusals.
+  // Refuses the requests for its old row, which stays for a while, and repeats
+  // refusals.
   server_restart: (context) => {
     const server = pickServer(context);
     if (!server.isReporting) return undefined;
-    void context.installation.restartServer(server).then((restarted) =>
+    const restarting = context.installation.restartServer(server);
+    void restarting.then((restarted) =>
       restarted.server.setFaults({ copyShare: 0.5 })
     );
-    return { isLocal: false, end: () => {} };
+    return {
+      isLocal: false,
+      end: async () => (await restarting).server.setFaults(NO_SERVER_FAULTS),
+    };
   },
   server_copies: (context) =>
     setServerFaults(context, { shedShare: 0.3, copyShare: 0.5 }),
