--- a/review/lib-2/standins.mjs
+++ b/review/lib-2/standins.mjs
@@ -198,8 +198,9 @@
 
 const REQUEST_ID = "x-dotterelmoor-request-id";
 
-/** A sound backend server, which registers itself in the store and reports
- * every 1.5 s. It runs `slots` requests at once and queues a few more. */
+/** A backend server, which registers itself in the store and reports every
+ * 1.5 s. It runs `slots` requests at once and queues a few more. It is sound,
+ * unless `spoils` tells it to spoil the framing of an answer. */
 export class BackendServer {
   /** Requests that it began to run, in order. */
   runs = [];
@@ -290,11 +291,17 @@
       this.#running -= 1;
       const answer = `done ${requestId}`;
       if (!response.destroyed) {
-        response.writeHead(200, {
-          [REQUEST_ID]: requestId,
-          "x-dotterelmoor-server-stamp": `${this.options.id}.${requestId}`,
-          "content-length": answer.length,
-        });
+        const isSpoiled = this.options.spoils?.(this.runs.length) ?? false;
+        const framing = isSpoiled
+          ? ["transfer-encoding", "chunked", "transfer-encoding", "chunked"]
+          : ["content-length", answer.length];
+        response.writeHead(200, [
+          REQUEST_ID,
+          requestId,
+          "x-dotterelmoor-server-stamp",
+          `${this.options.id}.${requestId}`,
+          ...framing,
+        ]);
         response.end(answer);
       }
       this.#queue.shift()?.();
