--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -8,10 +8,11 @@
   openRecord,
   runCase,
   startEntry,
-  Store,
+  startStore,
   wait,
   waitUntilReady,
   writeSettings,
+  ZONES,
 } from "../lib-2/standins.mjs";
 
 const ROUNDS = 3;
@@ -23,29 +24,13 @@
 /** Ends by themselves on this many machines break the rule. */
 const MACHINES = 2;
 
-const CONFIGURATION = {
-  routes: [],
-  services: [],
-  limits: {
-    max_header_bytes: 16_384,
-    max_body_bytes: 67_108_864,
-    header_timeout_ms: 3_000,
-    idle_timeout_ms: 15_000,
-  },
-};
-
 await runCase(async (dispose) => {
   const record = openRecord(import.meta.url);
-  const store = new Store();
-  await store.start();
-  dispose(() => store.stop());
-  store.putConfiguration(3, CONFIGURATION);
-  const zones = { "se-a": "southeast", "se-b": "southeast" };
+  const store = await startStore(dispose, []);
   const machines = [];
-  for (const [index, zone] of ["se-a", "se-b"].entries()) {
+  for (const [index, zone] of Object.keys(ZONES).entries()) {
     const ip = `127.0.6.${101 + index}`;
-    const name = `front-${zone}-1`;
-    machines.push(await writeSettings({ name, ip, zone, zones, store }));
+    machines.push(await writeSettings({ ip, zone, store }));
   }
   const runs = await Promise.all(
     machines.map((settings) => runMachine(settings, { record, dispose })),
