Handle signals from the start of a process on

Cause: the handlers of SIGHUP and SIGTERM, and of unhandled errors, were set when the start of the edge had ended. Until then Node.js's default actions ended the process. dotterelmoor-entry had the same fault for SIGTERM, and no handler of SIGHUP at all.

A stop during a start leaves gracefully once the entry has started.

--- a/deploy/launch.cjs
+++ b/deploy/launch.cjs
@@ -7,9 +7,14 @@
  */
 "use strict";
 
+const process = require("node:process");
+
+// Without a handler, SIGHUP ends the process while the bundle is being loaded.
+// The settings are read later, so the signal needs no action yet.
+process.on("SIGHUP", () => {});
+
 const { readFileSync, writeFileSync } = require("node:fs");
 const { dirname, join } = require("node:path");
-const process = require("node:process");
 const { Script } = require("node:vm");
 
 const BUNDLE = join(__dirname, "../target/dotterelmoor-edge.cjs");
--- a/packages/daemon/edge/src/mod.ts
+++ b/packages/daemon/edge/src/mod.ts
@@ -10,7 +10,7 @@
   liftQuarantine,
   listQuarantined,
 } from "./process/quarantine_commands.ts";
-export { startEdge } from "./wiring.ts";
+export { createEdge, startEdge } from "./wiring.ts";
 export type { Edge } from "./wiring.ts";
 export type {
   CallerProtocol,
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -79,9 +79,12 @@
  * region. */
 const JOIN_WAIT_MS = 300;
 
-/** A running entry. */
+/** An entry that is starting or running. */
 export interface Edge {
-  /** Shuts down gracefully, within the platform's grace period. */
+  /** Resolves once the entry listens on its addresses; rejects if it cannot. */
+  readonly started: Promise<void>;
+  /** Shuts down gracefully, within the platform's grace period. An entry that is
+   * still starting leaves once it has started. */
   leave(): Promise<void>;
   /** Logs that the settings changed; they take effect at the next start. */
   noteReload(): void;
@@ -89,14 +92,34 @@
   noteError(error: unknown): void;
 }
 
-/** Starts an entry; rejects if it cannot listen on its addresses. */
-export async function startEdge(
+/** Creates an entry, which starts after this turn of the event loop, so that
+ * signals can be handled before it opens a listener. */
+export function createEdge(
   settings: EdgeSettings,
   platform: EdgePlatform,
-): Promise<Edge> {
+): Edge {
   const shared = createSharedParts(settings, platform);
+  const { log, metrics } = shared;
   const { region, zone } = settings;
-  shared.log.part("edge").info({ region, zone, pid: process.pid }, "Starting.");
+  const edgeLog = log.part("edge");
+  edgeLog.info({ region, zone, pid: process.pid }, "Starting.");
+  const starting = start(shared);
+  return {
+    started: starting.then(() => {}),
+    leave: async () => {
+      shared.late.isLeaving = true;
+      await stopEdge(shared, await starting);
+    },
+    noteReload: () => edgeLog.info("Settings changed; restart to apply them."),
+    noteError: (error) => {
+      metrics.unexpectedErrors.inc();
+      log.decide("Unexpected error.", { err: error }, "edge");
+    },
+  };
+}
+
+async function start(shared: SharedParts): Promise<StartedParts> {
+  await new Promise((resolve) => setImmediate(resolve));
   try {
     return await startParts(shared);
   } catch (error) {
@@ -105,6 +128,16 @@
   }
 }
 
+/** Starts an entry; rejects if it cannot listen on its addresses. */
+export async function startEdge(
+  settings: EdgeSettings,
+  platform: EdgePlatform,
+): Promise<Edge> {
+  const edge = createEdge(settings, platform);
+  await edge.started;
+  return edge;
+}
+
 /** What the parts of the process share. */
 interface SharedParts {
   readonly settings: EdgeSettings;
@@ -123,9 +156,17 @@
     loads?: LoadExchange;
     stateSaving?: StateSaving;
     quarantine?: QuarantineParts;
+    isLeaving?: boolean;
   };
 }
 
+/** Parts that a graceful shutdown stops. */
+interface StartedParts {
+  readonly front: Front;
+  readonly peers: Peers;
+  readonly callers: Server;
+}
+
 function createSharedParts(
   settings: EdgeSettings,
   platform: EdgePlatform,
@@ -169,7 +210,7 @@
   };
 }
 
-async function startParts(shared: SharedParts): Promise<Edge> {
+async function startParts(shared: SharedParts): Promise<StartedParts> {
   const { settings, platform, store, log, placer, metrics, late } = shared;
   const peers = await connectPeers(shared);
   const stalls = createStalls(shared);
@@ -219,24 +260,12 @@
     watch,
     quarantine,
   });
-  let isLeaving = false;
   await openListeners(shared, {
     callers,
     peers,
-    isReady: () => !isLeaving && stateSaving.isRestored && watch.isLoaded,
+    isReady: () => !late.isLeaving && stateSaving.isRestored && watch.isLoaded,
   });
-  return {
-    leave: () => {
-      isLeaving = true;
-      return stopEdge(shared, { front, peers, callers });
-    },
-    noteReload: () =>
-      log.part("edge").info("Settings changed; restart to apply them."),
-    noteError: (error) => {
-      metrics.unexpectedErrors.inc();
-      log.decide("Unexpected error.", { err: error }, "edge");
-    },
-  };
+  return { front, peers, callers };
 }
 
 function startLoadSharing(shared: SharedParts, peers: Peers): StateSaving {
@@ -466,11 +495,7 @@
 
 async function stopEdge(
   { settings, store, log }: SharedParts,
-  parts: {
-    readonly front: Front;
-    readonly peers: Peers;
-    readonly callers: Server;
-  },
+  parts: StartedParts,
 ): Promise<void> {
   const edgeLog = log.part("edge");
   const { front } = parts;
--- a/packages/daemon/entry/src/mod.ts
+++ b/packages/daemon/entry/src/mod.ts
@@ -4,5 +4,5 @@
  * @module
  */
 
-export { startEntry } from "./wiring.ts";
-export type { RunningEntry } from "./wiring.ts";
+export { createEntry, startEntry } from "./wiring.ts";
+export type { Entry, RunningEntry } from "./wiring.ts";
--- a/packages/daemon/entry/src/wiring.ts
+++ b/packages/daemon/entry/src/wiring.ts
@@ -29,6 +29,17 @@
 const MEMBERS_INTERVAL_MS = 500;
 const MAX_CALLER_CONNECTIONS = 4_096;
 
+/** An entry that is starting or running. */
+export interface Entry {
+  /** Resolves once the listeners are open; rejects if one cannot be opened. */
+  readonly started: Promise<RunningEntry>;
+  /** Leaves the system gracefully, once a start that is under way has ended, and
+   * releases all resources. */
+  leave(): Promise<void>;
+  /** Logs that the settings changed; they take effect at the next start. */
+  noteReload(): void;
+}
+
 /** A running entry. */
 export interface RunningEntry {
   /** Address of the listener for callers, as `host:port`. */
@@ -43,11 +54,31 @@
   leave(): Promise<void>;
 }
 
+/** Creates an entry, which starts after this turn of the event loop, so that
+ * signals can be handled before it opens a listener. */
+export function createEntry(settings: EntrySettings): Entry {
+  const context = createProcessContext(settings);
+  const started = startParts(context);
+  return {
+    started,
+    leave: async () => await (await started).leave(),
+    noteReload: () =>
+      context.getLogger("entry").info(
+        "Settings changed; restart to apply them.",
+      ),
+  };
+}
+
 /** Starts an entry; rejects if a listener cannot be opened. */
 export async function startEntry(
   settings: EntrySettings,
 ): Promise<RunningEntry> {
-  const context = createProcessContext(settings);
+  return await createEntry(settings).started;
+}
+
+async function startParts(context: ProcessContext): Promise<RunningEntry> {
+  const { settings } = context;
+  await new Promise((resolve) => setImmediate(resolve));
   await loadHealthChecks();
   const callerHandler = createRef<RequestListener>();
   const callers = await openListener({
