Bound the age of every entry's catalog

Cause: followers looked for the next reader by a chain of steps, each with a time of its own (due time of an answer, interval of pulls, age limit, skip time, timeout of a failed call), which added up over the entries that had failed; after 2 s the first one was asked again, before the last one was. Nothing bounded the sum.

Change: core/refreshing decides in one state machine, without a network, what an entry reads and pulls. One entry of each region still reads for the others. The role of the reader moves only to an entry that is known to read, and answers name the reader. Ages count from the request of an answer and include suspensions.

--- /dev/null
+++ b/packages/core/refreshing/src/reader_loss_test.ts
@@ -0,0 +1,219 @@
+import test from "ava";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { SimulatedInstallation } from "./simulated_installation.ts";
+import type { Condition } from "./simulated_installation.ts";
+
+/** Shortest time in milliseconds within which the platform requires that a
+ * change is in force, less that of opening a connection to a server. */
+const IN_FORCE_MS = 2_500 - 250;
+
+/** Entries by region. */
+const SIZES = {
+  today: [6, 5, 5],
+  grown: [46, 45, 45],
+  target: [118, 117, 117, 117, 117, 117, 117],
+} as const;
+
+type Size = keyof typeof SIZES;
+
+/** Number of seeds, each with another moment of the failure. */
+const SEEDS: Readonly<Record<Size, number>> = {
+  today: 20,
+  grown: 3,
+  target: 1,
+};
+
+const START_MS = 5_000;
+const RUN_MS = 6_000;
+
+/** Longest delay in milliseconds with which entries handle events: on a busy
+ * instance, timers are tens of milliseconds late. */
+const LAG_MS = 50;
+
+/** Changes the conditions of some entries. */
+type Fault = (
+  installation: SimulatedInstallation,
+  random: () => number,
+) => void;
+
+interface Play {
+  /** Longest time in milliseconds for which an undisturbed entry knew nothing of
+   * changes. */
+  readonly longestMs: number;
+  /** Longest time by which an entry took its copy for more recent than it
+   * was. */
+  readonly overstatedMs: number;
+  /** Calls to the store a second, of all entries. */
+  readonly callRate: number;
+}
+
+function createRandom(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => (generator.next() >>> 0) / 2 ** 32;
+}
+
+function play(size: Size, fault: Fault, lagMs = LAG_MS): Play {
+  let longestMs = 0;
+  let overstatedMs = 0;
+  let calls = 0;
+  const seeds = SEEDS[size];
+  for (let seed = 1; seed <= seeds; seed++) {
+    const random = createRandom(seed);
+    const installation = new SimulatedInstallation({
+      regions: SIZES[size],
+      random,
+      lagMs,
+    });
+    // The reader reads every 850 ms, so the failures come at any moment of that.
+    const failsAtMs = START_MS + 850 * (seed / seeds);
+    installation.run(failsAtMs);
+    const callsBefore = installation.calls;
+    fault(installation, random);
+    const checked = installation.entries
+      .filter(({ condition }) => condition === "sound");
+    installation.run(failsAtMs + RUN_MS, () => {
+      for (const entry of checked) {
+        const ageMs = installation.trueAgeMs(entry);
+        const told = entry.refresher.ageMs(installation.nowMs);
+        longestMs = Math.max(longestMs, ageMs);
+        overstatedMs = Math.max(overstatedMs, ageMs - told);
+      }
+    });
+    calls += installation.calls - callsBefore;
+  }
+  const callRate = calls / seeds / (RUN_MS / 1_000);
+  return { longestMs, overstatedMs, callRate };
+}
+
+function failFirst(count: number, condition: Condition): Fault {
+  return (installation) => {
+    SIZES.target.forEach((_, region) => {
+      const entries = installation.listRegion(region);
+      for (
+        const entry of entries.slice(0, Math.min(count, entries.length - 1))
+      ) {
+        installation.setCondition(entry, condition);
+      }
+    });
+  };
+}
+
+function failShare(share: number, condition: Condition): Fault {
+  return (installation, random) => {
+    for (const entry of installation.entries) {
+      if (random() < share) installation.setCondition(entry, condition);
+    }
+  };
+}
+
+const FAULTS: Readonly<Record<string, Fault>> = {
+  "no fault": () => {},
+  "one reader is dead": failFirst(1, "dead"),
+  "two readers are dead": failFirst(2, "dead"),
+  "three readers are dead": failFirst(3, "dead"),
+  "five readers are dead": failFirst(5, "dead"),
+  "one reader is frozen": failFirst(1, "frozen"),
+  "three readers are frozen": failFirst(3, "frozen"),
+  "one reader is cut off": failFirst(1, "cut"),
+  "two readers are cut off": failFirst(2, "cut"),
+  "three readers are cut off": failFirst(3, "cut"),
+  "five readers are cut off": failFirst(5, "cut"),
+  "three readers are refused": failFirst(3, "refused"),
+  "a third is cut off": failShare(0.35, "cut"),
+  "half are dead": failShare(0.5, "dead"),
+  "waiting reads go silent": (installation) =>
+    installation.silenceWaitingReads(),
+};
+
+// The time until an entry reads the store must not add up over the entries that
+// failed before it.
+for (const size of ["today", "grown"] as const) {
+  for (const [name, fault] of Object.entries(FAULTS)) {
+    test(`guards against a copy that becomes too old, ${size}, ${name}`, (t) => {
+      const { longestMs, overstatedMs, callRate } = play(size, fault);
+      t.log(`${Math.round(longestMs)} ms, ${callRate.toFixed(1)} calls/s`);
+      t.true(longestMs <= IN_FORCE_MS, `${longestMs} ms`);
+      t.true(overstatedMs <= 1, `${overstatedMs} ms`);
+    });
+  }
+}
+
+test("guards against a copy that becomes too old, target size, a third is cut off", (t) => {
+  const { longestMs } = play("target", failShare(0.35, "cut"));
+  t.true(longestMs <= IN_FORCE_MS, `${longestMs} ms`);
+});
+
+// On a small share of a core under load, events are handled late.
+test("guards against a copy that becomes too old at busy entries", (t) => {
+  const { longestMs } = play("today", failFirst(3, "dead"), 150);
+  t.true(longestMs <= IN_FORCE_MS, `${longestMs} ms`);
+});
+
+// Calls to the store are billed: one entry of each region reads.
+test("guards against calls to the store that grow with the number of entries", (t) => {
+  const today = play("today", () => {});
+  const grown = play("grown", () => {});
+  t.true(grown.callRate <= 1.1 * today.callRate, `${grown.callRate}`);
+});
+
+// In an outage, every entry finds out that the store does not answer.
+test("guards against an outage in which all entries call the store again and again", (t) => {
+  const stop: Fault = (installation) => {
+    installation.isStoreDown = true;
+  };
+  const calm = play("grown", () => {}).callRate;
+  const { callRate } = play("grown", stop);
+  const entries = SIZES.grown.reduce((sum, count) => sum + count, 0);
+  // One call of each entry, and three a second of each region.
+  const limit = calm + entries / (RUN_MS / 1_000) + 3 * SIZES.grown.length;
+  t.true(callRate <= limit, `${callRate} of ${limit}`);
+});
+
+test("guards against a copy that stays old after an outage", (t) => {
+  const installation = new SimulatedInstallation({
+    regions: SIZES.grown,
+    random: createRandom(1),
+    lagMs: LAG_MS,
+  });
+  installation.run(START_MS);
+  installation.isStoreDown = true;
+  installation.run(START_MS + 8_000);
+  installation.isStoreDown = false;
+  // The platform counts the store as stable 4 s after its return.
+  installation.run(START_MS + 12_000);
+  let longestMs = 0;
+  installation.run(START_MS + 16_000, () => {
+    for (const entry of installation.entries) {
+      longestMs = Math.max(longestMs, installation.trueAgeMs(entry));
+    }
+  });
+  t.true(longestMs <= IN_FORCE_MS, `${longestMs} ms`);
+});
+
+// A frozen entry resumes with what it knew before.
+test("guards against a reader that resumes with an old copy and keeps it", (t) => {
+  for (let seed = 1; seed <= SEEDS.today; seed++) {
+    const installation = new SimulatedInstallation({
+      regions: SIZES.today,
+      random: createRandom(seed),
+      lagMs: LAG_MS,
+    });
+    installation.run(START_MS);
+    const reader = installation.entries
+      .find(({ id, refresher }) => refresher.source === id)!;
+    installation.setCondition(reader, "frozen");
+    installation.run(START_MS + 3_000);
+    installation.setCondition(reader, "sound");
+    let longestMs = 0;
+    const resumedAtMs = installation.nowMs;
+    installation.run(resumedAtMs + 4_000, () => {
+      for (const entry of installation.entries) {
+        const isDue = entry !== reader ||
+          installation.nowMs > resumedAtMs + IN_FORCE_MS;
+        if (!isDue) continue;
+        longestMs = Math.max(longestMs, installation.trueAgeMs(entry));
+      }
+    });
+    t.true(longestMs <= IN_FORCE_MS, `seed ${seed}: ${longestMs} ms`);
+  }
+});
--- a/packages/daemon/edge/src/process/reader_choice.ts
+++ b/packages/daemon/edge/src/process/aggregator_choice.ts
@@ -1,20 +1,15 @@
 /**
- * Chooses the entry of a region that acts for the others: the reader of the
- * store, and the aggregator of loads.
- *
- * Calls to the store are billed, and all entries would read the same. So one
- * entry of each region reads, and the others follow it. An entry that cannot
- * read, or does not answer, is skipped for a while.
+ * Chooses the entry of a region that acts for the others, the aggregator of
+ * loads. An entry that does not answer is skipped for a while.
  *
  * @module
  */
 
-/** Time in milliseconds for which a failed entry is skipped; shorter than the
- * time within which a change must take effect. */
+/** Time in milliseconds for which a failed entry is skipped. */
 const SKIP_MS = 2_000;
 
 /** Chooses an entry, and remembers the ones that failed. */
-export interface ReaderChoice {
+export interface AggregatorChoice {
   /** Returns the first process id that is not skipped; undefined if all are.
    * `processIds` are in order of precedence. */
   choose(processIds: readonly string[], nowMs: number): string | undefined;
@@ -23,7 +18,7 @@
 }
 
 /** Creates a choice that skips no entry. */
-export function createReaderChoice(): ReaderChoice {
+export function createAggregatorChoice(): AggregatorChoice {
   const skippedUntil = new Map<string, number>();
   return {
     choose: (processIds, nowMs) => {
--- a/packages/daemon/edge/src/process/catalog_watch.ts
+++ b/packages/daemon/edge/src/process/catalog_watch.ts
@@ -1,9 +1,10 @@
 /**
  * Keeps the catalog up to date.
  *
- * One entry of each region, the reader, reads the platform's store. The others
- * follow it: they pull its catalog at intervals. An entry that can neither read
- * nor follow the reader pulls from any live entry.
+ * One entry of each region, the reader, reads the platform's store, and the
+ * others pull its catalog; an entry whose catalog is too old reads the store
+ * itself. `core.refreshing` decides what is read and pulled when; this module
+ * carries it out.
  *
  * @module
  */
@@ -13,45 +14,38 @@
   CatalogDelta,
   CatalogTable,
 } from "@dotterelmoor/core.catalog";
-import type { DisposableStore } from "@dotterelmoor/core.types";
+import {
+  ANSWER_DUE_MS,
+  createRefresher,
+  STALE_MS,
+} from "@dotterelmoor/core.refreshing";
+import type {
+  CatalogSource,
+  RefreshAction,
+  Refresher,
+  RefreshEvent,
+} from "@dotterelmoor/core.refreshing";
+import { applyEvent } from "@dotterelmoor/core.types";
+import type { DisposableStore, EventHandlers } from "@dotterelmoor/core.types";
 import type { CatalogMessage } from "@dotterelmoor/network.peering";
+import { startTimeout } from "@dotterelmoor/network.timing";
+import type { Timeout } from "@dotterelmoor/network.timing";
 import type { Logger } from "pino";
 import type { CatalogStore } from "../ports.ts";
-import {
-  ANSWER_DUE_MS,
-  CatalogPulls,
-  describeSource,
-} from "./catalog_pulls.ts";
-import type { CatalogSource } from "./catalog_pulls.ts";
+import { describeSource } from "./catalog_source.ts";
 import { ContactClock } from "./contact_clock.ts";
 import { unpackDelta } from "./delta_packing.ts";
-import { runRepeatedly } from "./intervals.ts";
 import type { EdgeMetrics, PullResult } from "./metrics.ts";
-import { createReaderChoice } from "./reader_choice.ts";
 import { TableReader } from "./table_reader.ts";
 
-/** Interval in milliseconds between pulls from the region's reader. If the
- * reader is cut off at the moment of a change, other entries still read the
- * change within 2.5 s. */
-const PULL_INTERVAL_MS = 400;
-
-/** Age in milliseconds from which a pulled catalog counts as stale. Covers the
- * reader's pause between reads and one unanswered call. */
-const STALE_MS = 1_500;
+/** Longest time in milliseconds between two ticks: the order of the region's
+ * entries may change meanwhile. */
+const MAX_TICK_MS = 400;
 
 /** Time in milliseconds by which a stale answer may be older than the local
  * catalog without a warning: entries round and delay their ages differently. */
 const AGE_SLACK_MS = 300;
 
-/** Interval in milliseconds between pulls until a first catalog is loaded;
- * callers are refused until then. */
-const START_INTERVAL_MS = 50;
-
-/** Time in milliseconds after a start in which an entry without a catalog asks
- * the same reader again instead of skipping it: entries that start together
- * read the store in this time. */
-const START_PHASE_MS = 1_000;
-
 /** Minimum interval in milliseconds between warnings about failed pulls. */
 const WARN_INTERVAL_MS = 5_000;
 
@@ -77,25 +71,26 @@
   /** True if an answer from an entry with a catalog of this age in milliseconds
    * counts as contact with the installation. */
   readonly isContact: (ageMs: number) => boolean;
+  /** Total time in milliseconds for which the instance was suspended, which the
+   * monotonic clock does not count; 0 by default. */
+  readonly suspendedMs?: () => number;
   /** Asks an entry for its catalog changes; undefined without an answer. */
   readonly pull: (
     source: CatalogSource,
   ) => Promise<CatalogMessage | undefined>;
 }
 
-const ANY_SOURCE: CatalogSource = { type: "any" };
-
 /** Keeps the catalog of one entry up to date. */
 export interface CatalogWatch {
   /** True once a catalog with a configuration has been loaded. */
   readonly isLoaded: boolean;
   /** True while this entry reads the store for its region. */
   readonly isReading: boolean;
-  /** Process id of the entry that reads for the region; undefined if none can
-   * be chosen. */
+  /** Process id of the entry that reads for the region, as far as this one
+   * knows; undefined if it knows none that the store answers. */
   readonly reader: string | undefined;
-  /** Time in milliseconds since the catalog was last known to be current;
-   * infinite before the first load. */
+  /** Time in milliseconds, suspensions included, since the catalog was last
+   * known to be current; infinite before the first load. */
   ageMs(): number;
   /** Time in milliseconds, suspensions included, since the request of the last
    * answered call to the store or to an entry in contact. */
@@ -116,37 +111,36 @@
 
 class Watch implements CatalogWatch {
   readonly #options: CatalogWatchOptions;
-  readonly #startedAtMs = performance.now();
-  readonly #choice = createReaderChoice();
+  readonly #refresher: Refresher;
   readonly #readers: Readonly<Record<CatalogTable, TableReader>>;
-  /** Monotonic time at which the catalog was last current according to
-   * pulls. */
-  #followedAtMs = -Infinity;
   readonly #contact = new ContactClock();
   #documentVersion: number | undefined;
   #documentReadAtMs = -Infinity;
-  #isReading = false;
-  reader: string | undefined;
   #isLoaded = false;
-  readonly #pulls: CatalogPulls;
+  #timeout: Timeout | undefined;
   #stopped = false;
   #warnedAtMs = -Infinity;
-  #pulling = false;
+
+  readonly #actions: EventHandlers<RefreshAction, void> = {
+    read: (action) => void this.#read(action),
+    pull: (action) => void this.#pull(action),
+    source_changed: (action) => this.#logSource(action),
+  };
 
   constructor(options: CatalogWatchOptions) {
     this.#options = options;
+    const { processId, joinMs } = options;
+    this.#refresher = createRefresher({
+      processId,
+      startedAtMs: this.#nowMs(),
+      joinMs,
+    });
     const readerOptions = {
       ...options,
       contact: this.#contact,
       getCatalogAgeMs: () => this.ageMs(),
-      onChanged: (source: string) => this.#recordChange(source, 0),
+      onChanged: () => this.#recordChange("store", 0),
     };
-    this.#pulls = new CatalogPulls({
-      take: (source) => this.#take(source),
-      onLate: (source) =>
-        this.#warn(source, { result: "late", elapsedMs: ANSWER_DUE_MS }),
-      log: options.log,
-    });
     this.#readers = {
       servers: new TableReader("servers", readerOptions),
       orders: new TableReader("orders", readerOptions),
@@ -155,7 +149,11 @@
   }
 
   get isReading(): boolean {
-    return this.#isReading;
+    return this.#refresher.source === this.#options.processId;
+  }
+
+  get reader(): string | undefined {
+    return this.#refresher.getReader(this.#nowMs());
   }
 
   get isLoaded(): boolean {
@@ -165,10 +163,7 @@
   }
 
   ageMs(): number {
-    return Math.min(
-      this.#readAgeMs(),
-      performance.now() - this.#followedAtMs,
-    );
+    return this.#refresher.ageMs(this.#nowMs());
   }
 
   contactAgeMs(): number {
@@ -179,125 +174,126 @@
     return performance.now() - this.#documentReadAtMs;
   }
 
-  #recordChange(source: string, documentAgeMs: number): void {
-    const { catalog, onChanged } = this.#options;
-    const version = catalog.document?.version;
-    if (version !== this.#documentVersion) {
-      this.#documentVersion = version;
-      this.#documentReadAtMs = performance.now() - documentAgeMs;
-    }
-    onChanged(source, this.documentAgeMs());
-  }
-
-  /** Leaves out the crashes table: it concerns few requests, and its age must
-   * not make routes and servers count as stale. */
-  #readAgeMs(): number {
-    const { servers, orders } = this.#readers;
-    return Math.max(servers.ageMs(), orders.ageMs());
-  }
-
   start(): void {
     this.#options.store.add(() => {
       this.#stopped = true;
+      this.#timeout?.stop();
     });
-    const isStopped = () => this.#stopped;
-    void runRepeatedly(async () => {
-      await this.#step();
-      return this.isLoaded ? PULL_INTERVAL_MS : START_INTERVAL_MS;
-    }, { isStopped, log: this.#options.log });
+    this.#tick();
   }
 
   pullNow(peerAddress: string): void {
-    if (this.#pulling) return;
-    this.#pulling = true;
-    const source: CatalogSource = { type: "address", peerAddress };
-    void this.#pulls.pullFrom(source).finally(() => {
-      this.#pulling = false;
-    });
+    this.#handle({ type: "announced", peerAddress });
   }
 
-  async #step(): Promise<void> {
-    const { processId, listRegion, joinMs } = this.#options;
-    const nowMs = performance.now();
-    const sinceStartMs = nowMs - this.#startedAtMs;
-    const chosen = this.#choice.choose(listRegion(), nowMs);
-    this.reader = chosen;
-    if (chosen === processId) {
-      if (!this.isLoaded && sinceStartMs < joinMs) return;
-      this.#setReading(true);
-      const { servers, orders } = this.#readers;
-      const isFailing = servers.isFailing || orders.isFailing;
-      if (!isFailing) return;
-      // Lets another entry that reaches the store take over for a while.
-      if (this.#readAgeMs() >= STALE_MS) {
-        this.#choice.markFailed(processId, nowMs);
-      }
-      await this.#pulls.pullFrom(ANY_SOURCE);
-      return;
-    }
-    this.#setReading(false);
-    const isFollowed = await this.#pulls.pullFrom(
-      chosen === undefined
-        ? ANY_SOURCE
-        : { type: "process", processId: chosen },
-    );
-    const isStarting = !this.isLoaded && sinceStartMs < START_PHASE_MS;
-    if (!isFollowed && !isStarting && chosen !== undefined) {
-      this.#choice.markFailed(chosen, performance.now());
+  #nowMs(): number {
+    return performance.now() + (this.#options.suspendedMs?.() ?? 0);
+  }
+
+  #tick(): void {
+    // An unexpected error below must not end the ticks.
+    this.#scheduleTick(MAX_TICK_MS);
+    this.#handle({ type: "tick", region: this.#options.listRegion() });
+  }
+
+  #handle(event: RefreshEvent): void {
+    if (this.#stopped) return;
+    const nowMs = this.#nowMs();
+    for (const action of this.#refresher.handle(event, nowMs)) {
+      applyEvent(this.#actions, action, nowMs);
     }
+    this.#scheduleTick(this.#refresher.wakeAtMs - nowMs);
   }
 
-  #setReading(isReading: boolean): void {
-    if (isReading === this.#isReading) return;
-    this.#isReading = isReading;
-    const readers = Object.values(this.#readers);
-    if (isReading) {
-      this.#options.log.info("Reading the store for the region.");
-      for (const reader of readers) reader.start();
-    } else {
-      this.#followedAtMs = performance.now() - this.ageMs();
-      for (const reader of readers) reader.stop();
+  #scheduleTick(delayMs: number): void {
+    this.#timeout?.stop();
+    const ms = Math.min(MAX_TICK_MS, Math.max(1, delayMs));
+    this.#timeout = startTimeout(() => this.#tick(), ms);
+  }
+
+  async #read(
+    { id, table, waitMs, isDirect }: Extract<RefreshAction, { type: "read" }>,
+  ): Promise<void> {
+    const { log, metrics } = this.#options;
+    if (isDirect) {
+      const catalogAgeMs = Math.round(this.ageMs());
+      metrics.directReads.inc({ table });
+      log.info({ table, catalogAgeMs }, "Catalog too old; reading the store.");
     }
+    const result = await this.#readers[table].read(waitMs)
+      .catch((error: unknown) => {
+        log.error({ table, err: error }, "Read failed.");
+        return "failed" as const;
+      });
+    this.#handle(
+      result === "failed"
+        ? { type: "read_failed", id }
+        : { type: "read", id, hasChanges: result === "changed" },
+    );
+  }
+
+  async #pull(
+    { id, source }: Extract<RefreshAction, { type: "pull" }>,
+  ): Promise<void> {
+    const event = await this.#take(id, source).catch((error: unknown) => {
+      const entry = describeSource(source);
+      this.#options.log.error({ entry, err: error }, "Pull failed.");
+      return undefined;
+    });
+    this.#handle(event ?? { type: "pull_failed", id });
   }
 
-  /** Pulls from an entry and applies its changes; false if the answer is
-   * missing, unreadable, stale or late. Changes are ordered by their versions,
-   * so the order of answers does not matter. */
-  async #take(source: CatalogSource): Promise<boolean> {
-    const { catalog, isContact } = this.#options;
+  /** Pulls from an entry and applies its changes, however late they come;
+   * undefined if the answer is missing or unreadable. Changes are ordered by
+   * their versions, so the order of answers does not matter. */
+  async #take(
+    id: number,
+    source: CatalogSource,
+  ): Promise<RefreshEvent | undefined> {
+    const { catalog, isContact, metrics } = this.#options;
     const sentAt = this.#contact.mark();
     const answer = await this.#options.pull(source);
-    if (this.#stopped) return false;
+    if (this.#stopped) return undefined;
     const delta = answer === undefined ? undefined : unpackDelta(answer);
     const elapsedMs = performance.now() - sentAt.steadyMs;
     const result = getPullResult({ answer, delta, elapsedMs });
-    this.#options.metrics.catalogPulls.observe({ result }, elapsedMs / 1_000);
-    if (answer === undefined || delta === undefined) {
-      this.#warn(source, { result, elapsedMs });
-      return false;
-    }
-    // Limits only the warning below. Whether the source is followed does not
-    // depend on the local age: otherwise an entry that has just read the store
-    // would not follow the reader, and the two would swap roles again and
-    // again.
-    const acceptedMs = Math.max(STALE_MS, this.ageMs() + AGE_SLACK_MS);
-    const nowMs = performance.now();
-    // A stale answer may still hold newer versions.
-    catalog.applyDelta(delta, nowMs);
-    // A late answer may be as old as its request.
-    const currentAtMs = elapsedMs > ANSWER_DUE_MS ? sentAt.steadyMs : nowMs;
-    this.#followedAtMs = Math.max(
-      this.#followedAtMs,
-      currentAtMs - answer.ageMs,
-    );
+    metrics.catalogPulls.observe({ result }, elapsedMs / 1_000);
+    this.#warn(source, { result, elapsedMs, ageMs: answer?.ageMs });
+    if (answer === undefined || delta === undefined) return undefined;
+    catalog.applyDelta(delta, performance.now());
     if (isContact(answer.ageMs)) this.#contact.note(sentAt);
     this.#recordChange(
       describeSource(source),
       elapsedMs + (answer.documentAgeMs ?? 0),
     );
-    const { ageMs } = answer;
-    if (ageMs > acceptedMs) this.#warn(source, { result, elapsedMs, ageMs });
-    return result === "followed";
+    return {
+      type: "pulled",
+      id,
+      ageMs: answer.ageMs,
+      reader: getReader(source, answer),
+    };
+  }
+
+  #recordChange(source: string, documentAgeMs: number): void {
+    const { catalog, onChanged } = this.#options;
+    const version = catalog.document?.version;
+    if (version !== this.#documentVersion) {
+      this.#documentVersion = version;
+      this.#documentReadAtMs = performance.now() - documentAgeMs;
+    }
+    onChanged(source, this.documentAgeMs());
+  }
+
+  #logSource(
+    { source, ageMs }: Extract<RefreshAction, { type: "source_changed" }>,
+  ): void {
+    const { log, processId } = this.#options;
+    const catalogAgeMs = Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+    if (source === processId) {
+      log.info({ catalogAgeMs }, "Reading the store for the region.");
+    } else {
+      log.info({ entry: source, catalogAgeMs }, "Following another entry.");
+    }
   }
 
   #warn(
@@ -305,9 +301,14 @@
     pull: {
       readonly result: PullResult;
       readonly elapsedMs: number;
-      readonly ageMs?: number;
+      readonly ageMs: number | undefined;
     },
   ): void {
+    // Among entries that all have no current catalog, the answers tell nothing.
+    const acceptedMs = Math.max(STALE_MS, this.ageMs() + AGE_SLACK_MS);
+    const isExpected = pull.result === "followed" ||
+      (pull.result === "old" && (pull.ageMs ?? 0) <= acceptedMs);
+    if (isExpected) return;
     const nowMs = performance.now();
     if (nowMs - this.#warnedAtMs < WARN_INTERVAL_MS) return;
     this.#warnedAtMs = nowMs;
@@ -320,6 +321,16 @@
   }
 }
 
+/** Returns the reader that an entry names; one of an earlier version names none
+ * and counts as the reader. */
+function getReader(
+  source: CatalogSource,
+  { reader }: CatalogMessage,
+): string | undefined {
+  if (reader !== undefined) return reader === "" ? undefined : reader;
+  return source.type === "process" ? source.processId : undefined;
+}
+
 function getPullResult({ answer, delta, elapsedMs }: {
   readonly answer: CatalogMessage | undefined;
   readonly delta: CatalogDelta | undefined;
--- a/packages/daemon/edge/src/process/catalog_watch_test.ts
+++ b/packages/daemon/edge/src/process/catalog_watch_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { createCatalog } from "@dotterelmoor/core.catalog";
 import type { CatalogChange } from "@dotterelmoor/core.catalog";
+import type { CatalogSource } from "@dotterelmoor/core.refreshing";
 import { DisposableStore } from "@dotterelmoor/core.types";
 import type { CatalogMessage } from "@dotterelmoor/network.peering";
 import { pino } from "pino";
@@ -11,7 +12,6 @@
   createMemoryStore,
 } from "../edge_fixture.ts";
 import { startCatalogWatch } from "./catalog_watch.ts";
-import type { CatalogSource } from "./catalog_pulls.ts";
 import { createEdgeMetrics } from "./metrics.ts";
 
 const wait = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
--- a/packages/daemon/edge/src/process/load_exchange.ts
+++ b/packages/daemon/edge/src/process/load_exchange.ts
@@ -38,7 +38,7 @@
 import { sortEntries } from "./entry_order.ts";
 import { runRepeatedly } from "./intervals.ts";
 import { createLoadPacker, unpackLoads } from "./load_packing.ts";
-import { createReaderChoice } from "./reader_choice.ts";
+import { createAggregatorChoice } from "./aggregator_choice.ts";
 
 /** Report interval in milliseconds for each entry of the region, with its
  * bounds: the aggregator answers about 100 reports per second. Run times on
@@ -126,7 +126,7 @@
 class Exchange implements LoadExchange {
   readonly #options: LoadExchangeOptions;
   readonly #board: LoadAggregator;
-  readonly #choice = createReaderChoice();
+  readonly #choice = createAggregatorChoice();
   readonly #reader = createLoadReader();
   readonly #packer = createLoadPacker();
   /** Readers of the other regions' sums, and their aggregators' addresses. */
--- a/packages/daemon/edge/src/process/metrics.ts
+++ b/packages/daemon/edge/src/process/metrics.ts
@@ -55,6 +55,7 @@
   readonly configurationSpread: Gauge;
   readonly catalogPulls: Histogram<"result">;
   readonly catalogAge: Gauge;
+  readonly directReads: Counter<"table">;
   readonly brokenConnections: Counter<"code" | "action">;
   readonly unexpectedErrors: Counter;
   readonly stalledSeconds: Counter;
@@ -160,6 +161,13 @@
       help: "Time since the catalog was known to be current",
       registers,
     }),
+    directReads: new Counter({
+      name: "dotterelmoor_direct_reads_total",
+      help:
+        "Calls to the store because the catalog was too old, not for the region",
+      labelNames: ["table"],
+      registers,
+    }),
     brokenConnections: new Counter({
       name: "dotterelmoor_broken_connections_total",
       help: "Callers' connections that broke, by error code and what was done",
--- a/packages/daemon/edge/src/process/peers.ts
+++ b/packages/daemon/edge/src/process/peers.ts
@@ -13,6 +13,7 @@
   MembershipEvent,
   MembershipMessage,
 } from "@dotterelmoor/core.membership";
+import type { CatalogSource } from "@dotterelmoor/core.refreshing";
 import { applyEvent } from "@dotterelmoor/core.types";
 import type {
   DisposableStore,
@@ -31,7 +32,6 @@
 } from "@dotterelmoor/network.peering";
 import type { Logger } from "pino";
 import type { ListenAddress } from "../ports.ts";
-import type { CatalogSource } from "./catalog_pulls.ts";
 import { createDeltaPacker } from "./delta_packing.ts";
 
 /** Interval in milliseconds between ticks of the membership state machine. */
@@ -69,6 +69,8 @@
   /** Upper bound in milliseconds on the time since any entry first read the
    * configuration from the store. */
   readonly getDocumentAgeMs: () => number;
+  /** Process id of the region's reader, as far as this entry knows. */
+  readonly getReader: () => string | undefined;
   /** Called when a peer has another version of the configuration. */
   readonly onOtherVersion: (version: number, peerAddress: string) => void;
   /** Answers a peer's load report. */
@@ -188,13 +190,15 @@
   }
 
   answerPull(position: CatalogPosition): CatalogMessage {
-    const { catalog, getCatalogAgeMs, getDocumentAgeMs } = this.#options;
+    const { catalog, getCatalogAgeMs, getDocumentAgeMs, getReader } =
+      this.#options;
     const packed = this.#packer.pack(catalog.changesSince(position, nowMs()));
     return {
       type: "catalog",
       ...packed,
       ageMs: Math.min(NEVER_READ_MS, getCatalogAgeMs()),
       documentAgeMs: packed.document && getDocumentAgeMs(),
+      reader: getReader() ?? "",
     };
   }
 
--- a/packages/daemon/edge/src/process/table_reader_test.ts
+++ b/packages/daemon/edge/src/process/table_reader_test.ts
@@ -1,7 +1,6 @@
 import test from "ava";
 import type { ExecutionContext } from "ava";
 import { createCatalog } from "@dotterelmoor/core.catalog";
-import type { Catalog } from "@dotterelmoor/core.catalog";
 import { DisposableStore } from "@dotterelmoor/core.types";
 import { Err, Ok } from "ts-results-es";
 import { pino } from "pino";
@@ -11,44 +10,47 @@
   buildRoute,
   createMemoryStore,
 } from "../edge_fixture.ts";
-import { ContactClock } from "./contact_clock.ts";
+import { startCatalogWatch } from "./catalog_watch.ts";
+import type { CatalogWatchOptions } from "./catalog_watch.ts";
 import { createEdgeMetrics } from "./metrics.ts";
-import { TableReader } from "./table_reader.ts";
 
-const UNREACHABLE = {
-  code: "unreachable",
-  message: "No answer came in time",
-  hint: "Wait",
-} as const;
+const wait = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
 
-/** Creates a reader of the `orders` table. */
-function createReader(
+function startWatch(
   t: ExecutionContext,
-  source: CatalogStore,
-  catalog: Catalog = createCatalog({ zones: {} }),
-): TableReader {
+  options:
+    & Pick<CatalogWatchOptions, "source">
+    & Partial<CatalogWatchOptions>,
+) {
   const store = new DisposableStore();
   t.teardown(() => store.dispose());
-  return new TableReader("orders", {
+  const catalog = createCatalog({ zones: {} });
+  const watch = startCatalogWatch({
+    processId: "p2",
     catalog,
-    source,
     store,
     metrics: createEdgeMetrics({ address: undefined, store }),
     log: pino({ level: "silent" }),
     onChanged: () => {},
-    contact: new ContactClock(),
-    getCatalogAgeMs: () => Infinity,
+    listRegion: () => ["p2"],
+    joinMs: 0,
+    isContact: () => true,
+    pull: () => Promise.resolve(undefined),
+    ...options,
   });
+  return { watch, catalog };
 }
 
 // Another entry becomes the reader while a large answer is pending; if it were
 // dropped, it would have to be read again.
 test("guards against an answer of the store that is dropped because another entry became the reader", async (t) => {
+  const members = ["p2"];
   let answer: (version: number) => void = () => {};
+  const client = createMemoryStore().createClient("p2");
   const source: CatalogStore = {
-    ...createMemoryStore().createClient("n1"),
-    readAll: () =>
-      new Promise((resolve) => {
+    ...client,
+    readAll: (table) =>
+      table !== "orders" ? client.readAll(table) : new Promise((resolve) => {
         answer = (version) => {
           const document = buildDocument(version, [buildRoute()]);
           const changes = [{ type: "document", document } as const];
@@ -56,41 +58,62 @@
         };
       }),
   };
-  const catalog = createCatalog({ zones: {} });
-  const reader = createReader(t, source, catalog);
-  reader.start();
-  reader.stop();
+  const unchanged = { version: 0, isComplete: false, changes: [] };
+  const { watch, catalog } = startWatch(t, {
+    source,
+    listRegion: () => members,
+    pull: () =>
+      Promise.resolve({
+        type: "catalog",
+        delta: { servers: unchanged, orders: unchanged },
+        ageMs: 0,
+        reader: "p1",
+      }),
+  });
+  await wait(50);
+  members.unshift("p1");
+  while (watch.isReading) await wait(20);
+  t.is(catalog.document, undefined);
   answer(3);
-  await new Promise((resolve) => setTimeout(resolve, 20));
+  await wait(20);
   t.is(catalog.document?.version, 3);
-  t.is(reader.ageMs(), Infinity);
+  t.false(watch.isReading);
 });
 
-// A waiting call that is sent while the store does not answer hangs for its
-// whole wait after the store has recovered, which delays all changes of that
-// time.
-test("guards against a change that is delayed by a waiting call from an outage", async (t) => {
-  const waits: number[] = [];
+// Without its history, the store tells nothing of the rows that were removed
+// meanwhile, so the whole table is read, and at once.
+test("guards against changes that are missed because the store has lost its history", async (t) => {
+  const memory = createMemoryStore();
+  memory.put("orders", "config", {
+    type: "document",
+    document: buildDocument(1, [buildRoute()]),
+  });
+  const client = memory.createClient("p2");
+  const reads: string[] = [];
+  let isLost = false;
   const source: CatalogStore = {
-    ...createMemoryStore().createClient("n1"),
-    readAll: () =>
-      Promise.resolve(Ok({ version: 1, isComplete: true, changes: [] })),
-    readChanges: (_table, { waitMs }) => {
-      waits.push(waitMs);
-      if (waits.length < 3) return Promise.resolve(Err(UNREACHABLE));
-      const update = { version: 2, isComplete: false, changes: [] };
-      return waits.length === 3
-        ? Promise.resolve(Ok(update))
-        : new Promise(() => {});
+    ...client,
+    readAll: (table) => {
+      if (table === "orders") reads.push("all");
+      return client.readAll(table);
+    },
+    readChanges: (table, options) => {
+      if (table !== "orders") return client.readChanges(table, options);
+      reads.push(isLost ? "lost" : "changes");
+      return isLost
+        ? Promise.resolve(
+          Err({ code: "history-lost", message: "Gone", hint: "Read all" }),
+        )
+        : client.readChanges(table, options);
     },
   };
-  const reader = createReader(t, source);
-  reader.start();
-  while (waits.length < 4) {
-    await new Promise((resolve) => setTimeout(resolve, 20));
-  }
-  const [first, second, third, fourth] = waits;
-  t.true(first! > 0);
-  t.deepEqual([second, third], [0, 0]);
-  t.is(fourth, first);
+  const { watch } = startWatch(t, { source });
+  while (!watch.isLoaded) await wait(20);
+  isLost = true;
+  while (!reads.includes("lost")) await wait(20);
+  isLost = false;
+  const lostAt = reads.indexOf("lost");
+  while (reads.length < lostAt + 3) await wait(20);
+  t.deepEqual(reads.slice(lostAt, lostAt + 3), ["lost", "all", "changes"]);
+  t.true(watch.ageMs() < 1_500);
 });
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -238,7 +238,7 @@
     metrics,
     log,
   });
-  const watch = startWatch(shared, { peers, callers });
+  const watch = startWatch(shared, { peers, callers, stalls });
   startRegistration({
     source: platform.store,
     instance: settings.instance,
@@ -326,6 +326,7 @@
     catalog,
     getCatalogAgeMs: () => late.watch?.ageMs() ?? Infinity,
     getDocumentAgeMs: () => late.watch?.documentAgeMs() ?? 0,
+    getReader: () => late.watch?.reader,
     onOtherVersion: (version, peerAddress) => {
       const own = catalog.document?.version ?? 0;
       if (version > own) late.watch?.pullNow(peerAddress);
@@ -417,7 +418,11 @@
 
 function startWatch(
   shared: SharedParts,
-  { peers, callers }: { readonly peers: Peers; readonly callers: Server },
+  { peers, callers, stalls }: {
+    readonly peers: Peers;
+    readonly callers: Server;
+    readonly stalls: StallDetector;
+  },
 ): CatalogWatch {
   const { settings, platform, processId, store, log, catalog, metrics } =
     shared;
@@ -434,6 +439,7 @@
       sortEntries(peers.membership.liveMembers(settings.region))
         .map((member) => member.processId),
     joinMs: getJoinMs(settings),
+    suspendedMs: () => stalls.suspendedMs(),
     // While there is contact with all regions, an old catalog means that the
     // store is down.
     isContact: (ageMs) =>
--- a/packages/network/peering/src/guards.ts
+++ b/packages/network/peering/src/guards.ts
@@ -271,6 +271,7 @@
     servers: isOptionalBytes,
     ageMs: isNonNegativeNumber,
     documentAgeMs: isOptionalNonNegativeNumber,
+    reader: isOptionalString,
   },
   load_report: {
     known: (known) => hasFields(known, { numbering: isString, count: isCount }),
--- a/packages/network/peering/src/messages.ts
+++ b/packages/network/peering/src/messages.ts
@@ -177,6 +177,10 @@
   /** Time in milliseconds since the configuration was first read from the
    * store, if the message contains the configuration. */
   readonly documentAgeMs?: number | undefined;
+  /** Process id of the entry that reads the store for the sender's region, as
+   * far as the sender knows; empty if it knows none, and absent from senders of
+   * earlier versions. */
+  readonly reader?: string | undefined;
 }
 
 /**
