Tell an outage of the store by failed calls

Change: an outage is told by a failed call of this entry since its catalog was last current, besides the age. With the direct reads, every entry makes such a call in an outage.

--- a/packages/daemon/edge/src/process/table_reader.ts
+++ b/packages/daemon/edge/src/process/table_reader.ts
@@ -16,8 +16,8 @@
 import type { EdgeMetrics } from "./metrics.ts";
 
 /** Age of the catalog in milliseconds above which server records may have
- * expired unnoticed: three heartbeats, less one that may have been missed before
- * the outage. */
+ * expired in an outage: three heartbeats, less one that may have been missed
+ * before it. */
 const OUTAGE_MS = 2_500;
 
 /** Options of `TableReader`. */
@@ -44,7 +44,8 @@
   readonly #options: TableReaderOptions;
   /** True if changes may be missing, so that the whole table must be read. */
   #hasLostHistory = false;
-  #failingSinceMs: number | undefined;
+  #isFailing = false;
+  #failedAtMs = -Infinity;
 
   constructor(table: CatalogTable, options: TableReaderOptions) {
     this.#table = table;
@@ -101,16 +102,18 @@
     log.info({ table, version: update.version, rows }, "Table read.");
   }
 
-  /** Entries take turns reading during an outage, so the outage is measured by
-   * the age of the catalog, not by the time for which this reader has
-   * failed. */
+  /** Only an outage excuses records that are missing. An old catalog alone does
+   * not show one: this entry may have stood still, or lost those that it pulls
+   * from, while the store answered. In an outage, each entry whose catalog
+   * became old has called the store itself, and failed. */
   #recordRecovery(nowMs: number): void {
     const { catalog, log, getCatalogAgeMs } = this.#options;
     const ageMs = getCatalogAgeMs();
-    const wasAway = ageMs > OUTAGE_MS && Number.isFinite(ageMs);
+    const wasAway = ageMs > OUTAGE_MS && Number.isFinite(ageMs) &&
+      this.#failedAtMs >= nowMs - ageMs;
     if (wasAway) catalog.markStoreRecovered(nowMs);
-    if (this.#failingSinceMs === undefined && !wasAway) return;
-    this.#failingSinceMs = undefined;
+    if (!this.#isFailing) return;
+    this.#isFailing = false;
     const table = this.#table;
     log.info({ table, ageMs, wasAway }, "Store is reachable again.");
   }
@@ -119,10 +122,11 @@
     const { log } = this.#options;
     const table = this.#table;
     this.#countCall(error.code);
-    if (this.#failingSinceMs === undefined) {
+    if (!this.#isFailing) {
       log.warn({ table, code: error.code }, `${error.message}.`);
     }
-    this.#failingSinceMs ??= performance.now();
+    this.#isFailing = true;
+    this.#failedAtMs = performance.now();
   }
 
   #countCall(outcome: string): void {
--- a/packages/daemon/edge/src/process/table_reader_test.ts
+++ b/packages/daemon/edge/src/process/table_reader_test.ts
@@ -8,11 +8,14 @@
 import {
   buildDocument,
   buildRoute,
+  buildServer,
   createMemoryStore,
 } from "../edge_fixture.ts";
 import { startCatalogWatch } from "./catalog_watch.ts";
 import type { CatalogWatchOptions } from "./catalog_watch.ts";
+import { ContactClock } from "./contact_clock.ts";
 import { createEdgeMetrics } from "./metrics.ts";
+import { TableReader } from "./table_reader.ts";
 
 const wait = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
 
@@ -117,3 +120,51 @@
   t.deepEqual(reads.slice(lostAt, lostAt + 3), ["lost", "all", "changes"]);
   t.true(watch.ageMs() < 1_500);
 });
+
+/** Reads the servers after a while in which the catalog was not refreshed and a
+ * server was removed; returns whether requests may still be sent to it. */
+async function readAfterRemoval(
+  t: ExecutionContext,
+  { ageMs, failsBefore }: {
+    readonly ageMs: number;
+    readonly failsBefore: boolean;
+  },
+): Promise<boolean> {
+  const store = new DisposableStore();
+  t.teardown(() => store.dispose());
+  const memory = createMemoryStore();
+  const record = buildServer("s1", "127.0.0.1:9");
+  memory.put("servers", "s1", { type: "server", record });
+  const catalog = createCatalog({ zones: { "a-1": "a" } });
+  let catalogAgeMs = 0;
+  const reader = new TableReader("servers", {
+    catalog,
+    source: memory.createClient("p1"),
+    metrics: createEdgeMetrics({ address: undefined, store }),
+    log: pino({ level: "silent" }),
+    onChanged: () => {},
+    contact: new ContactClock(),
+    getCatalogAgeMs: () => catalogAgeMs,
+  });
+  await reader.read(0);
+  memory.drop("servers", "s1", { type: "server_removed", id: "s1" });
+  if (failsBefore) {
+    memory.setDown(true);
+    await reader.read(0);
+    memory.setDown(false);
+  }
+  catalogAgeMs = ageMs;
+  await reader.read(0);
+  return catalog.findServers("desk", performance.now()).length > 0;
+}
+
+// An old catalog was taken for an outage of the store, after which missing
+// records count for 2 s more.
+test("guards against a removed server that is kept because the catalog was old", async (t) => {
+  t.false(await readAfterRemoval(t, { ageMs: 3_000, failsBefore: false }));
+});
+
+test("guards against a server that is dropped because its record expired in an outage", async (t) => {
+  t.true(await readAfterRemoval(t, { ageMs: 3_000, failsBefore: true }));
+  t.false(await readAfterRemoval(t, { ageMs: 1_000, failsBefore: true }));
+});
