Count only answers for the configuration as contact

Cause: each answer of the store counted as contact, so reads of the servers, over another connection, hid that no change of the regions could be heard of.

Change: only answers for the table that holds the configuration count.

--- a/packages/daemon/edge/src/process/catalog_watch.ts
+++ b/packages/daemon/edge/src/process/catalog_watch.ts
@@ -93,7 +93,8 @@
    * known to be current; infinite before the first load. */
   ageMs(): number;
   /** Time in milliseconds, suspensions included, since the request of the last
-   * answered call to the store or to an entry in contact. */
+   * answered call to the store for the configuration, or to an entry in
+   * contact. */
   contactAgeMs(): number;
   /** Upper bound in milliseconds on the time since any entry first read the
    * configuration from the store. */
--- a/packages/daemon/edge/src/process/contact_test.ts
+++ b/packages/daemon/edge/src/process/contact_test.ts
@@ -127,3 +127,38 @@
   }
   t.true(longestMs < 2_500, `${longestMs} ms`);
 });
+
+// The servers are read over another connection than the configuration, which
+// holds the regions of routes.
+test("guards against reads of the servers that count as contact while the configuration cannot be read", async (t) => {
+  const store = new DisposableStore();
+  t.teardown(() => store.dispose());
+  const memory = createMemoryStore();
+  const document = buildDocument(1, [buildRoute({ allowedRegions: ["a"] })]);
+  memory.put("orders", "config", { type: "document", document });
+  const client = memory.createClient("p2");
+  let isSilent = false;
+  const watch = startCatalogWatch({
+    processId: "p2",
+    catalog: createCatalog({ zones: {} }),
+    source: {
+      ...client,
+      readChanges: (table, options) =>
+        isSilent && table === "orders"
+          ? new Promise(() => {})
+          : client.readChanges(table, options),
+    },
+    store,
+    metrics: createEdgeMetrics({ address: undefined, store }),
+    log: pino({ level: "silent" }),
+    onChanged: () => {},
+    listRegion: () => ["p2"],
+    joinMs: 0,
+    isContact: () => false,
+    pull: () => Promise.resolve(undefined),
+  });
+  while (!watch.isLoaded) await wait(20);
+  isSilent = true;
+  await wait(4_000);
+  t.true(watch.contactAgeMs() > 2_500, `${watch.contactAgeMs()} ms`);
+});
--- a/packages/daemon/edge/src/process/table_reader.ts
+++ b/packages/daemon/edge/src/process/table_reader.ts
@@ -31,7 +31,7 @@
   /** Time in milliseconds since the catalog was last known to be current, by
    * reads of the store or by pulls. */
   readonly getCatalogAgeMs: () => number;
-  /** Records the answers of the store. */
+  /** Records the answers of the store for the `orders` table. */
   readonly contact: ContactClock;
 }
 
@@ -71,7 +71,9 @@
       this.#recordFailure(result.error);
       return "failed";
     }
-    contact.note(sentAt);
+    // Contact is for routes whose regions may change, so only the table that
+    // holds them shows it.
+    if (this.#table === "orders") contact.note(sentAt);
     this.#applyUpdate(result.value);
     return result.value.changes.length > 0 ? "changed" : "unchanged";
   }
