Reject responses with an invalid status line

Here status 000, 099 and 101 gave 502 already, but a caller got 600 or 999 and the server's body as an answer, and the body of a response with version HTTP/2.0 as 200.

Cause: the parser of Node.js takes any three digits for a status, and HTTP/2.0 for a version; only the lower bound of the status was checked.

Change: a response whose version is not 1.x or whose status is not from 200 to 599 counts as an incomplete answer: 502, or another server for a request that may be repeated.

--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -5,11 +5,7 @@
  */
 
 import { request as openRequest } from "node:http";
-import type {
-  ClientRequest,
-  IncomingHttpHeaders,
-  IncomingMessage,
-} from "node:http";
+import type { ClientRequest, IncomingMessage } from "node:http";
 import { performance } from "node:perf_hooks";
 import type { AnswerShare } from "./answer_budget.ts";
 import { BodyBuffer } from "./body_buffer.ts";
@@ -17,6 +13,7 @@
 import { buildRequestHeaders, pickEndToEnd } from "./headers.ts";
 import { computeMaxRead, MAX_HEAD_BYTES } from "./limits.ts";
 import type { ServerProtocol } from "./protocol.ts";
+import { hasValidStatusLine, isFramed } from "./response_head.ts";
 import type { BackendRequest, BackendResult } from "./types.ts";
 
 /** Time before the end of a server's announced idle timeout at which the
@@ -24,10 +21,6 @@
  * closes it. */
 const IDLE_MARGIN_MS = 1_500;
 
-/** Lowest status of a final response. Lower ones are invalid or, as 101, switch
- * protocols, which no request asks for. */
-const MIN_FINAL_STATUS = 200;
-
 /** Limits and progress of one exchange. */
 export interface Exchange {
   readonly request: BackendRequest;
@@ -73,7 +66,7 @@
   // Before the connection becomes idle, at the end of the response.
   limitIdle(connection, response);
   const { statusCode = 0, headers } = response;
-  if (statusCode < MIN_FINAL_STATUS) rejectAnswer(exchange);
+  if (!hasValidStatusLine(response)) rejectAnswer(exchange);
   const isMatching = hasMatchingId(response, exchange, connection.isReused);
   if (!isMatching) rejectAnswer(exchange);
   if (!hasValidFraming(response, exchange)) rejectAnswer(exchange);
@@ -254,11 +247,6 @@
     statusCode === 304;
 }
 
-function isFramed(headers: IncomingHttpHeaders): boolean {
-  return headers["content-length"] !== undefined ||
-    headers["transfer-encoding"]?.toLowerCase() === "chunked";
-}
-
 /** Rejects the response and closes its connection. */
 export function rejectAnswer(exchange: Exchange): void {
   exchange.isRejected = true;
--- a/packages/network/backend/src/invalid_status_test.ts
+++ b/packages/network/backend/src/invalid_status_test.ts
@@ -29,9 +29,21 @@
   return result;
 }
 
-// Node.js cannot write a status below 100 to the caller.
-for (const statusLine of ["HTTP/1.1 099 Odd", "HTTP/1.1 000 None"]) {
-  test(`guards against a response that cannot be forwarded: ${statusLine}`, async (t) => {
+// Callers would get bytes that are no answer in the protocol: Node.js writes
+// statuses up to 999, and none below 100.
+for (
+  const statusLine of [
+    "HTTP/1.1 000 None",
+    "HTTP/1.0 000 None",
+    "HTTP/1.1 099 Odd",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 None",
+    "HTTP/1.1 600 Odd",
+    "HTTP/1.1 999 Odd",
+    "HTTP/2.0 200 OK",
+  ]
+) {
+  const name = statusLine.replaceAll("\r\n", " ");
+  test(`guards against a response that cannot be forwarded: ${name}`, async (t) => {
     t.is((await sendTo(statusLine)).type, "incomplete_answer");
   });
 }
