Read a store without rows by its changes, and cede sooner at a start

Besides, every starting entry sent waiting reads before it had found the region's reader.

Change: a table that was read once is read by its changes, whatever its version. A store that does not wait is asked again after 0.8 s. Waiting reads begin one second after the role of the reader, and a new entry before this one in the order is asked every 0.1 s for a second.

--- a/packages/core/refreshing/src/refresher.ts
+++ b/packages/core/refreshing/src/refresher.ts
@@ -18,8 +18,10 @@
 import {
   ANSWER_DUE_MS,
   computeReadAge,
+  FIRST_PROBE_INTERVAL_MS,
   HEDGE_INTERVAL_MS,
   HEDGED_ENTRIES,
+  NEW_ENTRY_MS,
   PROBE_INTERVAL_MS,
   PULL_INTERVAL_MS,
   STALE_MS,
@@ -89,6 +91,7 @@
   #source: string | undefined;
   #announcer: string | undefined;
   #firstAhead: string | undefined;
+  #aheadSinceMs = -Infinity;
   #nextPullAtMs = -Infinity;
   #nextProbeAtMs = -Infinity;
   #nextHedgeAtMs = -Infinity;
@@ -239,8 +242,11 @@
     this.#choice.choose(nowMs);
     const { source } = this.#choice;
     const [firstAhead] = this.#choice.ahead;
-    if (firstAhead !== this.#firstAhead) this.#nextProbeAtMs = nowMs;
-    this.#firstAhead = firstAhead;
+    if (firstAhead !== this.#firstAhead) {
+      this.#firstAhead = firstAhead;
+      this.#aheadSinceMs = nowMs;
+      this.#nextProbeAtMs = nowMs;
+    }
     if (source === this.#source) return;
     this.#source = source;
     const ageMs = this.ageMs(nowMs);
@@ -307,7 +313,9 @@
     }
     if (this.#choice.ahead.length === 0) return;
     if (!this.#isDue(this.#nextProbeAtMs, nowMs)) return;
-    this.#nextProbeAtMs = nowMs + PROBE_INTERVAL_MS;
+    const isNew = nowMs - this.#aheadSinceMs < NEW_ENTRY_MS;
+    this.#nextProbeAtMs = nowMs +
+      (isNew ? FIRST_PROBE_INTERVAL_MS : PROBE_INTERVAL_MS);
     const processId = this.#choice.takeProbed();
     if (processId !== undefined) {
       this.#pull({ type: "process", processId }, nowMs);
--- a/packages/core/refreshing/src/table_schedule.ts
+++ b/packages/core/refreshing/src/table_schedule.ts
@@ -8,6 +8,7 @@
   MIN_POLL_SHARE,
   RETRY_MS,
   RETRY_PER_ENTRY_MS,
+  SETTLE_READING_MS,
   USUAL_CALL_MS,
 } from "./timings.ts";
 import type { TableTimings } from "./timings.ts";
@@ -30,8 +31,6 @@
   /** True once a read that does not wait was answered since the start or the
    * last failure: only that shows at once that the store answers. */
   #isConfirmed = false;
-  /** Time by which the last poll took longer than usual. */
-  #excessMs = 0;
 
   constructor(timings: TableTimings) {
     this.#timings = timings;
@@ -50,6 +49,7 @@
   /** Starts the reads of the region's reader. */
   start(nowMs: number): void {
     this.#nextPollAtMs = Math.max(nowMs, this.#nextPollAtMs);
+    this.#nextWaitingAtMs = nowMs + SETTLE_READING_MS;
     this.#isConfirmed = false;
   }
 
@@ -86,23 +86,35 @@
     const read = this.#pending.get(id);
     if (read === undefined) return;
     this.#pending.delete(id);
-    const { sentAtMs, waitMs } = read;
-    const { pollMs = 0, pauseMs } = this.#timings;
     this.#failures = 0;
     this.#nextDirectAtMs = -Infinity;
-    // Without changes, the store answered at the end of the wait.
-    const waitedMs = hasChanges || nowMs < sentAtMs + waitMs ? 0 : waitMs;
-    this.#asOfMs = Math.max(this.#asOfMs, sentAtMs + waitedMs);
-    if (waitMs > 0) {
-      this.#nextWaitingAtMs = nowMs + pauseMs;
-      return;
+    this.#asOfMs = Math.max(this.#asOfMs, read.sentAtMs);
+    if (read.waitMs > 0) this.#recordWait(read, nowMs, hasChanges);
+    else this.#recordPoll(read, nowMs);
+  }
+
+  #recordWait(
+    { sentAtMs, waitMs }: PendingRead,
+    nowMs: number,
+    hasChanges: boolean,
+  ): void {
+    const { pauseMs } = this.#timings;
+    const hasWaited = nowMs >= sentAtMs + waitMs;
+    // Without changes, the store answers at the end of the wait.
+    if (hasWaited && !hasChanges) {
+      this.#asOfMs = Math.max(this.#asOfMs, sentAtMs + waitMs);
     }
+    // A store that does not wait must not be called again and again.
+    const isExpected = hasWaited || hasChanges;
+    this.#nextWaitingAtMs = nowMs + (isExpected ? pauseMs : RETRY_MS);
+  }
+
+  #recordPoll({ sentAtMs }: PendingRead, nowMs: number): void {
+    const { pollMs = 0, pauseMs } = this.#timings;
     this.#isConfirmed = true;
-    this.#excessMs = Math.max(0, nowMs - sentAtMs - USUAL_CALL_MS);
-    this.#nextPollAtMs = Math.max(
-      nowMs + pauseMs,
-      sentAtMs + Math.max(MIN_POLL_SHARE * pollMs, pollMs - this.#excessMs),
-    );
+    const excessMs = Math.max(0, nowMs - sentAtMs - USUAL_CALL_MS);
+    const periodMs = Math.max(MIN_POLL_SHARE * pollMs, pollMs - excessMs);
+    this.#nextPollAtMs = Math.max(nowMs + pauseMs, sentAtMs + periodMs);
   }
 
   /** Records a failed read in a region with a number of entries; ignored if the
--- a/packages/core/refreshing/src/timings.ts
+++ b/packages/core/refreshing/src/timings.ts
@@ -52,8 +52,11 @@
 export const START_PHASE_MS = 1_000;
 
 /** Interval in milliseconds between pulls from entries that come before the
- * source in the order, to find out whether they read the store again. */
+ * source in the order, to find out whether they read the store; the shorter one
+ * holds for `NEW_ENTRY_MS` after an entry became the first of them. */
 export const PROBE_INTERVAL_MS = 1_000;
+export const FIRST_PROBE_INTERVAL_MS = 100;
+export const NEW_ENTRY_MS = 1_000;
 
 /** Time in milliseconds for which an entry that failed is not chosen, unless it
  * is known to read the store again; enough to try ten entries one after the
@@ -88,6 +91,10 @@
   crashes: { pollMs: undefined, waitMs: 4_000, pauseMs: 200 },
 };
 
+/** Time in milliseconds after the start of the reader's reads in which none waits
+ * for a change: an entry that starts mostly finds another reader by then. */
+export const SETTLE_READING_MS = 1_000;
+
 /** Time in milliseconds of a call to the store up to which polls keep their
  * interval; what a slower one takes longer shortens the next interval. */
 export const USUAL_CALL_MS = 100;
--- a/packages/daemon/edge/src/process/table_reader.ts
+++ b/packages/daemon/edge/src/process/table_reader.ts
@@ -42,6 +42,9 @@
 export class TableReader {
   readonly #table: CatalogTable;
   readonly #options: TableReaderOptions;
+  /** True once the table was read: its version may be 0, as that of an empty
+   * store. */
+  #hasRead = false;
   /** True if changes may be missing, so that the whole table must be read. */
   #hasLostHistory = false;
   #isFailing = false;
@@ -82,9 +85,10 @@
     const { source, catalog } = this.#options;
     const table = this.#table;
     const after = catalog.position[table];
-    return this.#hasLostHistory || after === 0
-      ? source.readAll(table)
-      : source.readChanges(table, { after, waitMs });
+    const isKnown = after > 0 || this.#hasRead;
+    return isKnown && !this.#hasLostHistory
+      ? source.readChanges(table, { after, waitMs })
+      : source.readAll(table);
   }
 
   #applyUpdate(update: TableUpdate): void {
@@ -97,6 +101,7 @@
       if (change.type === "unreadable") log.warn(change, "Unreadable row.");
     }
     catalog.applyTable(table, update, nowMs);
+    this.#hasRead = true;
     onChanged();
     if (!update.isComplete) return;
     this.#hasLostHistory = false;
--- a/packages/daemon/edge/src/process/table_reader_test.ts
+++ b/packages/daemon/edge/src/process/table_reader_test.ts
@@ -121,6 +121,27 @@
   t.true(watch.ageMs() < 1_500);
 });
 
+// A store without rows has version 0, which did not count as known: each waiting
+// read became one of the whole table that does not wait, twenty a second.
+test("guards against reads of the whole table again and again from an empty store", async (t) => {
+  const empty = { version: 0, changes: [] };
+  const reads: string[] = [];
+  const source: CatalogStore = {
+    ...createMemoryStore().createClient("p2"),
+    readAll: (table) => {
+      reads.push(table);
+      return Promise.resolve(Ok({ ...empty, isComplete: true }));
+    },
+    readChanges: async (_table, { waitMs }) => {
+      await wait(waitMs);
+      return Ok({ ...empty, isComplete: false });
+    },
+  };
+  startWatch(t, { source });
+  await wait(3_000);
+  t.deepEqual(reads.sort(), ["crashes", "orders", "servers"]);
+});
+
 /** Reads the servers after a while in which the catalog was not refreshed and a
  * server was removed; returns whether requests may still be sent to it. */
 async function readAfterRemoval(
