Split the refresher and the pulls of the watch, and end hedged pulls

Cause: hedged pulls had no end. Change: they end a second after the catalog became stale; by then all entries have read the store, or it does not answer. reader_loss_test "call the store and each other again and again" fails without the end and passes with it.

--- a/packages/core/refreshing/src/mod.ts
+++ b/packages/core/refreshing/src/mod.ts
@@ -5,6 +5,11 @@
  */
 
 export { createRefresher } from "./refresher.ts";
-export type { Refresher, RefresherOptions } from "./refresher.ts";
 export { ANSWER_DUE_MS, STALE_MS } from "./timings.ts";
-export type { CatalogSource, RefreshAction, RefreshEvent } from "./types.ts";
+export type {
+  CatalogSource,
+  RefreshAction,
+  Refresher,
+  RefresherOptions,
+  RefreshEvent,
+} from "./types.ts";
--- a/packages/core/refreshing/src/reader_loss_test.ts
+++ b/packages/core/refreshing/src/reader_loss_test.ts
@@ -45,6 +45,8 @@
   readonly overstatedMs: number;
   /** Calls to the store a second, of all entries. */
   readonly callRate: number;
+  /** Pulls a second, of all entries. */
+  readonly pullRate: number;
 }
 
 function createRandom(seed: number): () => number {
@@ -56,6 +58,7 @@
   let longestMs = 0;
   let overstatedMs = 0;
   let calls = 0;
+  let pulls = 0;
   const seeds = SEEDS[size];
   for (let seed = 1; seed <= seeds; seed++) {
     const random = createRandom(seed);
@@ -67,7 +70,7 @@
     // The reader reads every 850 ms, so the failures come at any moment of that.
     const failsAtMs = START_MS + 850 * (seed / seeds);
     installation.run(failsAtMs);
-    const callsBefore = installation.calls;
+    const { calls: callsBefore, pulls: pullsBefore } = installation;
     fault(installation, random);
     const checked = installation.entries
       .filter(({ condition }) => condition === "sound");
@@ -80,9 +83,15 @@
       }
     });
     calls += installation.calls - callsBefore;
+    pulls += installation.pulls - pullsBefore;
   }
-  const callRate = calls / seeds / (RUN_MS / 1_000);
-  return { longestMs, overstatedMs, callRate };
+  const seconds = seeds * RUN_MS / 1_000;
+  return {
+    longestMs,
+    overstatedMs,
+    callRate: calls / seconds,
+    pullRate: pulls / seconds,
+  };
 }
 
 function failFirst(count: number, condition: Condition): Fault {
@@ -157,16 +166,19 @@
 });
 
 // In an outage, every entry finds out that the store does not answer.
-test("guards against an outage in which all entries call the store again and again", (t) => {
+test("guards against an outage in which all entries call the store and each other again and again", (t) => {
   const stop: Fault = (installation) => {
     installation.isStoreDown = true;
   };
-  const calm = play("grown", () => {}).callRate;
-  const { callRate } = play("grown", stop);
+  const calm = play("grown", () => {});
+  const { callRate, pullRate } = play("grown", stop);
   const entries = SIZES.grown.reduce((sum, count) => sum + count, 0);
   // One call of each entry, and three a second of each region.
-  const limit = calm + entries / (RUN_MS / 1_000) + 3 * SIZES.grown.length;
+  const limit = calm.callRate + entries / (RUN_MS / 1_000) +
+    3 * SIZES.grown.length;
   t.true(callRate <= limit, `${callRate} of ${limit}`);
+  // The entries ask each other, too, but not for long more often than before.
+  t.true(pullRate <= 3 * calm.pullRate, `${pullRate} pulls`);
 });
 
 test("guards against a copy that stays old after an outage", (t) => {
--- a/packages/core/refreshing/src/refresher.ts
+++ b/packages/core/refreshing/src/refresher.ts
@@ -12,66 +12,33 @@
 
 import type { CatalogTable } from "@dotterelmoor/core.catalog";
 import { applyEvent } from "@dotterelmoor/core.types";
-import type { EventHandlers, StateMachine } from "@dotterelmoor/core.types";
+import type { EventHandlers } from "@dotterelmoor/core.types";
+import { PendingPulls } from "./pending_pulls.ts";
+import { ProbeSchedule } from "./probe_schedule.ts";
 import { SourceChoice } from "./source_choice.ts";
-import { TableSchedule } from "./table_schedule.ts";
+import { AGED_TABLES, StoreReads, TABLES } from "./store_reads.ts";
 import {
-  ANSWER_DUE_MS,
   computeReadAge,
-  FIRST_PROBE_INTERVAL_MS,
   HEDGE_INTERVAL_MS,
+  HEDGE_PHASE_MS,
   HEDGED_ENTRIES,
-  NEW_ENTRY_MS,
-  PROBE_INTERVAL_MS,
   PULL_INTERVAL_MS,
   STALE_MS,
   START_INTERVAL_MS,
   START_PHASE_MS,
-  TABLE_TIMINGS,
 } from "./timings.ts";
-import type { CatalogSource, RefreshAction, RefreshEvent } from "./types.ts";
-
-/** Tables whose rows must not become too old. */
-const AGED_TABLES = ["servers", "orders"] as const;
-
-const TABLES: readonly CatalogTable[] = [...AGED_TABLES, "crashes"];
-
-/** Options of `createRefresher`. */
-export interface RefresherOptions {
-  readonly processId: string;
-  readonly startedAtMs: number;
-  /** Time in milliseconds after the start in which this entry looks for others
-   * before it reads the store. */
-  readonly joinMs: number;
-}
-
-/** Decides what one entry reads and pulls. The time that is passed in must count
- * suspensions of the instance. */
-export interface Refresher extends StateMachine<RefreshEvent, RefreshAction> {
-  /** Process id of the entry that this one follows, its own if it reads the
-   * store for the region, undefined if no entry of the region can be used. */
-  readonly source: string | undefined;
-  /** Time at which the next `tick` is due. */
-  readonly wakeAtMs: number;
-  /** Time in milliseconds since the copy was last known to be current; infinite
-   * before it is complete. */
-  ageMs(nowMs: number): number;
-  /** Process id of the region's reader as far as this entry knows: its own only
-   * while the store answers it. */
-  getReader(nowMs: number): string | undefined;
-}
+import type {
+  CatalogSource,
+  RefreshAction,
+  Refresher,
+  RefresherOptions,
+  RefreshEvent,
+} from "./types.ts";
 
 /** Why a table is read: by the reader in turn, by the reader until a change, or
  * because the copy is too old. */
 type ReadKind = "direct" | "poll" | "waiting";
 
-interface PendingPull {
-  readonly source: CatalogSource;
-  readonly sentAtMs: number;
-  readonly isHedge: boolean;
-  isLate: boolean;
-}
-
 /** Creates a refresher without a copy. */
 export function createRefresher(options: RefresherOptions): Refresher {
   return new CatalogRefresher(options);
@@ -80,20 +47,14 @@
 class CatalogRefresher implements Refresher {
   readonly #options: RefresherOptions;
   readonly #choice: SourceChoice;
-  readonly #tables: Readonly<Record<CatalogTable, TableSchedule>> = {
-    servers: new TableSchedule(TABLE_TIMINGS.servers),
-    orders: new TableSchedule(TABLE_TIMINGS.orders),
-    crashes: new TableSchedule(TABLE_TIMINGS.crashes),
-  };
-  readonly #pulls = new Map<number, PendingPull>();
+  readonly #reads = new StoreReads();
+  readonly #pulls = new PendingPulls();
   /** Time for which pulls have shown the copy to be current. */
   #pulledAsOfMs = -Infinity;
   #source: string | undefined;
   #announcer: string | undefined;
-  #firstAhead: string | undefined;
-  #aheadSinceMs = -Infinity;
+  readonly #probes = new ProbeSchedule();
   #nextPullAtMs = -Infinity;
-  #nextProbeAtMs = -Infinity;
   #nextHedgeAtMs = -Infinity;
   #ids = 0;
   #actions: RefreshAction[] = [];
@@ -130,7 +91,7 @@
 
   getReader(nowMs: number): string | undefined {
     const isFailing = this.#source === this.#options.processId &&
-      this.#readAgeMs(nowMs) >= STALE_MS;
+      this.#reads.ageMs(nowMs) >= STALE_MS;
     return isFailing ? undefined : this.#source;
   }
 
@@ -153,35 +114,21 @@
 
   /** Time for which a table's rows are known. */
   #asOf(table: CatalogTable): number {
-    return Math.max(this.#tables[table].asOfMs, this.#pulledAsOfMs);
-  }
-
-  /** Age of what this entry itself has read. */
-  #readAgeMs(nowMs: number): number {
-    const { servers, orders } = this.#tables;
-    return nowMs - Math.min(servers.asOfMs, orders.asOfMs);
+    return Math.max(this.#reads.tables[table].asOfMs, this.#pulledAsOfMs);
   }
 
   #recordRead(id: number, nowMs: number, hasChanges: boolean): void {
     const { processId } = this.#options;
-    for (const table of TABLES) {
-      this.#tables[table].recordAnswer(id, nowMs, hasChanges);
-    }
-    if (this.#readAgeMs(nowMs) < STALE_MS) {
+    this.#reads.recordAnswer(id, nowMs, hasChanges);
+    if (this.#reads.ageMs(nowMs) < STALE_MS) {
       this.#choice.recordReading(processId, nowMs);
     }
   }
 
   #recordFailedRead(id: number, nowMs: number): void {
     const { processId } = this.#options;
-    const { entries } = this.#choice;
-    for (const table of TABLES) {
-      this.#tables[table].recordFailure(id, nowMs, entries);
-    }
-    const isFailing = AGED_TABLES.some((table) =>
-      this.#tables[table].isFailing
-    );
-    if (isFailing && this.#readAgeMs(nowMs) >= STALE_MS) {
+    this.#reads.recordFailure(id, nowMs, this.#choice.entries);
+    if (this.#reads.isFailing && this.#reads.ageMs(nowMs) >= STALE_MS) {
       this.#choice.fail(processId, nowMs);
     }
   }
@@ -190,9 +137,8 @@
     { id, ageMs, reader }: Extract<RefreshEvent, { type: "pulled" }>,
     nowMs: number,
   ): void {
-    const pull = this.#pulls.get(id);
+    const pull = this.#pulls.take(id);
     if (pull === undefined) return;
-    this.#pulls.delete(id);
     const { source, sentAtMs } = pull;
     // The answer may be as old as its request.
     const asOfMs = sentAtMs - ageMs;
@@ -212,8 +158,7 @@
   }
 
   #recordFailedPull(id: number, nowMs: number): void {
-    const pull = this.#pulls.get(id);
-    this.#pulls.delete(id);
+    const pull = this.#pulls.take(id);
     if (pull?.source.type !== "process") return;
     this.#failSource(pull.source.processId, nowMs);
   }
@@ -228,31 +173,21 @@
   }
 
   #markLatePulls(nowMs: number): void {
-    for (const pull of this.#pulls.values()) {
-      if (pull.isLate) continue;
-      const dueAtMs = pull.sentAtMs + ANSWER_DUE_MS;
-      if (!this.#isDue(dueAtMs, nowMs)) continue;
-      pull.isLate = true;
-      if (pull.source.type !== "process") continue;
-      this.#failSource(pull.source.processId, nowMs);
+    for (const source of this.#pulls.markLate(nowMs)) {
+      if (source.type === "process") this.#failSource(source.processId, nowMs);
     }
+    this.#isDue(this.#pulls.lateAtMs, nowMs);
   }
 
   #chooseSource(nowMs: number): void {
     this.#choice.choose(nowMs);
     const { source } = this.#choice;
-    const [firstAhead] = this.#choice.ahead;
-    if (firstAhead !== this.#firstAhead) {
-      this.#firstAhead = firstAhead;
-      this.#aheadSinceMs = nowMs;
-      this.#nextProbeAtMs = nowMs;
-    }
+    this.#probes.setFirst(this.#choice.ahead[0], nowMs);
     if (source === this.#source) return;
     this.#source = source;
     const ageMs = this.ageMs(nowMs);
     this.#actions.push({ type: "source_changed", source, ageMs });
-    if (source !== this.#options.processId) return;
-    for (const table of TABLES) this.#tables[table].start(nowMs);
+    if (source === this.#options.processId) this.#reads.start(nowMs);
   }
 
   /** Plans the reads of the region's reader. */
@@ -261,7 +196,7 @@
     if (this.#source !== processId) return;
     const joinedAtMs = this.#isStarted ? -Infinity : startedAtMs + joinMs;
     for (const table of TABLES) {
-      const schedule = this.#tables[table];
+      const schedule = this.#reads.tables[table];
       const pollAtMs = Math.max(schedule.pollAtMs, joinedAtMs);
       if (this.#isDue(pollAtMs, nowMs)) this.#read(table, nowMs, "poll");
       if (this.#isDue(schedule.waitingAtMs, nowMs)) {
@@ -280,7 +215,7 @@
       const asOfMs = Math.max(this.#asOf(table), startedAtMs + joinMs);
       const isTooOld = this.#isDue(asOfMs + readAgeMs, nowMs);
       if (!isTooOld) continue;
-      const dueAtMs = this.#tables[table].getDirectAt(nowMs);
+      const dueAtMs = this.#reads.tables[table].getDirectAt(nowMs);
       if (this.#isDue(dueAtMs, nowMs)) this.#read(table, nowMs, "direct");
       return;
     }
@@ -288,7 +223,8 @@
 
   #read(table: CatalogTable, nowMs: number, kind: ReadKind): void {
     const id = this.#takeId();
-    const waitMs = this.#tables[table].send(id, nowMs, kind === "waiting");
+    const schedule = this.#reads.tables[table];
+    const waitMs = schedule.send(id, nowMs, kind === "waiting");
     const isDirect = kind === "direct";
     this.#actions.push({ type: "read", id, table, waitMs, isDirect });
   }
@@ -296,9 +232,7 @@
   /** Plans one pull; pulls are sent one at a time until they are late, so that a
    * change is requested only once. */
   #planPull(nowMs: number): void {
-    const isPulling = [...this.#pulls.values()]
-      .some(({ isLate, isHedge }) => !isLate && !isHedge);
-    if (isPulling) return;
+    if (this.#pulls.isWaiting) return;
     if (this.#announcer !== undefined) {
       const peerAddress = this.#announcer;
       this.#announcer = undefined;
@@ -311,23 +245,20 @@
         (isStarted ? PULL_INTERVAL_MS : START_INTERVAL_MS);
       return this.#pull(source, nowMs);
     }
-    if (this.#choice.ahead.length === 0) return;
-    if (!this.#isDue(this.#nextProbeAtMs, nowMs)) return;
-    const isNew = nowMs - this.#aheadSinceMs < NEW_ENTRY_MS;
-    this.#nextProbeAtMs = nowMs +
-      (isNew ? FIRST_PROBE_INTERVAL_MS : PROBE_INTERVAL_MS);
+    if (!this.#isDue(this.#probes.dueAtMs, nowMs)) return;
+    this.#probes.recordSent(nowMs);
     const processId = this.#choice.takeProbed();
     if (processId !== undefined) {
       this.#pull({ type: "process", processId }, nowMs);
     }
   }
 
-  /** Plans pulls from the entries that read the store before this one if its
-   * copy is stale, whatever the source does. */
+  /** Plans pulls from the entries that read the store before this one when its
+   * copy has become stale, whatever the source does. */
   #planHedges(nowMs: number): void {
-    if (!this.#isStarted) return;
-    const staleAtMs = nowMs - this.ageMs(nowMs) + STALE_MS;
-    const dueAtMs = Math.max(staleAtMs, this.#nextHedgeAtMs);
+    const ageMs = this.ageMs(nowMs);
+    if (ageMs > STALE_MS + HEDGE_PHASE_MS) return;
+    const dueAtMs = Math.max(nowMs - ageMs + STALE_MS, this.#nextHedgeAtMs);
     if (!this.#isDue(dueAtMs, nowMs)) return;
     this.#nextHedgeAtMs = nowMs + HEDGE_INTERVAL_MS;
     for (const processId of this.#choice.listFirst(HEDGED_ENTRIES)) {
@@ -343,21 +274,16 @@
     if (source !== this.#options.processId) {
       return { type: "process", processId: source };
     }
-    const isFailing = AGED_TABLES.some((table) =>
-      this.#tables[table].isFailing
-    );
-    return isFailing ? { type: "any" } : undefined;
+    return this.#reads.isFailing ? { type: "any" } : undefined;
   }
 
   /** Sends a pull, unless one to the same entry is still pending. */
   #pull(source: CatalogSource, nowMs: number, isHedge = false): void {
-    for (const pending of this.#pulls.values()) {
-      if (isSameEntry(pending.source, source)) return;
-    }
+    if (this.#pulls.hasPending(source)) return;
     const id = this.#takeId();
-    this.#pulls.set(id, { source, sentAtMs: nowMs, isHedge, isLate: false });
+    this.#pulls.add(id, { source, sentAtMs: nowMs, isHedge });
     this.#actions.push({ type: "pull", id, source });
-    this.#isDue(nowMs + ANSWER_DUE_MS, nowMs);
+    this.#isDue(this.#pulls.lateAtMs, nowMs);
   }
 
   #takeId(): number {
@@ -372,14 +298,3 @@
     return false;
   }
 }
-
-/** `any` may select another entry each time. */
-function isSameEntry(a: CatalogSource, b: CatalogSource): boolean {
-  if (a.type === "process") {
-    return b.type === "process" && a.processId === b.processId;
-  }
-  if (a.type === "address") {
-    return b.type === "address" && a.peerAddress === b.peerAddress;
-  }
-  return false;
-}
--- a/packages/core/refreshing/src/simulated_installation.ts
+++ b/packages/core/refreshing/src/simulated_installation.ts
@@ -8,8 +8,7 @@
 import type { CatalogTable } from "@dotterelmoor/core.catalog";
 import type { Random } from "@dotterelmoor/core.types";
 import { createRefresher } from "./refresher.ts";
-import type { Refresher } from "./refresher.ts";
-import type { RefreshAction, RefreshEvent } from "./types.ts";
+import type { RefreshAction, Refresher, RefreshEvent } from "./types.ts";
 
 /** Round trips in milliseconds between entries of a region, between regions, and
  * to the store from its own region. */
--- a/packages/core/refreshing/src/timings.ts
+++ b/packages/core/refreshing/src/timings.ts
@@ -39,6 +39,10 @@
  * the first entries in the order, which read the store before it. */
 export const HEDGE_INTERVAL_MS = 100;
 
+/** Time in milliseconds for which it does so: by then all have read the store,
+ * or it does not answer. */
+export const HEDGE_PHASE_MS = 1_000;
+
 /** Number of entries that such an entry pulls from. */
 export const HEDGED_ENTRIES = LAST_RANK + 1;
 
--- a/packages/core/refreshing/src/types.ts
+++ b/packages/core/refreshing/src/types.ts
@@ -1,10 +1,11 @@
 /**
- * Events and actions of a refresher.
+ * Interface, events and actions of a refresher.
  *
  * @module
  */
 
 import type { CatalogTable } from "@dotterelmoor/core.catalog";
+import type { StateMachine } from "@dotterelmoor/core.types";
 
 /** Entry to pull from: by its process id, by the peer address of its message,
  * or any live entry. */
@@ -60,3 +61,28 @@
     readonly source: string | undefined;
     readonly ageMs: number;
   };
+
+/** Options of `createRefresher`. */
+export interface RefresherOptions {
+  readonly processId: string;
+  readonly startedAtMs: number;
+  /** Time in milliseconds after the start in which this entry looks for others
+   * before it reads the store. */
+  readonly joinMs: number;
+}
+
+/** Decides what one entry reads and pulls. The time that is passed in must count
+ * suspensions of the instance. */
+export interface Refresher extends StateMachine<RefreshEvent, RefreshAction> {
+  /** Process id of the entry that this one follows, its own if it reads the
+   * store for the region, undefined if no entry of the region can be used. */
+  readonly source: string | undefined;
+  /** Time at which the next `tick` is due. */
+  readonly wakeAtMs: number;
+  /** Time in milliseconds since the copy was last known to be current; infinite
+   * before it is complete. */
+  ageMs(nowMs: number): number;
+  /** Process id of the region's reader as far as this entry knows: its own only
+   * while the store answers it. */
+  getReader(nowMs: number): string | undefined;
+}
--- a/packages/daemon/edge/src/process/catalog_watch.ts
+++ b/packages/daemon/edge/src/process/catalog_watch.ts
@@ -9,16 +9,8 @@
  * @module
  */
 
-import type {
-  Catalog,
-  CatalogDelta,
-  CatalogTable,
-} from "@dotterelmoor/core.catalog";
-import {
-  ANSWER_DUE_MS,
-  createRefresher,
-  STALE_MS,
-} from "@dotterelmoor/core.refreshing";
+import type { Catalog, CatalogTable } from "@dotterelmoor/core.catalog";
+import { createRefresher } from "@dotterelmoor/core.refreshing";
 import type {
   CatalogSource,
   RefreshAction,
@@ -32,23 +24,16 @@
 import type { Timeout } from "@dotterelmoor/network.timing";
 import type { Logger } from "pino";
 import type { CatalogStore } from "../ports.ts";
+import { CatalogPuller } from "./catalog_puller.ts";
 import { describeSource } from "./catalog_source.ts";
 import { ContactClock } from "./contact_clock.ts";
-import { unpackDelta } from "./delta_packing.ts";
-import type { EdgeMetrics, PullResult } from "./metrics.ts";
+import type { EdgeMetrics } from "./metrics.ts";
 import { TableReader } from "./table_reader.ts";
 
 /** Longest time in milliseconds between two ticks: the order of the region's
  * entries may change meanwhile. */
 const MAX_TICK_MS = 400;
 
-/** Time in milliseconds by which a stale answer may be older than the local
- * catalog without a warning: entries round and delay their ages differently. */
-const AGE_SLACK_MS = 300;
-
-/** Minimum interval in milliseconds between warnings about failed pulls. */
-const WARN_INTERVAL_MS = 5_000;
-
 /** Options of `startCatalogWatch`. */
 export interface CatalogWatchOptions {
   readonly processId: string;
@@ -114,13 +99,13 @@
   readonly #options: CatalogWatchOptions;
   readonly #refresher: Refresher;
   readonly #readers: Readonly<Record<CatalogTable, TableReader>>;
+  readonly #puller: CatalogPuller;
   readonly #contact = new ContactClock();
   #documentVersion: number | undefined;
   #documentReadAtMs = -Infinity;
   #isLoaded = false;
   #timeout: Timeout | undefined;
   #stopped = false;
-  #warnedAtMs = -Infinity;
 
   readonly #actions: EventHandlers<RefreshAction, void> = {
     read: (action) => void this.#read(action),
@@ -136,12 +121,21 @@
       startedAtMs: this.#nowMs(),
       joinMs,
     });
-    const readerOptions = {
+    const shared = {
       ...options,
       contact: this.#contact,
       getCatalogAgeMs: () => this.ageMs(),
+    };
+    const readerOptions = {
+      ...shared,
       onChanged: () => this.#recordChange("store", 0),
     };
+    this.#puller = new CatalogPuller({
+      ...shared,
+      isStopped: () => this.#stopped,
+      onChanged: (source, documentAgeMs) =>
+        this.#recordChange(source, documentAgeMs),
+    });
     this.#readers = {
       servers: new TableReader("servers", readerOptions),
       orders: new TableReader("orders", readerOptions),
@@ -236,43 +230,16 @@
   async #pull(
     { id, source }: Extract<RefreshAction, { type: "pull" }>,
   ): Promise<void> {
-    const event = await this.#take(id, source).catch((error: unknown) => {
+    const answer = await this.#puller.pull(source).catch((error: unknown) => {
       const entry = describeSource(source);
       this.#options.log.error({ entry, err: error }, "Pull failed.");
       return undefined;
     });
-    this.#handle(event ?? { type: "pull_failed", id });
-  }
-
-  /** Pulls from an entry and applies its changes, however late they come;
-   * undefined if the answer is missing or unreadable. Changes are ordered by
-   * their versions, so the order of answers does not matter. */
-  async #take(
-    id: number,
-    source: CatalogSource,
-  ): Promise<RefreshEvent | undefined> {
-    const { catalog, isContact, metrics } = this.#options;
-    const sentAt = this.#contact.mark();
-    const answer = await this.#options.pull(source);
-    if (this.#stopped) return undefined;
-    const delta = answer === undefined ? undefined : unpackDelta(answer);
-    const elapsedMs = performance.now() - sentAt.steadyMs;
-    const result = getPullResult({ answer, delta, elapsedMs });
-    metrics.catalogPulls.observe({ result }, elapsedMs / 1_000);
-    this.#warn(source, { result, elapsedMs, ageMs: answer?.ageMs });
-    if (answer === undefined || delta === undefined) return undefined;
-    catalog.applyDelta(delta, performance.now());
-    if (isContact(answer.ageMs)) this.#contact.note(sentAt);
-    this.#recordChange(
-      describeSource(source),
-      elapsedMs + (answer.documentAgeMs ?? 0),
+    this.#handle(
+      answer === undefined
+        ? { type: "pull_failed", id }
+        : { type: "pulled", id, ...answer },
     );
-    return {
-      type: "pulled",
-      id,
-      ageMs: answer.ageMs,
-      reader: getReader(source, answer),
-    };
   }
 
   #recordChange(source: string, documentAgeMs: number): void {
@@ -296,49 +263,4 @@
       log.info({ entry: source, catalogAgeMs }, "Following another entry.");
     }
   }
-
-  #warn(
-    source: CatalogSource,
-    pull: {
-      readonly result: PullResult;
-      readonly elapsedMs: number;
-      readonly ageMs: number | undefined;
-    },
-  ): void {
-    // Among entries that all have no current catalog, the answers tell nothing.
-    const acceptedMs = Math.max(STALE_MS, this.ageMs() + AGE_SLACK_MS);
-    const isExpected = pull.result === "followed" ||
-      (pull.result === "old" && (pull.ageMs ?? 0) <= acceptedMs);
-    if (isExpected) return;
-    const nowMs = performance.now();
-    if (nowMs - this.#warnedAtMs < WARN_INTERVAL_MS) return;
-    this.#warnedAtMs = nowMs;
-    const entry = describeSource(source);
-    const catalogAgeMs = Math.round(this.ageMs());
-    this.#options.log.warn(
-      { entry, ...pull, elapsedMs: Math.round(pull.elapsedMs), catalogAgeMs },
-      "Entry not followed.",
-    );
-  }
-}
-
-/** Returns the reader that an entry names; one of an earlier version names none
- * and counts as the reader. */
-function getReader(
-  source: CatalogSource,
-  { reader }: CatalogMessage,
-): string | undefined {
-  if (reader !== undefined) return reader === "" ? undefined : reader;
-  return source.type === "process" ? source.processId : undefined;
-}
-
-function getPullResult({ answer, delta, elapsedMs }: {
-  readonly answer: CatalogMessage | undefined;
-  readonly delta: CatalogDelta | undefined;
-  readonly elapsedMs: number;
-}): PullResult {
-  if (answer === undefined) return "unanswered";
-  if (delta === undefined) return "unreadable";
-  if (answer.ageMs >= STALE_MS) return "old";
-  return elapsedMs > ANSWER_DUE_MS ? "late" : "followed";
 }
