--- a/packages/core/refreshing/src/table_schedule.ts
+++ b/packages/core/refreshing/src/table_schedule.ts
@@ -8,7 +8,6 @@
   MIN_POLL_SHARE,
   RETRY_MS,
   RETRY_PER_ENTRY_MS,
-  SETTLE_READING_MS,
   USUAL_CALL_MS,
 } from "./timings.ts";
 import type { TableTimings } from "./timings.ts";
@@ -49,7 +48,7 @@
   /** Starts the reads of the region's reader. */
   start(nowMs: number): void {
     this.#nextPollAtMs = Math.max(nowMs, this.#nextPollAtMs);
-    this.#nextWaitingAtMs = nowMs + SETTLE_READING_MS;
+    this.#nextWaitingAtMs = nowMs + this.#timings.settleMs;
     this.#isConfirmed = false;
   }
 
--- a/packages/core/refreshing/src/timings.ts
+++ b/packages/core/refreshing/src/timings.ts
@@ -78,6 +78,9 @@
   readonly pollMs: number | undefined;
   /** Longest wait of the store for a change; undefined for no waiting reads. */
   readonly waitMs: number | undefined;
+  /** Time after the start of the reader's reads before the first waiting read:
+   * an entry that starts mostly finds another reader within a second. */
+  readonly settleMs: number;
   /** Pause after an answer. */
   readonly pauseMs: number;
 }
@@ -90,15 +93,11 @@
  * count for the age; several follow at once after a crash and are read
  * together. */
 export const TABLE_TIMINGS: Readonly<Record<CatalogTable, TableTimings>> = {
-  servers: { pollMs: 850, waitMs: undefined, pauseMs: 50 },
-  orders: { pollMs: 850, waitMs: 4_000, pauseMs: 50 },
-  crashes: { pollMs: undefined, waitMs: 4_000, pauseMs: 200 },
+  servers: { pollMs: 850, waitMs: undefined, settleMs: 0, pauseMs: 50 },
+  orders: { pollMs: 850, waitMs: 4_000, settleMs: 0, pauseMs: 50 },
+  crashes: { pollMs: undefined, waitMs: 4_000, settleMs: 1_000, pauseMs: 200 },
 };
 
-/** Time in milliseconds after the start of the reader's reads in which none waits
- * for a change: an entry that starts mostly finds another reader by then. */
-export const SETTLE_READING_MS = 1_000;
-
 /** Time in milliseconds of a call to the store up to which polls keep their
  * interval; what a slower one takes longer shortens the next interval. */
 export const USUAL_CALL_MS = 100;
