Compare positions in the store's history by era and version

The store may come back from a copy that is some seconds old. It then loses what was written since and gives its versions out again; the header Store-Era rises.

Change: a position is an era and a version, compared in one place, by the catalog, its change log and the pulls. Changes of an earlier era than a known one are ignored, and a later one is taken as a whole table only. Servers and evacuations that it does not list count for 2 s more, and reports older than known ones are ignored, a leaving among them. The configuration never goes back; one that the store has lost is passed on to entries that lack it. Without eras, nothing changes, on the wire either.

The catalog's servers, evacuations and document are modules of their own now.

--- a/packages/core/catalog/src/catalog.ts
+++ b/packages/core/catalog/src/catalog.ts
@@ -7,46 +7,34 @@
 import type { CrashNotes } from "@dotterelmoor/core.quarantine";
 import { applyEvent } from "@dotterelmoor/core.types";
 import type { EventHandlers } from "@dotterelmoor/core.types";
-import { ChangeLog, hasChanged } from "./change_log.ts";
+import type { ChangeContext } from "./change_context.ts";
+import { ChangeLog } from "./change_log.ts";
 import { CrashTable } from "./crash_table.ts";
-import { createRouteIndex } from "./route_index.ts";
+import { DocumentTable } from "./document_table.ts";
+import { Evacuations } from "./evacuations.ts";
 import type { RouteIndex } from "./route_index.ts";
+import {
+  markTransientRemovals,
+  MISSING_GRACE_MS,
+  ServerTable,
+} from "./server_table.ts";
+import {
+  comparePositions,
+  getPosition,
+  getUpdatePosition,
+  UNKNOWN_POSITION,
+} from "./store_position.ts";
+import type { StorePosition } from "./store_position.ts";
 import type {
   CatalogChange,
   CatalogDelta,
   CatalogPosition,
   CatalogTable,
   RoutingDocument,
-  ServerRecord,
   TableUpdate,
   TrackedServer,
 } from "./types.ts";
 
-/**
- * Time in milliseconds for which a server whose record is missing after a store
- * outage is kept: live servers write their record again within about 2 s.
- */
-const MISSING_GRACE_MS = 2_000;
-
-/**
- * Time in milliseconds after an outage during which missing records get
- * `MISSING_GRACE_MS`; covers the first reads after the outage.
- */
-const OUTAGE_RECOVERY_MS = 2_500;
-
-/** Time in milliseconds for which delayed reports of a removed server are
- * ignored. */
-const TOMBSTONE_TTL_MS = 60_000;
-
-/** Time in milliseconds for which a server that announced that it is leaving
- * gets no requests, even if its record disappears and reappears. It may keep
- * running for many seconds; a later start has another `bornMs`. */
-const LEAVING_TTL_MS = 600_000;
-
-/** Tolerance in milliseconds between reported ends of one cold period; a later
- * end means that the server became cold again. */
-const COLD_END_TOLERANCE_MS = 1_000;
-
 /** Options of `createCatalog`. */
 export interface CatalogOptions {
   /** Region of each availability zone. */
@@ -74,32 +62,26 @@
   /** Returns the servers of a service that may receive requests; servers that
    * are draining or in an evacuated zone are left out. */
   findServers(service: string, nowMs: number): readonly TrackedServer[];
-  /** Store version up to which each table was applied; 0 if it never was. */
-  readonly position: Readonly<Record<CatalogTable, number>>;
+  /** Store version up to which each table was applied, 0 if it never was, with
+   * its era. */
+  readonly position:
+    & CatalogPosition
+    & Readonly<Record<CatalogTable, number>>;
+  /** Latest era of the store's history that an update was of; updates of earlier
+   * ones are ignored, and tables that are behind must be read whole. */
+  readonly era: number;
   /** Returns the changes since a position, or whole tables where the change log
    * does not reach back so far. Plain heartbeats are not changes. */
   changesSince(position: CatalogPosition, nowMs: number): CatalogDelta;
 }
 
-/** Start of a server that announced that it is leaving. */
-interface LeavingServer {
-  readonly bornMs: number;
-  readonly atMs: number;
-}
-
-interface Tombstone {
-  readonly bornMs: number;
-  readonly sequence: number;
-  readonly atMs: number;
-}
-
-/** Table version and time at which a change is applied. */
-interface ChangeContext {
-  readonly version: number;
-  readonly nowMs: number;
-  /** True if the change comes from another entry; those omit heartbeats. */
-  readonly isRelayed: boolean;
-}
+/** Handle the rows that a whole table does not list. */
+type WholeTableHandlers = Readonly<
+  Record<
+    CatalogTable,
+    (changes: readonly CatalogChange[], context: ChangeContext) => void
+  >
+>;
 
 /** Creates an empty catalog. */
 export function createCatalog(options: CatalogOptions): Catalog {
@@ -107,67 +89,80 @@
 }
 
 class PlatformCatalog implements Catalog {
-  readonly #options: CatalogOptions;
   readonly #logs: Readonly<Record<CatalogTable, ChangeLog>> = {
     servers: new ChangeLog(),
     orders: new ChangeLog(),
     crashes: new ChangeLog(),
   };
-  readonly #position: Record<CatalogTable, number> = {
-    servers: 0,
-    orders: 0,
-    crashes: 0,
+  readonly #positions: Record<CatalogTable, StorePosition> = {
+    servers: UNKNOWN_POSITION,
+    orders: UNKNOWN_POSITION,
+    crashes: UNKNOWN_POSITION,
   };
+  #era = 0;
   readonly #crashes = new CrashTable(this.#logs.crashes);
-  readonly #servers = new Map<string, TrackedServer>();
-  readonly #tombstones = new Map<string, Tombstone>();
-  /** By server id, oldest first. */
-  readonly #leaving = new Map<string, LeavingServer>();
-  readonly #evacuated = new Set<string>();
+  readonly #documents = new DocumentTable(this.#logs.orders);
+  readonly #servers: ServerTable;
+  readonly #evacuations: Evacuations;
   #byService: Map<string, TrackedServer[]> | undefined;
-  #document: RoutingDocument | undefined;
-  #routes: RouteIndex | undefined;
-  #storeRecoveredAtMs = -Infinity;
 
   readonly #handlers: EventHandlers<CatalogChange, void, ChangeContext> = {
-    server: ({ record }, context) => this.#applyRecord(record, context),
-    server_removed: ({ id }, context) => this.#removeServer(id, context),
+    server: ({ record }, context) => this.#servers.apply(record, context),
+    server_removed: ({ id }, context) => this.#servers.remove(id, context),
     server_missing: ({ id, forMs }, context) =>
-      this.#markMissing(id, forMs, context),
-    document: ({ document }, { version }) =>
-      this.#applyDocument(document, version),
+      this.#servers.markMissing(id, forMs, context),
+    document: ({ document }, context) =>
+      this.#documents.apply(document, context),
     evacuation: ({ zone }, { version }) =>
-      this.#setEvacuated(zone, true, version),
+      this.#evacuations.set(zone, true, version),
     evacuation_ended: ({ zone }, { version }) =>
-      this.#setEvacuated(zone, false, version),
+      this.#evacuations.set(zone, false, version),
     crash_note: ({ note }, { version }) => this.#crashes.add(note, version),
     crash_note_removed: ({ key }, { version }) =>
       this.#crashes.remove(key, version),
     unreadable: () => {},
   };
 
-  readonly #removeUnlisted: Readonly<
-    Record<
-      CatalogTable,
-      (changes: readonly CatalogChange[], context: ChangeContext) => void
-    >
-  > = {
-    servers: (changes, context) => this.#removeServers(changes, context),
-    orders: (changes, { version }) => this.#endEvacuations(changes, version),
+  readonly #removeUnlisted: WholeTableHandlers = {
+    servers: (changes, context) =>
+      this.#servers.removeUnlisted(changes, context),
+    orders: (changes, { version }) =>
+      this.#evacuations.endUnlisted(changes, version),
     crashes: (changes, { version }) =>
       this.#crashes.removeUnlisted(changes, version),
   };
 
+  /** What a whole table of a new era does not list may be lost, not removed. */
+  readonly #keepUnlisted: WholeTableHandlers = {
+    servers: (changes, context) =>
+      this.#servers.removeUnlisted(changes, context),
+    orders: (changes, { nowMs }) =>
+      this.#evacuations.markUnlisted(changes, nowMs),
+    crashes: () => {},
+  };
+
   constructor(options: CatalogOptions) {
-    this.#options = options;
+    const onChanged = () => {
+      this.#byService = undefined;
+    };
+    this.#servers = new ServerTable({
+      zones: options.zones,
+      log: this.#logs.servers,
+      onChanged,
+    });
+    this.#evacuations = new Evacuations({
+      log: this.#logs.orders,
+      onChanged,
+      graceMs: MISSING_GRACE_MS,
+    });
   }
 
   get document(): RoutingDocument | undefined {
-    return this.#document;
+    return this.#documents.document;
   }
 
   get routes(): RouteIndex | undefined {
-    return this.#routes;
+    return this.#documents.routes;
   }
 
   get crashNotes(): CrashNotes {
@@ -175,59 +170,61 @@
   }
 
   applyTable(table: CatalogTable, update: TableUpdate, nowMs: number): void {
-    const { version } = update;
-    this.#apply(table, update, { version, nowMs, isRelayed: false });
+    this.#apply(table, update, { nowMs, isRelayed: false });
   }
 
   applyDelta(delta: CatalogDelta, nowMs: number): void {
     const { servers, orders, crashes } = delta;
     const context = { nowMs, isRelayed: true };
-    if (crashes !== undefined) {
-      this.#apply("crashes", crashes, { ...context, version: crashes.version });
-    }
-    this.#apply("orders", orders, { ...context, version: orders.version });
-    this.#apply("servers", servers, { ...context, version: servers.version });
+    if (crashes !== undefined) this.#apply("crashes", crashes, context);
+    this.#apply("orders", orders, context);
+    this.#apply("servers", servers, context);
   }
 
   #apply(
     table: CatalogTable,
-    { isComplete, changes }: TableUpdate,
-    context: ChangeContext,
+    update: TableUpdate,
+    { nowMs, isRelayed }: Pick<ChangeContext, "isRelayed" | "nowMs">,
   ): void {
-    const { version } = context;
-    const currentVersion = this.#position[table];
-    // Changes of an entry that lags behind have been applied already.
-    if (version < currentVersion) return;
-    this.#position[table] = version;
+    const { isComplete, changes } = update;
+    const position = getUpdatePosition(update);
+    const current = this.#positions[table];
+    // Changes of an entry that lags behind have been applied already; those of
+    // an earlier history do not hold any more.
+    const isOutdated = position.era < this.#era ||
+      comparePositions(position, current) < 0;
+    const isNewEra = position.era > current.era;
+    if (isOutdated && isRelayed) this.#applyRelayedDocument(update);
+    // Only a whole table says what a new history holds.
+    if (isOutdated || (isNewEra && !isComplete)) return;
+    this.#era = position.era;
+    this.#positions[table] = position;
     // A whole table lacks rows that were added and removed since. A follower
     // may know the addition without the removal, so it must get the whole table
     // too.
-    if (isComplete || currentVersion === 0) this.#logs[table].restart(version);
+    const isFirst = current.version === 0;
+    if (isComplete || isFirst) this.#logs[table].restart(position);
+    const hasLost = isNewEra && !isFirst;
+    if (hasLost) this.#servers.markStoreRecovered(nowMs);
+    const context = { ...position, nowMs, isRelayed, hasLost };
     for (const change of markTransientRemovals(changes)) {
       applyEvent(this.#handlers, change, context);
     }
-    if (isComplete) this.#removeUnlisted[table](changes, context);
+    if (!isComplete) return;
+    const handlers = hasLost ? this.#keepUnlisted : this.#removeUnlisted;
+    handlers[table](changes, context);
   }
 
   markLeaving(id: string, bornMs: number, nowMs: number): void {
-    // The answer of an earlier start may arrive late.
-    if (bornMs < (this.#leaving.get(id)?.bornMs ?? 0)) return;
-    this.#leaving.delete(id);
-    this.#leaving.set(id, { bornMs, atMs: nowMs });
-    const current = this.#servers.get(id);
-    if (current?.record.bornMs !== bornMs) return;
-    // Not logged for other entries: log positions are store versions.
-    const record: ServerRecord = { ...current.record, state: "draining" };
-    this.#servers.set(id, { ...current, record });
-    this.#byService = undefined;
+    this.#servers.markLeaving(id, bornMs, nowMs);
   }
 
   markStoreRecovered(nowMs: number): void {
-    this.#storeRecoveredAtMs = nowMs;
+    this.#servers.markStoreRecovered(nowMs);
   }
 
   isEvacuated(zone: string): boolean {
-    return this.#evacuated.has(zone);
+    return this.#evacuations.has(zone);
   }
 
   findServers(service: string, nowMs: number): readonly TrackedServer[] {
@@ -236,224 +233,92 @@
     return this.#byService.get(service) ?? [];
   }
 
-  get position(): Readonly<Record<CatalogTable, number>> {
-    return { ...this.#position };
+  get position(): Catalog["position"] {
+    const { servers, orders, crashes } = this.#positions;
+    return {
+      servers: servers.version,
+      orders: orders.version,
+      crashes: crashes.version,
+      ...(this.#era === 0 ? {} : {
+        eras: {
+          servers: servers.era,
+          orders: orders.era,
+          crashes: crashes.era,
+        },
+      }),
+      ...(this.document === undefined
+        ? {}
+        : { document: this.document.version }),
+    };
+  }
+
+  get era(): number {
+    return this.#era;
   }
 
   changesSince(position: CatalogPosition, nowMs: number): CatalogDelta {
     this.#expire(nowMs);
     return {
-      servers: this.#buildUpdate("servers", position.servers, nowMs),
-      orders: this.#buildUpdate("orders", position.orders, nowMs),
-      crashes: this.#buildUpdate("crashes", position.crashes ?? 0, nowMs),
+      servers: this.#buildUpdate("servers", position, nowMs),
+      orders: this.#buildUpdate("orders", position, nowMs),
+      crashes: this.#buildUpdate("crashes", position, nowMs),
     };
   }
 
   #buildUpdate(
     table: CatalogTable,
-    after: number,
+    after: CatalogPosition,
     nowMs: number,
   ): TableUpdate {
-    const version = this.#position[table];
-    const logged = this.#logs[table].listSince(after);
-    const changes = logged ?? this.#listAll[table](nowMs);
+    const { era, version } = this.#positions[table];
+    const logged = this.#logs[table].listSince(getPosition(after, table));
+    // In the first era, nothing was lost.
+    const mayLack = table === "orders" && era > 0 && logged !== undefined;
+    const kept = mayLack
+      ? this.#documents.listKept(after.document, logged)
+      : [];
+    const changes = [...(logged ?? this.#listAll[table](nowMs)), ...kept];
     return {
+      ...(era === 0 ? {} : { era }),
       version,
       isComplete: logged === undefined,
-      changes: changes.map((change) => this.#describeMissing(change, nowMs)),
+      changes: changes.map((change) =>
+        this.#servers.describeMissing(change, nowMs)
+      ),
     };
   }
 
   readonly #listAll: Readonly<
     Record<CatalogTable, (nowMs: number) => readonly CatalogChange[]>
   > = {
-    servers: (nowMs) => this.#listServers(nowMs),
-    orders: () => this.#listOrders(),
+    servers: (nowMs) => this.#servers.list(nowMs),
+    orders: () => [...this.#evacuations.list(), ...this.#documents.list()],
     crashes: () => this.#crashes.list(),
   };
 
-  #listServers(nowMs: number): CatalogChange[] {
-    const changes: CatalogChange[] = [];
-    for (const { record, ...server } of this.#servers.values()) {
-      const coldMs = Math.max(0, Math.round(server.coldUntilMs - nowMs));
-      changes.push({ type: "server", record: { ...record, coldMs } });
-      if (server.missingSinceMs === undefined) continue;
-      changes.push({ type: "server_removed", id: record.id });
+  /** Applies the document of an entry that is behind in the same era: it may keep
+   * one that the store has lost. */
+  #applyRelayedDocument(update: TableUpdate): void {
+    const position = getUpdatePosition(update);
+    // In the first era, nothing was lost.
+    if (this.#era === 0 || position.era !== this.#era) return;
+    const { version } = this.#positions.orders;
+    for (const change of update.changes) {
+      if (change.type !== "document") continue;
+      this.#documents.apply(change.document, { era: this.#era, version });
     }
-    return changes;
-  }
-
-  #listOrders(): CatalogChange[] {
-    const changes: CatalogChange[] = [...this.#evacuated].map((zone) => ({
-      type: "evacuation",
-      zone,
-    }));
-    const document = this.#document;
-    if (document !== undefined) changes.push({ type: "document", document });
-    return changes;
-  }
-
-  /** Reports the removal of a server as `server_missing` while the server may
-   * still reappear. */
-  #describeMissing(change: CatalogChange, nowMs: number): CatalogChange {
-    if (change.type !== "server_removed") return change;
-    const { id } = change;
-    const sinceMs = this.#servers.get(id)?.missingSinceMs;
-    return sinceMs === undefined
-      ? change
-      : { type: "server_missing", id, forMs: nowMs - sinceMs };
-  }
-
-  #applyDocument(document: RoutingDocument, version: number): void {
-    // Never reverts to an older version.
-    if (document.version <= (this.#document?.version ?? -1)) return;
-    this.#document = document;
-    this.#routes = createRouteIndex(document.routes);
-    const change: CatalogChange = { type: "document", document };
-    this.#logs.orders.add("document", change, version);
-  }
-
-  #applyRecord(
-    record: ServerRecord,
-    context: ChangeContext,
-  ): void {
-    if (this.#isOutdated(record)) return;
-    const region = this.#options.zones[record.zone];
-    if (region === undefined) return this.#removeUnlocated(record, context);
-    const { version, nowMs, isRelayed } = context;
-    const current = this.#servers.get(record.id);
-    const { bornMs } = record;
-    const isSameStart = current?.record.bornMs === bornMs;
-    const isLeaving = this.#leaving.get(record.id)?.bornMs === bornMs ||
-      (isSameStart && current?.record.state === "draining");
-    const effective: ServerRecord = isLeaving
-      ? { ...record, state: "draining" }
-      : record;
-    const untilMs = record.coldMs > 0 ? nowMs + record.coldMs : -Infinity;
-    this.#servers.set(record.id, {
-      record: effective,
-      region,
-      coldUntilMs: untilMs,
-      missingSinceMs: undefined,
-    });
-    const isChanged = current === undefined ||
-      current.missingSinceMs !== undefined ||
-      hasChanged(current.record, effective) ||
-      untilMs > current.coldUntilMs + COLD_END_TOLERANCE_MS;
-    if (isChanged) this.#byService = undefined;
-    if (!isChanged && !isRelayed) return;
-    const change: CatalogChange = { type: "server", record: effective };
-    this.#logs.servers.add(record.id, change, version);
-  }
-
-  /** Removes a server that reports a zone of no known region. */
-  #removeUnlocated(
-    record: ServerRecord,
-    { version, nowMs }: ChangeContext,
-  ): void {
-    const { id } = record;
-    if (this.#servers.has(id)) {
-      this.#logs.servers.add(id, { type: "server_removed", id }, version);
-    }
-    this.#removeWithTombstone(record, nowMs);
-  }
-
-  /** True for a delayed report, which must not bring back a server that has
-   * left since. */
-  #isOutdated(record: ServerRecord): boolean {
-    const { bornMs, sequence } = record;
-    const newest = this.#servers.get(record.id)?.record ??
-      this.#tombstones.get(record.id);
-    if (newest === undefined) return false;
-    return bornMs < newest.bornMs ||
-      (bornMs === newest.bornMs && sequence < newest.sequence);
-  }
-
-  /** Also logs the removal of a server that is unknown here, because followers
-   * may know it. */
-  #removeServer(id: string, context: ChangeContext): void {
-    const current = this.#servers.get(id);
-    const { nowMs, version } = context;
-    const mayReturn = current?.record.state === "ready" &&
-      nowMs - this.#storeRecoveredAtMs <= OUTAGE_RECOVERY_MS;
-    if (mayReturn) return this.#markMissing(id, 0, context);
-    if (current !== undefined) this.#removeWithTombstone(current.record, nowMs);
-    const change: CatalogChange = { type: "server_removed", id };
-    this.#logs.servers.add(id, change, version);
-  }
-
-  #markMissing(
-    id: string,
-    forMs: number,
-    { version, nowMs }: ChangeContext,
-  ): void {
-    const current = this.#servers.get(id);
-    if (current !== undefined) {
-      const missingSinceMs = current.missingSinceMs ?? nowMs - forMs;
-      this.#servers.set(id, { ...current, missingSinceMs });
-    }
-    const change: CatalogChange = { type: "server_removed", id };
-    this.#logs.servers.add(id, change, version);
-  }
-
-  #removeWithTombstone(
-    { id, bornMs, sequence }: ServerRecord,
-    atMs: number,
-  ): void {
-    this.#servers.delete(id);
-    // Keeps the map ordered by age, the oldest first.
-    this.#tombstones.delete(id);
-    this.#tombstones.set(id, { bornMs, sequence: sequence + 1, atMs });
-    this.#byService = undefined;
-  }
-
-  #removeServers(
-    changes: readonly CatalogChange[],
-    context: ChangeContext,
-  ): void {
-    const listed = new Set(
-      changes.map((change) => change.type === "server" ? change.record.id : ""),
-    );
-    for (const id of [...this.#servers.keys()]) {
-      if (!listed.has(id)) this.#removeServer(id, context);
-    }
-  }
-
-  #endEvacuations(changes: readonly CatalogChange[], version: number): void {
-    const listed = new Set(
-      changes.map((change) => change.type === "evacuation" ? change.zone : ""),
-    );
-    for (const zone of [...this.#evacuated]) {
-      if (!listed.has(zone)) this.#setEvacuated(zone, false, version);
-    }
-  }
-
-  #setEvacuated(zone: string, evacuated: boolean, version: number): void {
-    const type = evacuated ? "evacuation" : "evacuation_ended";
-    // Logged even if it changes nothing here, because followers may lack it.
-    this.#logs.orders.add(`zone ${zone}`, { type, zone }, version);
-    if (evacuated === this.#evacuated.has(zone)) return;
-    if (evacuated) this.#evacuated.add(zone);
-    else this.#evacuated.delete(zone);
-    this.#byService = undefined;
   }
 
   #expire(nowMs: number): void {
-    for (const server of this.#servers.values()) {
-      const { missingSinceMs } = server;
-      if (missingSinceMs === undefined) continue;
-      if (nowMs - missingSinceMs < MISSING_GRACE_MS) continue;
-      this.#removeWithTombstone(server.record, nowMs);
-    }
-    expireOldest(this.#tombstones, nowMs - TOMBSTONE_TTL_MS);
-    expireOldest(this.#leaving, nowMs - LEAVING_TTL_MS);
+    this.#servers.expire(nowMs);
+    this.#evacuations.expire(nowMs);
   }
 
   #groupServers(): Map<string, TrackedServer[]> {
     const groups = new Map<string, TrackedServer[]>();
-    for (const server of this.#servers.values()) {
+    for (const server of this.#servers.all) {
       const { service, state, zone } = server.record;
-      if (state !== "ready" || this.#evacuated.has(zone)) continue;
+      if (state !== "ready" || this.#evacuations.has(zone)) continue;
       const group = groups.get(service);
       if (group === undefined) groups.set(service, [server]);
       else group.push(server);
@@ -461,33 +326,3 @@
     return groups;
   }
 }
-
-/** Removes the items up to a time from a map that is ordered by time. */
-function expireOldest(
-  items: Map<string, { readonly atMs: number }>,
-  untilMs: number,
-): void {
-  for (const [id, { atMs }] of items) {
-    if (atMs > untilMs) break;
-    items.delete(id);
-  }
-}
-
-/** Turns the removal of a server that is followed by a report of the same
- * server into `server_missing`. An update may start before the current
- * position; after a removal, its tombstone would reject the report, which was
- * applied before, as delayed. */
-function markTransientRemovals(
-  changes: readonly CatalogChange[],
-): CatalogChange[] {
-  const reported = new Map<string, number>();
-  changes.forEach((change, index) => {
-    if (change.type === "server") reported.set(change.record.id, index);
-  });
-  return changes.map((change, index) => {
-    if (change.type !== "server_removed") return change;
-    const { id } = change;
-    const returns = index < (reported.get(id) ?? -1);
-    return returns ? { type: "server_missing", id, forMs: 0 } : change;
-  });
-}
--- a/packages/core/catalog/src/change_log.ts
+++ b/packages/core/catalog/src/change_log.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { UNKNOWN_POSITION } from "./store_position.ts";
+import type { StorePosition } from "./store_position.ts";
 import type { CatalogChange, ServerRecord } from "./types.ts";
 
 /** Maximum number of rows; a follower that lacks an evicted change gets the
@@ -15,18 +17,19 @@
   readonly change: CatalogChange;
 }
 
-/** Changes by store version. */
+/** Changes of one era by store version. */
 export class ChangeLog {
   /** Latest change of each row, in order of version. */
   readonly #rows = new Map<string, LoggedChange>();
-  /** Version after which the log contains every change. */
-  #deltasFrom = 0;
+  /** Position after which the log contains every change. */
+  #deltasFrom = UNKNOWN_POSITION;
   #latest = 0;
 
   /** Clears the log after a whole table was read. */
-  restart(version: number): void {
+  restart(position: StorePosition): void {
     this.#rows.clear();
-    this.#deltasFrom = version;
+    this.#deltasFrom = position;
+    this.#latest = position.version;
   }
 
   add(row: string, change: CatalogChange, version: number): void {
@@ -36,13 +39,17 @@
     if (this.#rows.size <= MAX_ROWS) return;
     const [oldest] = this.#rows;
     this.#rows.delete(oldest![0]);
-    this.#deltasFrom = oldest![1].version;
+    const { version: droppedVersion } = oldest![1];
+    this.#deltasFrom = { ...this.#deltasFrom, version: droppedVersion };
   }
 
-  /** Lists the changes after a version; undefined if the log is incomplete
-   * since then. */
-  listSince(version: number): readonly CatalogChange[] | undefined {
-    if (version < this.#deltasFrom) return undefined;
+  /** Lists the changes after a position; undefined if the log is incomplete since
+   * then, or of another era. */
+  listSince(
+    { era, version }: StorePosition,
+  ): readonly CatalogChange[] | undefined {
+    if (era !== this.#deltasFrom.era) return undefined;
+    if (version < this.#deltasFrom.version) return undefined;
     const changes: CatalogChange[] = [];
     if (version >= this.#latest) return changes;
     for (const logged of this.#rows.values()) {
--- a/packages/core/catalog/src/mod.ts
+++ b/packages/core/catalog/src/mod.ts
@@ -10,6 +10,8 @@
 export type { RouteIndex } from "./route_index.ts";
 export { createSplitter } from "./splitter.ts";
 export type { Splitter } from "./splitter.ts";
+export { comparePositions, getPosition } from "./store_position.ts";
+export type { StorePosition } from "./store_position.ts";
 export type {
   CallerLimits,
   CatalogChange,
--- a/packages/core/catalog/src/types.ts
+++ b/packages/core/catalog/src/types.ts
@@ -113,10 +113,19 @@
   readonly orders: number;
   /** Undefined for entries of earlier versions, which do not share crashes. */
   readonly crashes?: number | undefined;
+  /** Eras of the versions; undefined if all of them are 0. */
+  readonly eras?: Readonly<Partial<Record<CatalogTable, number>>> | undefined;
+  /** Version of the routing document; undefined if none is known. */
+  readonly document?: number | undefined;
 }
 
-/** Content or changes of one table as of a store version. */
+/** Content or changes of one table as of a position in the store's history. */
 export interface TableUpdate {
+  /** Era of the version; undefined for 0, and for a store that does not state
+   * it. */
+  readonly era?: number;
+  /** True if the store states an era that is no number. */
+  readonly hasUnreadableEra?: boolean;
   readonly version: number;
   /** True if `changes` lists the whole table, so that rows not listed are
    * removed. */
--- a/packages/network/peering/src/envelope_test.ts
+++ b/packages/network/peering/src/envelope_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { parseFrameValue } from "./envelope.ts";
-import { decodeFrame, encodeFrame } from "./frames.ts";
+import { decodeFrame, encodeFrame, encodePayload } from "./frames.ts";
 import type { PeerMessage } from "./messages.ts";
 
 test("guards against valid messages that are rejected, and messages with a wrong field that are accepted", (t) => {
@@ -84,3 +84,35 @@
     }
   }
 });
+
+// Entries of the version before, which know no eras, run beside this one during
+// an update.
+test("guards against positions in the store's history that are rejected or malformed", (t) => {
+  const unchanged = { version: 3, isComplete: false, changes: [] };
+  const parse = (message: object) =>
+    parseFrameValue(decodeFrame(encodePayload(message)));
+  const pulls = [
+    { servers: 1, orders: 2 },
+    { servers: 1, orders: 2, crashes: 3, document: 4 },
+    {
+      servers: 1,
+      orders: 2,
+      crashes: 3,
+      eras: { servers: 7, orders: 7, crashes: 7 },
+    },
+  ];
+  for (const position of pulls) {
+    t.truthy(parse({ type: "catalog_pull", position }));
+  }
+  const catalog = { type: "catalog", ageMs: 1 };
+  for (const era of [undefined, 7]) {
+    const update = era === undefined ? unchanged : { ...unchanged, era };
+    t.truthy(parse({ ...catalog, delta: { servers: update, orders: update } }));
+  }
+  for (const eras of [7, "7", { servers: -1 }, { orders: "7" }]) {
+    const position = { servers: 1, orders: 2, eras };
+    t.is(parse({ type: "catalog_pull", position }), undefined);
+  }
+  const servers = { ...unchanged, era: 1.5 };
+  t.is(parse({ ...catalog, delta: { servers, orders: unchanged } }), undefined);
+});
--- a/packages/network/peering/src/guards.ts
+++ b/packages/network/peering/src/guards.ts
@@ -115,12 +115,27 @@
   return hasFields(value, {
     servers: isCount,
     orders: isCount,
-    crashes: (version) => version === undefined || isCount(version),
+    crashes: isOptionalCount,
+    eras: (eras) => eras === undefined || isEras(eras),
+    document: isOptionalCount,
   });
 }
 
+function isEras(value: unknown): boolean {
+  return hasFields(value, {
+    servers: isOptionalCount,
+    orders: isOptionalCount,
+    crashes: isOptionalCount,
+  });
+}
+
+function isOptionalCount(value: unknown): boolean {
+  return value === undefined || isCount(value);
+}
+
 function isTableUpdate(value: unknown): boolean {
   return hasFields(value, {
+    era: isOptionalCount,
     version: isCount,
     isComplete: isBoolean,
     changes: (changes) => Array.isArray(changes) && changes.every(isRecord),
