--- a/packages/core/refreshing/src/reader_loss_test.ts
+++ b/packages/core/refreshing/src/reader_loss_test.ts
@@ -208,6 +208,42 @@
   }
 }
 
+// The store is away for a moment and comes back from a copy. Only its readers
+// read whole tables; the others get them from these.
+const AWAY = [
+  { size: "today", awayMs: 300 },
+  { size: "today", awayMs: 2_000 },
+  { size: "grown", awayMs: 300 },
+  { size: "grown", awayMs: 1_000 },
+  { size: "grown", awayMs: 2_000 },
+] as const;
+for (const { size, awayMs } of AWAY) {
+  test(`guards against whole reads by all entries after a change of the era, ${size}, away for ${awayMs} ms`, (t) => {
+    const installation = new SimulatedInstallation({
+      regions: SIZES[size],
+      random: createRandom(1),
+      lagMs: LAG_MS,
+    });
+    installation.run(START_MS);
+    const callsBefore = installation.calls;
+    installation.isStoreDown = true;
+    installation.run(START_MS + awayMs);
+    installation.era += 1;
+    installation.isStoreDown = false;
+    const returnedAtMs = installation.nowMs;
+    installation.run(returnedAtMs + IN_FORCE_MS);
+    const calls = installation.calls - callsBefore;
+    const { wholeReads } = installation;
+    t.log(`${calls} calls, ${wholeReads} reads of whole tables`);
+    for (const { eras } of installation.entries) {
+      t.deepEqual([eras.servers, eras.orders], [2, 2]);
+    }
+    // Three tables for the reader and three others of each region.
+    const limit = 4 * 3 * SIZES[size].length;
+    t.true(wholeReads <= limit, `${wholeReads} whole reads`);
+  });
+}
+
 // A frozen entry resumes with what it knew before.
 test("guards against a reader that resumes with an old copy and keeps it", (t) => {
   for (let seed = 1; seed <= SEEDS.today; seed++) {
--- a/packages/core/refreshing/src/refresher.ts
+++ b/packages/core/refreshing/src/refresher.ts
@@ -19,6 +19,7 @@
 import { AGED_TABLES, StoreReads, TABLES } from "./store_reads.ts";
 import {
   computeReadAge,
+  computeWholeDelay,
   HEDGE_INTERVAL_MS,
   HEDGE_PHASE_MS,
   HEDGED_ENTRIES,
@@ -67,6 +68,7 @@
     read_failed: ({ id }, nowMs) => this.#recordFailedRead(id, nowMs),
     pulled: (event, nowMs) => this.#recordPull(event, nowMs),
     pull_failed: ({ id }, nowMs) => this.#recordFailedPull(id, nowMs),
+    era_changed: (_event, nowMs) => this.#reads.start(nowMs),
     announced: ({ peerAddress }) => {
       this.#announcer = peerAddress;
     },
@@ -227,7 +229,15 @@
     const schedule = this.#reads.tables[table];
     const waitMs = schedule.send(id, nowMs, kind === "waiting");
     const isDirect = kind === "direct";
-    this.#actions.push({ type: "read", id, table, waitMs, isDirect });
+    const wholeAfterMs = isDirect ? computeWholeDelay(this.#choice.rank) : 0;
+    this.#actions.push({
+      type: "read",
+      id,
+      table,
+      waitMs,
+      isDirect,
+      wholeAfterMs,
+    });
   }
 
   /** Plans one pull; pulls are sent one at a time until they are late, so that a
--- a/packages/core/refreshing/src/simulated_installation.ts
+++ b/packages/core/refreshing/src/simulated_installation.ts
@@ -54,6 +54,8 @@
   sinceMs: number;
   /** Time as of which the rows of each table are known. */
   readonly asOf: Record<CatalogTable, number>;
+  /** Era of each table. */
+  readonly eras: Record<CatalogTable, number>;
   /** Events of the time for which the entry is frozen. */
   readonly held: RefreshEvent[];
 }
@@ -75,9 +77,13 @@
   nowMs = 0;
   /** Number of calls to the store. */
   calls = 0;
+  /** Number of reads of whole tables, since the store came back from a copy. */
+  wholeReads = 0;
   /** Number of pulls. */
   pulls = 0;
   isStoreDown = false;
+  /** Era of the store; rises when it comes back from a copy. */
+  era = 1;
 
   constructor(options: InstallationOptions) {
     this.#options = options;
@@ -132,6 +138,7 @@
       condition: "sound",
       sinceMs: -Infinity,
       asOf: { servers: -Infinity, orders: -Infinity, crashes: -Infinity },
+      eras: { servers: 1, orders: 1, crashes: 1 },
       held: [],
     };
     this.entries.push(entry);
@@ -171,7 +178,10 @@
 
   #read(
     entry: SimulatedEntry,
-    { id, table, waitMs }: Extract<RefreshAction, { type: "read" }>,
+    { id, table, waitMs, wholeAfterMs }: Extract<
+      RefreshAction,
+      { type: "read" }
+    >,
   ): void {
     this.calls += 1;
     const { storeMs = 0 } = this.#options;
@@ -191,9 +201,22 @@
         entry.condition === "frozen";
       const isLost = this.isStoreDown || !isReachable || isSilenced;
       if (isLost) return fail(waitMs + STORE_TIMEOUT_MS);
-      this.#schedule(answeredAtMs + tripMs / 2 + this.#lag(), () => {
+      const { era } = this;
+      const isNewEra = entry.eras[table] < era;
+      const arrivesAtMs = answeredAtMs + tripMs / 2 + this.#lag();
+      const apply = () => {
         learn(entry, { [table]: answeredAtMs });
+        this.#learnEras(entry, { ...entry.eras, [table]: era });
         this.#handle(entry, { type: "read", id, hasChanges: false });
+      };
+      if (!isNewEra) return this.#schedule(arrivesAtMs, apply);
+      this.#schedule(arrivesAtMs + wholeAfterMs, () => {
+        if (wholeAfterMs > 0 && entry.eras[table] >= era) {
+          return this.#handle(entry, { type: "read_failed", id });
+        }
+        this.calls += 1;
+        this.wholeReads += 1;
+        this.#schedule(this.nowMs + tripMs + this.#lag(), apply);
       });
     });
   }
@@ -217,13 +240,27 @@
       const ageMs = Math.min(1e9, target.refresher.ageMs(this.nowMs));
       const reader = target.refresher.getReader(this.nowMs);
       const asOf = { ...target.asOf };
+      const eras = { ...target.eras };
       this.#schedule(this.nowMs + tripMs / 2 + this.#lag(), () => {
         learn(entry, asOf);
+        this.#learnEras(entry, eras);
         this.#handle(entry, { type: "pulled", id, ageMs, reader });
       });
     });
   }
 
+  #learnEras(
+    entry: SimulatedEntry,
+    eras: Readonly<Record<CatalogTable, number>>,
+  ): void {
+    const before = Math.max(...Object.values(entry.eras));
+    for (const table of ["servers", "orders", "crashes"] as const) {
+      entry.eras[table] = Math.max(entry.eras[table], eras[table]);
+    }
+    const hasChanged = Math.max(...Object.values(entry.eras)) > before;
+    if (hasChanged) this.#handle(entry, { type: "era_changed" });
+  }
+
   #pickOther(entry: SimulatedEntry): SimulatedEntry | undefined {
     const others = this.entries.filter((other) =>
       other !== entry && !isSilent(other)
--- a/packages/core/refreshing/src/timings.ts
+++ b/packages/core/refreshing/src/timings.ts
@@ -28,6 +28,12 @@
   return STALE_MS + RANK_DELAY_MS * Math.min(rank, LAST_RANK);
 }
 
+/** Time in milliseconds that an entry of a rank waits before it reads a whole
+ * table directly: the first ones do, and the others pull it from them. */
+export function computeWholeDelay(rank: number): number {
+  return RANK_DELAY_MS * Math.min(rank, LAST_RANK);
+}
+
 /** Interval in milliseconds between pulls from the source. */
 export const PULL_INTERVAL_MS = 200;
 
--- a/packages/core/refreshing/src/types.ts
+++ b/packages/core/refreshing/src/types.ts
@@ -33,6 +33,9 @@
   }
   /** An entry did not answer, or its answer is unreadable. */
   | { readonly type: "pull_failed"; readonly id: number }
+  /** The store came back from an older copy, so that all tables must be read
+   * again. */
+  | { readonly type: "era_changed" }
   /** An entry announced that it has a newer configuration. */
   | { readonly type: "announced"; readonly peerAddress: string };
 
@@ -47,6 +50,9 @@
     readonly table: CatalogTable;
     readonly waitMs: number;
     readonly isDirect: boolean;
+    /** Time in milliseconds before the whole table is read, if its changes cannot
+     * be; the read has failed if a pull brings the table meanwhile. */
+    readonly wholeAfterMs: number;
   }
   /** Ask an entry for its changes. */
   | {
