Follow a store that comes back from an older copy

Cause: rows of the new history at versions that an entry had seen were ignored, or skipped by a feed that resumed behind them.

An answer of a later era makes the entry read whole tables; one of an earlier era is ignored, and counts as a failure of the store if it was asked for afterwards. An era that is no number, or repeated, counts as the known one; each of these states is logged once. Changes are applied only if they are of the era in which they were asked for. Entries write their registrations, the saved state and the crash notes and removals of the last minute again. One line and a counter tell of each change of the era. The stand-in store can be copied and come back.

--- a/packages/daemon/edge/src/edge_fixture.ts
+++ b/packages/daemon/edge/src/edge_fixture.ts
@@ -37,6 +37,10 @@
   drop(table: CatalogTable, key: string, change: CatalogChange): void;
   /** Takes the store down or up for a client, or for all clients by default. */
   setDown(down: boolean, client?: string): void;
+  /** Copies all rows, for `comeBack`. */
+  copy(): void;
+  /** Replaces all rows by those of the last copy, and begins a new era. */
+  comeBack(): void;
   /** Lists the keys of a table's rows. */
   listKeys(table: CatalogTable): string[];
   /** Counts the calls so far of a client, or of all clients by default. */
@@ -55,17 +59,37 @@
   return new InMemoryStore();
 }
 
+interface LoggedChange {
+  readonly version: number;
+  readonly table: CatalogTable;
+  readonly change: CatalogChange;
+}
+
+type Rows = Readonly<Record<CatalogTable, Map<string, CatalogChange>>>;
+
+function copyRows({ servers, orders, crashes }: Rows): Rows {
+  return {
+    servers: new Map(servers),
+    orders: new Map(orders),
+    crashes: new Map(crashes),
+  };
+}
+
+const HISTORY_LOST: StoreError = {
+  code: "history-lost",
+  message: "The store does not have the version",
+  hint: "Read all",
+};
+
 class InMemoryStore implements MemoryStore {
-  readonly #rows = {
-    servers: new Map<string, CatalogChange>(),
-    orders: new Map<string, CatalogChange>(),
-    crashes: new Map<string, CatalogChange>(),
+  #rows: Rows = {
+    servers: new Map(),
+    orders: new Map(),
+    crashes: new Map(),
   };
-  readonly #log: {
-    readonly version: number;
-    readonly table: CatalogTable;
-    readonly change: CatalogChange;
-  }[] = [];
+  #log: LoggedChange[] = [];
+  #copy = { rows: copyRows(this.#rows), log: [...this.#log], version: 1 };
+  #era = 0;
   readonly #peerAddresses = new Map<string, string>();
   #savedState: unknown;
   readonly #down = new Set<string>();
@@ -89,6 +113,19 @@
     this.#notifyWaiters();
   }
 
+  copy(): void {
+    const rows = copyRows(this.#rows);
+    this.#copy = { rows, log: [...this.#log], version: this.#version };
+  }
+
+  comeBack(): void {
+    const { rows, log, version } = this.#copy;
+    this.#rows = copyRows(rows);
+    this.#log = [...log];
+    this.#version = version;
+    this.#era += 1;
+  }
+
   listKeys(table: CatalogTable): string[] {
     return [...this.#rows[table].keys()];
   }
@@ -108,6 +145,7 @@
       readAll: (table) =>
         Promise.resolve(
           refuse() ?? Ok({
+            era: this.#era,
             version: this.#version,
             isComplete: true,
             changes: [...this.#rows[table].values()],
@@ -118,7 +156,9 @@
         if (refused !== undefined) return refused;
         await this.#waitFor(table, after, waitMs);
         if (this.#isDown(name)) return Err(STORE_DOWN);
+        if (after > this.#version) return Err(HISTORY_LOST);
         return Ok({
+          era: this.#era,
           version: this.#version,
           isComplete: false,
           changes: this.#changesAfter(table, after),
--- a/packages/daemon/edge/src/ports.ts
+++ b/packages/daemon/edge/src/ports.ts
@@ -22,6 +22,8 @@
     | "unreadable";
   readonly message: string;
   readonly hint: string;
+  /** Era that the store's answer states, if there is one. */
+  readonly era?: number | undefined;
 }
 
 /** Crash notes to write and keys of notes to remove, at most 100 in total. */
--- a/packages/daemon/edge/src/process/catalog_puller.ts
+++ b/packages/daemon/edge/src/process/catalog_puller.ts
@@ -4,7 +4,11 @@
  * @module
  */
 
-import type { Catalog, CatalogDelta } from "@dotterelmoor/core.catalog";
+import type {
+  Catalog,
+  CatalogDelta,
+  CatalogTable,
+} from "@dotterelmoor/core.catalog";
 import { ANSWER_DUE_MS, STALE_MS } from "@dotterelmoor/core.refreshing";
 import type { CatalogSource } from "@dotterelmoor/core.refreshing";
 import type { CatalogMessage } from "@dotterelmoor/network.peering";
@@ -34,15 +38,24 @@
    * counts as contact with the installation. */
   readonly isContact: (ageMs: number) => boolean;
   readonly isStopped: () => boolean;
-  /** Called after each update of the catalog; `documentAgeMs` is an upper bound
-   * in milliseconds on the time since an entry first read the configuration. */
-  readonly onChanged: (source: string, documentAgeMs: number) => void;
+  /** Called after each update of the catalog. */
+  readonly onChanged: (update: PulledUpdate) => void;
   /** Asks an entry for its catalog changes; undefined without an answer. */
   readonly pull: (
     source: CatalogSource,
   ) => Promise<CatalogMessage | undefined>;
 }
 
+/** An update of the catalog by another entry. */
+export interface PulledUpdate {
+  readonly source: string;
+  /** Upper bound in milliseconds on the time since an entry first read the
+   * configuration. */
+  readonly documentAgeMs: number;
+  /** Number of rows of each table that was sent whole. */
+  readonly rows: Partial<Record<CatalogTable, number>>;
+}
+
 /** What an entry stated with its catalog. */
 export interface PulledState {
   /** Time in milliseconds since its catalog was last known to be current. */
@@ -74,10 +87,17 @@
     metrics.catalogPulls.observe({ result }, elapsedMs / 1_000);
     this.#warn(source, { result, elapsedMs, ageMs: answer?.ageMs });
     if (answer === undefined || delta === undefined) return undefined;
+    const isOfEarlierEra = (delta.servers.era ?? 0) < catalog.era;
     catalog.applyDelta(delta, performance.now());
-    const { ageMs, documentAgeMs = 0 } = answer;
-    if (isContact(ageMs)) contact.note(sentAt);
-    onChanged(describeSource(source), elapsedMs + documentAgeMs);
+    const { documentAgeMs = 0 } = answer;
+    // What is current in a history that the store has left tells nothing.
+    const ageMs = isOfEarlierEra ? Infinity : answer.ageMs;
+    if (!isOfEarlierEra && isContact(ageMs)) contact.note(sentAt);
+    onChanged({
+      source: describeSource(source),
+      documentAgeMs: elapsedMs + documentAgeMs,
+      rows: countRows(delta),
+    });
     return { ageMs, reader: getReader(source, answer) };
   }
 
@@ -108,6 +128,18 @@
   }
 }
 
+/** Counts the rows of the tables that a delta holds whole. */
+function countRows(
+  delta: CatalogDelta,
+): Partial<Record<CatalogTable, number>> {
+  const rows: Partial<Record<CatalogTable, number>> = {};
+  for (const table of ["servers", "orders", "crashes"] as const) {
+    const update = delta[table];
+    if (update?.isComplete) rows[table] = update.changes.length;
+  }
+  return rows;
+}
+
 /** Returns the reader that an entry names; one of an earlier version names none
  * and counts as the reader. */
 function getReader(
--- a/packages/daemon/edge/src/process/catalog_watch.ts
+++ b/packages/daemon/edge/src/process/catalog_watch.ts
@@ -25,8 +25,11 @@
 import type { Logger } from "pino";
 import type { CatalogStore } from "../ports.ts";
 import { CatalogPuller } from "./catalog_puller.ts";
+import type { PulledUpdate } from "./catalog_puller.ts";
 import { describeSource } from "./catalog_source.ts";
 import { ContactClock } from "./contact_clock.ts";
+import { EraWatch } from "./era_watch.ts";
+import type { RenewedRows } from "./era_watch.ts";
 import type { EdgeMetrics } from "./metrics.ts";
 import { TableReader } from "./table_reader.ts";
 
@@ -34,6 +37,12 @@
  * entries may change meanwhile. */
 const MAX_TICK_MS = 400;
 
+const NOTHING_RENEWED: RenewedRows = {
+  registration: false,
+  savedState: false,
+  crashNotes: 0,
+};
+
 /** Options of `startCatalogWatch`. */
 export interface CatalogWatchOptions {
   readonly processId: string;
@@ -47,6 +56,9 @@
    * is an upper bound in milliseconds on the time since any entry first read
    * the configuration from the store. */
   readonly onChanged: (source: string, documentAgeMs: number) => void;
+  /** Called when the store has come back from an older copy; writes again what
+   * this entry wrote there. */
+  readonly onEraChanged?: () => RenewedRows;
   /** Process ids of the live entries of the region, this one included, in
    * order of precedence as the reader. */
   readonly listRegion: () => readonly string[];
@@ -100,6 +112,7 @@
   readonly #refresher: Refresher;
   readonly #readers: Readonly<Record<CatalogTable, TableReader>>;
   readonly #puller: CatalogPuller;
+  readonly #eras: EraWatch;
   readonly #contact = new ContactClock();
   #documentVersion: number | undefined;
   #documentReadAtMs = -Infinity;
@@ -128,13 +141,17 @@
     };
     const readerOptions = {
       ...shared,
-      onChanged: () => this.#recordChange("store", 0),
+      onChanged: (rows: PulledUpdate["rows"]) =>
+        this.#recordChange({ source: "store", documentAgeMs: 0, rows }),
     };
     this.#puller = new CatalogPuller({
       ...shared,
       isStopped: () => this.#stopped,
-      onChanged: (source, documentAgeMs) =>
-        this.#recordChange(source, documentAgeMs),
+      onChanged: (update) => this.#recordChange(update),
+    });
+    this.#eras = new EraWatch({
+      ...options,
+      onEraChanged: options.onEraChanged ?? (() => NOTHING_RENEWED),
     });
     this.#readers = {
       servers: new TableReader("servers", readerOptions),
@@ -207,15 +224,16 @@
   }
 
   async #read(
-    { id, table, waitMs, isDirect }: Extract<RefreshAction, { type: "read" }>,
+    action: Extract<RefreshAction, { type: "read" }>,
   ): Promise<void> {
+    const { id, table, waitMs, isDirect, wholeAfterMs } = action;
     const { log, metrics } = this.#options;
     if (isDirect) {
       const catalogAgeMs = Math.round(this.ageMs());
       metrics.directReads.inc({ table });
       log.info({ table, catalogAgeMs }, "Catalog too old; reading the store.");
     }
-    const result = await this.#readers[table].read(waitMs)
+    const result = await this.#readers[table].read(waitMs, wholeAfterMs)
       .catch((error: unknown) => {
         log.error({ table, err: error }, "Read failed.");
         return "failed" as const;
@@ -242,7 +260,7 @@
     );
   }
 
-  #recordChange(source: string, documentAgeMs: number): void {
+  #recordChange({ source, documentAgeMs, rows }: PulledUpdate): void {
     const { catalog, onChanged } = this.#options;
     const version = catalog.document?.version;
     if (version !== this.#documentVersion) {
@@ -250,6 +268,7 @@
       this.#documentReadAtMs = performance.now() - documentAgeMs;
     }
     onChanged(source, this.documentAgeMs());
+    if (this.#eras.check(source, rows)) this.#handle({ type: "era_changed" });
   }
 
   #logSource(
--- a/packages/daemon/edge/src/process/crash_quarantine.ts
+++ b/packages/daemon/edge/src/process/crash_quarantine.ts
@@ -86,7 +86,7 @@
   readonly instance: string;
   readonly catalog: Catalog;
   readonly source: Pick<CatalogStore, "claimTrial">;
-  readonly reports: CrashReports;
+  readonly reports: Pick<CrashReports, "remember" | "report">;
   readonly metrics: EdgeMetrics;
   readonly log: EdgeLog;
   /** Time of day in milliseconds since 1970. */
@@ -172,7 +172,7 @@
   }
 
   async claimTrial({ fingerprint, server }: SentRequest): Promise<boolean> {
-    const { source, log, catalog } = this.#options;
+    const { source, log, catalog, reports } = this.#options;
     const number = 1 + catalog.crashNotes.listFor(fingerprint)
       .filter(({ type }) => type === "trial").length;
     const about = { type: "trial", number } as const;
@@ -186,7 +186,10 @@
     }, CLAIM_RETENTION_MS).unref();
     const claimed = await source.claimTrial(note);
     const isClaimed = claimed.isOk() && claimed.value;
-    if (isClaimed) catalog.crashNotes.add(note);
+    if (isClaimed) {
+      catalog.crashNotes.add(note);
+      reports.remember(note);
+    }
     log.decide("Trial of a quarantined request.", {
       fingerprint,
       server: server.id,
--- a/packages/daemon/edge/src/process/crash_quarantine_test.ts
+++ b/packages/daemon/edge/src/process/crash_quarantine_test.ts
@@ -26,7 +26,7 @@
     },
     reports: {
       report: (changes) => reported.push(changes),
-      answer: () => Promise.resolve({ type: "crash_noted", written: true }),
+      remember: () => {},
     },
     metrics: createEdgeMetrics({
       address: undefined,
--- a/packages/daemon/edge/src/process/crash_reports.ts
+++ b/packages/daemon/edge/src/process/crash_reports.ts
@@ -37,6 +37,10 @@
  * are dropped. */
 const MAX_QUEUED_CHANGES = 1_000;
 
+/** Time in milliseconds for which changes are written again if the store comes
+ * back from an older copy, which is some seconds old. */
+const RENEWED_MS = 60_000;
+
 /** Options of `createCrashReports`. */
 export interface CrashReportsOptions {
   readonly source: Pick<CatalogStore, "changeCrashNotes">;
@@ -62,6 +66,11 @@
 export interface CrashReports {
   /** Queues changes; they are retried until they are written. */
   report(changes: CrashNoteChanges): void;
+  /** Remembers a note that was written by another way, for `renew`. */
+  remember(note: CrashNote): void;
+  /** Writes the latest changes of this entry again: the store has come back from
+   * an older copy. Returns their number. */
+  renew(): number;
   /** Writes the changes of another entry; the answer says whether they were
    * written. */
   answer(message: CrashReportMessage): Promise<CrashNotedMessage>;
@@ -86,6 +95,11 @@
   readonly #options: CrashReportsOptions;
   /** Changes of this entry, which are sent to the region's reader first. */
   readonly #queued: Changes = new Map();
+  /** Latest changes of this entry with their monotonic times, oldest first. */
+  readonly #latest = new Map<
+    string,
+    { readonly note: CrashNote | undefined; readonly atMs: number }
+  >();
   #sendTimer: NodeJS.Timeout | undefined;
   /** Batch that further changes join until it is full or its write starts. */
   #batch: Batch | undefined;
@@ -97,9 +111,37 @@
 
   report(changes: CrashNoteChanges): void {
     addChanges(this.#queued, changes);
+    for (const note of changes.notes) this.#remember(note.key, note);
+    for (const key of changes.removedKeys) this.#remember(key, undefined);
     this.#startSending(BATCH_DELAY_MS);
   }
 
+  remember(note: CrashNote): void {
+    this.#remember(note.key, note);
+  }
+
+  renew(): number {
+    this.#forgetOld();
+    for (const [key, { note }] of this.#latest) this.#queued.set(key, note);
+    if (this.#latest.size > 0) this.#startSending(BATCH_DELAY_MS);
+    return this.#latest.size;
+  }
+
+  #remember(key: string, note: CrashNote | undefined): void {
+    this.#latest.delete(key);
+    this.#latest.set(key, { note, atMs: performance.now() });
+    this.#forgetOld();
+  }
+
+  #forgetOld(): void {
+    const untilMs = performance.now() - RENEWED_MS;
+    for (const [key, { atMs }] of this.#latest) {
+      const isKept = atMs > untilMs && this.#latest.size <= MAX_QUEUED_CHANGES;
+      if (isKept) break;
+      this.#latest.delete(key);
+    }
+  }
+
   async answer(message: CrashReportMessage): Promise<CrashNotedMessage> {
     const written = await this.#write(message);
     return { type: "crash_noted", written };
--- a/packages/daemon/edge/src/process/crash_reports_test.ts
+++ b/packages/daemon/edge/src/process/crash_reports_test.ts
@@ -134,3 +134,20 @@
   t.true(sizes.every((size) => size <= 100), String(sizes));
   t.is(writes.flatMap((write) => write.notes).length, 250);
 });
+
+// The store may come back from a copy that is some seconds old. Without the note
+// of a trial, another entry could claim it again.
+test("guards against notes and removals that stay lost when the store comes back from a copy", async (t) => {
+  const { reports, writes } = setUp(t);
+  reports.report({ notes: [makeNote(1), makeNote(2)], removedKeys: [] });
+  await wait(300);
+  reports.report({ notes: [], removedKeys: ["f2/s1/1"] });
+  reports.remember({ ...makeNote(3), type: "trial" });
+  await wait(300);
+  writes.length = 0;
+  t.is(reports.renew(), 3);
+  await wait(300);
+  t.is(writes.length, 1);
+  t.deepEqual(writes[0]!.notes.map(({ key }) => key), ["f1/s1/1", "f3/s1/1"]);
+  t.true(writes[0]!.removedKeys.includes("f2/s1/1"));
+});
--- a/packages/daemon/edge/src/process/delta_packing.ts
+++ b/packages/daemon/edge/src/process/delta_packing.ts
@@ -35,14 +35,17 @@
 /** Creates a packer with an empty cache. */
 export function createDeltaPacker(): DeltaPacker {
   const packDocument = createValuePacker<RoutingDocument>();
-  const packServers = createValuePacker<number>();
+  const packServers = createValuePacker<string>();
   return {
     pack: ({ orders, servers, crashes }) => {
       const change = orders.changes.find(({ type }) => type === "document");
       const changes = orders.changes.filter((other) => other !== change);
       // Lists of the same version differ only in cold times.
       const list = servers.isComplete
-        ? packServers(servers.version, servers.changes)
+        ? packServers(
+          `${servers.era ?? 0}/${servers.version}`,
+          servers.changes,
+        )
         : undefined;
       return {
         delta: {
--- a/packages/daemon/edge/src/process/keeping.ts
+++ b/packages/daemon/edge/src/process/keeping.ts
@@ -46,6 +46,9 @@
 export interface StateSaving {
   /** True once earlier state has been restored, or cannot be. */
   readonly isRestored: boolean;
+  /** Saves the state again if this entry has saved it: the store has come back
+   * from an older copy. Returns whether it does. */
+  renew(): boolean;
 }
 
 /** Starts restoring saved state and then saving it, until the store is disposed
@@ -115,6 +118,14 @@
     return true;
   }
 
+  renew(): boolean {
+    const isSaving = this.#options.assignments.isAssigning &&
+      this.#savedRevision > 0;
+    // Another entry may have saved the state that this one goes on with.
+    this.#savedRevision = 0;
+    return isSaving;
+  }
+
   async #save(): Promise<void> {
     const { placer, assignments, source, log } = this.#options;
     const { revision } = assignments.position;
--- a/packages/daemon/edge/src/process/metrics.ts
+++ b/packages/daemon/edge/src/process/metrics.ts
@@ -56,6 +56,7 @@
   readonly catalogPulls: Histogram<"result">;
   readonly catalogAge: Gauge;
   readonly directReads: Counter<"table">;
+  readonly eraChanges: Counter;
   readonly brokenConnections: Counter<"code" | "action">;
   readonly unexpectedErrors: Counter;
   readonly stalledSeconds: Counter;
@@ -168,6 +169,11 @@
       labelNames: ["table"],
       registers,
     }),
+    eraChanges: new Counter({
+      name: "dotterelmoor_store_era_changes_total",
+      help: "Times that the store came back from an older copy",
+      registers,
+    }),
     brokenConnections: new Counter({
       name: "dotterelmoor_broken_connections_total",
       help: "Callers' connections that broke, by error code and what was done",
--- a/packages/daemon/edge/src/process/reader_loss_test.ts
+++ b/packages/daemon/edge/src/process/reader_loss_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import type { ExecutionContext } from "ava";
+import { buildServer } from "../edge_fixture.ts";
 import { startRegion, wait } from "./reader_loss_fixture.ts";
 import type { Condition, TestRegion } from "./reader_loss_fixture.ts";
 
@@ -52,6 +53,31 @@
   });
 }
 
+// The others heard of the new era from nobody, and kept the history before it.
+for (const condition of ["cut", "dead"] as const) {
+  test(`guards against a history that is kept because the reader is ${condition} as the store comes back`, async (t) => {
+    const { entries, memory } = await startRegion(t, 4);
+    await wait(2_000);
+    memory.copy();
+    const record = buildServer("s2", "127.0.0.1:10", { sequence: 9 });
+    memory.put("servers", "s2", { type: "server", record });
+    const others = entries.slice(1);
+    while (!others.every((entry) => entry.knowsServer("s2"))) await wait(10);
+    entries[0]!.setCondition(condition);
+    memory.comeBack();
+    // At the version that the other server had.
+    const leaving = buildServer("s1", "127.0.0.1:9", {
+      sequence: 2,
+      state: "draining",
+    });
+    memory.put("servers", "s1", { type: "server", record: leaving });
+    const leftAtMs = performance.now();
+    while (others.some((entry) => entry.knowsServer("s1"))) await wait(10);
+    const spreadMs = performance.now() - leftAtMs;
+    t.true(spreadMs <= IN_FORCE_MS, `${Math.round(spreadMs)} ms`);
+  });
+}
+
 // A reader that is cut off from the store goes on answering the others, so each
 // one was followed until its catalog was old, and given time for failed calls.
 for (const failed of [1, 2, 3]) {
--- a/packages/daemon/edge/src/process/registration.ts
+++ b/packages/daemon/edge/src/process/registration.ts
@@ -17,6 +17,10 @@
  * each other. */
 const PAUSES_MS = [300, 700, 2_000, 5_000, 15_000];
 
+/** Pause in milliseconds before a failed registration is tried again, once the
+ * store has lost the earlier one. */
+const RETRY_MS = 800;
+
 /** Options of `startRegistration`. */
 export interface RegistrationOptions {
   readonly source: CatalogStore;
@@ -32,13 +36,21 @@
   readonly log: Logger;
 }
 
+/** Registration of this entry in the store. */
+export interface Registration {
+  /** Registers this entry again if it was registered: the store has come back
+   * from an older copy. Returns whether it does. */
+  renew(): boolean;
+}
+
 /** Starts registering this entry and searching for others, until the store is
  * disposed of. */
-export function startRegistration(options: RegistrationOptions): void {
+export function startRegistration(options: RegistrationOptions): Registration {
   const { store, log } = options;
   let searches = 0;
   let isRegistered = false;
   let stopped = false;
+  const isStopped = () => stopped;
   const search = async () => {
     const pauseMs = PAUSES_MS[Math.min(searches, PAUSES_MS.length - 1)]!;
     searches += 1;
@@ -50,10 +62,21 @@
     if (options.isReading() || options.isAlone()) await findOthers(options);
     return pauseMs;
   };
-  void runRepeatedly(search, { isStopped: () => stopped, log });
+  void runRepeatedly(search, { isStopped, log });
   store.add(() => {
     stopped = true;
   });
+  return {
+    renew: () => {
+      if (!isRegistered) return false;
+      isRegistered = false;
+      void runRepeatedly(async () => {
+        isRegistered ||= await register(options);
+        return RETRY_MS;
+      }, { isStopped: () => stopped || isRegistered, log });
+      return true;
+    },
+  };
 }
 
 async function register(options: RegistrationOptions): Promise<boolean> {
--- a/packages/daemon/edge/src/process/table_reader.ts
+++ b/packages/daemon/edge/src/process/table_reader.ts
@@ -4,15 +4,18 @@
  * @module
  */
 
+import { comparePositions, getPosition } from "@dotterelmoor/core.catalog";
 import type {
   Catalog,
   CatalogTable,
+  StorePosition,
   TableUpdate,
 } from "@dotterelmoor/core.catalog";
 import type { Logger } from "pino";
 import type { Result } from "ts-results-es";
 import type { CatalogStore, StoreError } from "../ports.ts";
 import type { ContactClock } from "./contact_clock.ts";
+import { wait } from "./intervals.ts";
 import type { EdgeMetrics } from "./metrics.ts";
 
 /** Age of the catalog in milliseconds above which server records may have
@@ -26,8 +29,9 @@
   readonly source: CatalogStore;
   readonly metrics: EdgeMetrics;
   readonly log: Logger;
-  /** Called after each update of the catalog. */
-  readonly onChanged: () => void;
+  /** Called after each update of the catalog, with the number of rows if a whole
+   * table was read. */
+  readonly onChanged: (rows: Partial<Record<CatalogTable, number>>) => void;
   /** Time in milliseconds since the catalog was last known to be current, by
    * reads of the store or by pulls. */
   readonly getCatalogAgeMs: () => number;
@@ -49,26 +53,33 @@
   #hasLostHistory = false;
   #isFailing = false;
   #failedAtMs = -Infinity;
+  /** Era to which the store went back, as of the last answer. */
+  #earlierEra: number | undefined;
+  #hasUnreadableEra = false;
 
   constructor(table: CatalogTable, options: TableReaderOptions) {
     this.#table = table;
     this.#options = options;
   }
 
-  /** Reads the changes since the catalog's version, or the whole table if none
-   * is known; the store may wait `waitMs` milliseconds for the first change.
-   * Updates are ordered by their versions, so the order of answers does not
-   * matter. */
-  async read(waitMs: number): Promise<ReadResult> {
-    const { contact, log } = this.#options;
+  /** Reads the changes since the catalog's position, or the whole table if none is
+   * known; the store may wait `waitMs` milliseconds for the first change. If the
+   * changes cannot be read, reads the whole table after `wholeAfterMs`
+   * milliseconds, unless another entry has provided it by then. Updates are
+   * ordered by their positions, so the order of answers does not matter. */
+  async read(waitMs: number, wholeAfterMs = 0): Promise<ReadResult> {
+    const { contact, catalog } = this.#options;
     const sentAt = contact.mark();
+    const sentInEra = catalog.era;
+    const after = this.#position;
     let result = await this.#call(waitMs);
-    if (result.isErr() && result.error.code === "history-lost") {
-      const table = this.#table;
-      log.info({ table }, "Change history lost; reading the whole table.");
-      this.#countCall(result.error.code);
+    if (this.#isOfEarlierEra(result, sentInEra)) return "failed";
+    if (this.#mustReadAll(result, after)) {
+      if (wholeAfterMs > 0) await wait(wholeAfterMs);
+      if (comparePositions(this.#position, after) > 0) return "failed";
       this.#hasLostHistory = true;
       result = await this.#call(0);
+      if (this.#isOfEarlierEra(result, sentInEra)) return "failed";
     }
     if (result.isErr()) {
       this.#recordFailure(result.error);
@@ -84,16 +95,79 @@
   #call(waitMs: number): Promise<Result<TableUpdate, StoreError>> {
     const { source, catalog } = this.#options;
     const table = this.#table;
-    const after = catalog.position[table];
-    const isKnown = after > 0 || this.#hasRead;
-    return isKnown && !this.#hasLostHistory
+    const { era, version: after } = this.#position;
+    const isKnown = era === catalog.era && (after > 0 || this.#hasRead) &&
+      !this.#hasLostHistory;
+    // As long as the store states an earlier era, whole tables are of no use.
+    const hasEarlierEra = this.#earlierEra !== undefined && after > 0;
+    return isKnown || hasEarlierEra
       ? source.readChanges(table, { after, waitMs })
       : source.readAll(table);
   }
 
-  #applyUpdate(update: TableUpdate): void {
+  get #position(): StorePosition {
+    return getPosition(this.#options.catalog.position, this.#table);
+  }
+
+  /** True if the changes after a position cannot be read: the store has discarded
+   * them, or has come back from an older copy, so that they are others than those
+   * after the same version of the former history. */
+  #mustReadAll(
+    result: Result<TableUpdate, StoreError>,
+    after: StorePosition,
+  ): boolean {
+    const { log } = this.#options;
+    const table = this.#table;
+    if (result.isErr()) {
+      if (result.error.code !== "history-lost") return false;
+      log.info({ table }, "Change history lost; reading the whole table.");
+      this.#countCall(result.error.code);
+      return true;
+    }
+    const { era = this.#position.era, isComplete } = result.value;
+    if (isComplete || era === after.era) return false;
+    this.#countCall("new-era");
+    return true;
+  }
+
+  /** True for an answer of a history that the store has left. One that was asked
+   * for before that is late; any other means that the store states eras that go
+   * back, and is treated like an outage. */
+  #isOfEarlierEra(
+    result: Result<TableUpdate, StoreError>,
+    sentInEra: number,
+  ): boolean {
+    const { log, catalog } = this.#options;
+    const { era } = result.isOk() ? result.value : result.error;
+    if (era === undefined || era >= catalog.era) return false;
+    const isLate = era >= sentInEra;
+    this.#countCall(isLate ? "late-era" : "earlier-era");
+    if (!isLate && this.#earlierEra !== era) {
+      const table = this.#table;
+      const fields = { table, era, knownEra: catalog.era };
+      log.warn(fields, "The store went back to an earlier era; ignoring it.");
+    }
+    this.#earlierEra = isLate ? undefined : era;
+    return true;
+  }
+
+  /** Logs the first of several answers whose era cannot be read; they count as
+   * of the known era. */
+  #checkEra({ hasUnreadableEra = false }: TableUpdate): void {
+    const { log } = this.#options;
+    const table = this.#table;
+    if (hasUnreadableEra && !this.#hasUnreadableEra) {
+      log.warn({ table }, "The store states an era that is no number.");
+    }
+    this.#hasUnreadableEra = hasUnreadableEra;
+    this.#earlierEra = undefined;
+  }
+
+  #applyUpdate(stated: TableUpdate): void {
     const { catalog, log, onChanged } = this.#options;
     const table = this.#table;
+    this.#checkEra(stated);
+    const update = { ...stated, era: stated.era ?? catalog.era };
     const nowMs = performance.now();
     this.#recordRecovery(nowMs);
     this.#countCall("answered");
@@ -102,11 +176,11 @@
     }
     catalog.applyTable(table, update, nowMs);
     this.#hasRead = true;
-    onChanged();
-    if (!update.isComplete) return;
+    const { era, version, isComplete, changes: { length: rows } } = update;
+    onChanged(isComplete ? { [table]: rows } : {});
+    if (!isComplete) return;
     this.#hasLostHistory = false;
-    const rows = update.changes.length;
-    log.info({ table, version: update.version, rows }, "Table read.");
+    log.info({ table, era, version, rows }, "Table read.");
   }
 
   /** Only an outage excuses records that are missing. An old catalog alone does
--- a/packages/daemon/edge/src/process/table_reader_test.ts
+++ b/packages/daemon/edge/src/process/table_reader_test.ts
@@ -189,3 +189,112 @@
   t.true(await readAfterRemoval(t, { ageMs: 3_000, failsBefore: true }));
   t.false(await readAfterRemoval(t, { ageMs: 1_000, failsBefore: true }));
 });
+
+/** Starts a reader of the servers whose reads the test answers. */
+function startScriptedReader(t: ExecutionContext) {
+  const store = new DisposableStore();
+  t.teardown(() => store.dispose());
+  const catalog = createCatalog({ zones: { "a-1": "a" } });
+  const calls: string[] = [];
+  const answers: ReturnType<CatalogStore["readAll"]>[] = [];
+  const take = (call: string) => {
+    calls.push(call);
+    return answers.shift()!;
+  };
+  const lines: string[] = [];
+  const reader = new TableReader("servers", {
+    catalog,
+    source: {
+      ...createMemoryStore().createClient("p1"),
+      readAll: () => take("all"),
+      readChanges: (_table, { after }) => take(`after ${after}`),
+    },
+    metrics: createEdgeMetrics({ address: undefined, store }),
+    log: pino({ level: "warn" }, {
+      write: (line: string) => void lines.push(JSON.parse(line).msg),
+    }),
+    onChanged: () => {},
+    contact: new ContactClock(),
+    getCatalogAgeMs: () => 0,
+  });
+  const answer = (era: number, version: number, isComplete: boolean) => {
+    const update = { era, version, isComplete, changes: [] };
+    answers.push(Promise.resolve(Ok(update)));
+  };
+  return { reader, catalog, calls, answers, answer, lines };
+}
+
+// The rows of the first answer are those after a version of the old history.
+test("guards against changes of a new era that are taken for those after the known version", async (t) => {
+  const { reader, catalog, calls, answer } = startScriptedReader(t);
+  answer(1, 10, true);
+  await reader.read(0);
+  answer(2, 12, false);
+  answer(2, 12, true);
+  await reader.read(0);
+  t.deepEqual(calls, ["all", "after 10", "all"]);
+  t.is(catalog.era, 2);
+});
+
+// Another read has brought the new era meanwhile, up to a lower version; the rows
+// between them are not in the answer.
+test("guards against a waiting answer that skips rows of the new era", async (t) => {
+  const { reader, catalog, answer, answers } = startScriptedReader(t);
+  answer(1, 10, true);
+  await reader.read(0);
+  let settle = () => {};
+  answers.push(
+    new Promise((resolve) => {
+      const update = { era: 2, version: 11, isComplete: false, changes: [] };
+      settle = () => resolve(Ok(update));
+    }),
+  );
+  const waiting = reader.read(4_000);
+  answer(2, 6, false);
+  answer(2, 6, true);
+  await reader.read(0);
+  settle();
+  t.is(await waiting, "failed");
+  t.is(catalog.position.servers, 6);
+});
+
+test("guards against a late answer of the history that the store has left", async (t) => {
+  const { reader, catalog, answer, answers, lines } = startScriptedReader(t);
+  answer(1, 10, true);
+  await reader.read(0);
+  let settle = () => {};
+  answers.push(
+    new Promise((resolve) => {
+      const late = { era: 1, version: 11, isComplete: false, changes: [] };
+      settle = () => resolve(Ok(late));
+    }),
+  );
+  const reading = reader.read(4_000);
+  catalog.applyTable("orders", {
+    era: 2,
+    version: 3,
+    isComplete: true,
+    changes: [],
+  }, 0);
+  settle();
+  t.is(await reading, "failed");
+  t.is(catalog.position.servers, 10);
+  // It is not a fault of the store.
+  t.deepEqual(lines, []);
+});
+
+test("guards against reads of the whole table again and again while the store states an earlier era", async (t) => {
+  const { reader, calls, answer, answers, lines } = startScriptedReader(t);
+  answer(5, 10, true);
+  await reader.read(0);
+  for (let index = 0; index < 3; index++) {
+    answers.push(Promise.resolve(
+      Err({ code: "history-lost", message: "Gone", hint: "Read", era: 4 }),
+    ));
+    t.is(await reader.read(0), "failed");
+  }
+  t.deepEqual(calls, ["all", "after 10", "after 10", "after 10"]);
+  t.is(lines.length, 1);
+  answer(5, 11, false);
+  t.is(await reader.read(0), "unchanged");
+});
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -35,6 +35,7 @@
 import { startStateSaving } from "./process/keeping.ts";
 import type { StateSaving } from "./process/keeping.ts";
 import { startRegistration } from "./process/registration.ts";
+import type { Registration } from "./process/registration.ts";
 import { startReports } from "./process/reports.ts";
 import { createRetryBudgets } from "./process/retry_budgets.ts";
 import { startStallDetector } from "./process/stalls.ts";
@@ -156,6 +157,7 @@
     loads?: LoadExchange;
     stateSaving?: StateSaving;
     quarantine?: QuarantineParts;
+    registration?: Registration;
     isLeaving?: boolean;
   };
 }
@@ -239,7 +241,7 @@
     log,
   });
   const watch = startWatch(shared, { peers, callers, stalls });
-  startRegistration({
+  late.registration = startRegistration({
     source: platform.store,
     instance: settings.instance,
     peerAddress: formatAddress(settings.peers),
@@ -448,6 +450,11 @@
         peers.membership.regionState(region) !== "lost"
       ),
     pull: (source) => peers.pullCatalog(source),
+    onEraChanged: () => ({
+      registration: shared.late.registration?.renew() ?? false,
+      savedState: shared.late.stateSaving?.renew() ?? false,
+      crashNotes: shared.late.quarantine?.reports.renew() ?? 0,
+    }),
     onChanged: (source, documentAgeMs) => {
       const { document } = catalog;
       if (document === undefined) return;
