Play the store's return from a copy in the soak

The fault store_copy copies the store at its start; at its end, the store is away for 0.3 s and comes back from the copy. The operator and the servers write again, and rows of ended servers expire.

--- a/packages/testing/soak/src/faults.ts
+++ b/packages/testing/soak/src/faults.ts
@@ -15,6 +15,11 @@
 /** Time for which a draining server remains registered and serves requests. */
 const DRAIN_MS = 3_500;
 
+/** Time for which the store is away before it comes back from a copy, and after
+ * that until the operator and the servers have written again. */
+const STORE_AWAY_MS = 300;
+const REWRITING_MS = 700;
+
 /** State of a run on which faults act. */
 export interface FaultContext {
   readonly installation: Installation;
@@ -100,6 +105,20 @@
     store.compact();
     return { isLocal: false, end: () => {} };
   },
+  // Loses what was written since the start of the fault.
+  store_copy: ({ installation }) => {
+    installation.store.copy();
+    return {
+      isLocal: false,
+      end: async () => {
+        installation.store.setFaults({ isDown: true });
+        await wait(STORE_AWAY_MS);
+        installation.bringStoreBack();
+        installation.store.setFaults({ isDown: false });
+        await wait(REWRITING_MS);
+      },
+    };
+  },
   server_lost: (context) => setServerFaults(context, { lostShare: 0.4 }),
   server_slow: (context) => setServerFaults(context, { slowness: 8 }),
   server_shed: (context) => setServerFaults(context, { shedShare: 0.5 }),
@@ -184,11 +203,15 @@
     untilMs: Infinity,
   };
   records.faults.push(record);
-  await new Promise((resolve) => setTimeout(resolve, durationMs));
+  await wait(durationMs);
   await fault.end();
   record.untilMs = performance.now();
 }
 
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
 function countRunning({ entries }: Installation): number {
   return entries.filter((entry) => entry.process !== undefined).length;
 }
--- a/packages/testing/soak/src/installation.ts
+++ b/packages/testing/soak/src/installation.ts
@@ -33,12 +33,18 @@
 const ZONES = { "a-1": "a", "a-2": "a", "b-1": "b", "b-2": "b" } as const;
 const ZONE_NAMES = ["a-1", "a-2", "b-1", "b-2"] as const;
 
+/** Era that the store states until it comes back from a copy. */
+const FIRST_ERA = 3;
+
 /** Interval at which servers write their rows. */
 const HEARTBEAT_MS = 500;
 
 /** Time after which a crashed server is replaced by one with another id. */
 const REPLACEMENT_DELAY_MS = 700;
 
+/** Time after which the operator writes again what the store has lost. */
+const OPERATOR_MS = 300;
+
 /** Time after which the row of a crashed server is removed. */
 const ROW_EXPIRY_MS = 3 * HEARTBEAT_MS;
 
@@ -104,6 +110,8 @@
   readonly #directory = mkdtempSync(join(tmpdir(), "dotterelmoor-soak-"));
   #heartbeat: NodeJS.Timeout | undefined;
   #isClosed = false;
+  #document: RoutingDocument | undefined;
+  readonly #evacuated = new Set<string>();
 
   constructor(
     options: InstallationOptions,
@@ -123,6 +131,7 @@
 
   /** Publishes a version of the routing document. */
   putDocument(document: RoutingDocument): void {
+    this.#document = document;
     const { orders, configurationKey } = STORE_ROWS;
     this.store.put(orders, configurationKey, encodeDocument(document));
   }
@@ -130,8 +139,40 @@
   /** Sets or withdraws the evacuation of a zone. */
   setEvacuated(zone: string, isEvacuated: boolean): void {
     const { orders, getEvacuationKey } = STORE_ROWS;
-    if (isEvacuated) this.store.put(orders, getEvacuationKey(zone), {});
-    else this.store.drop(orders, getEvacuationKey(zone));
+    if (isEvacuated) {
+      this.#evacuated.add(zone);
+      this.store.put(orders, getEvacuationKey(zone), {});
+    } else {
+      this.#evacuated.delete(zone);
+      this.store.drop(orders, getEvacuationKey(zone));
+    }
+  }
+
+  /** Brings the store back from its copy. The operator and the servers write
+   * again what it has lost, and the rows of ended servers expire again. */
+  bringStoreBack(): void {
+    const { store } = this;
+    store.comeBack();
+    setTimeout(() => {
+      if (this.#isClosed) return;
+      if (this.#document !== undefined) this.putDocument(this.#document);
+      for (const zone of ZONE_NAMES) {
+        this.setEvacuated(zone, this.#evacuated.has(zone));
+      }
+    }, OPERATOR_MS);
+    setTimeout(() => {
+      if (!this.#isClosed) this.#dropEnded();
+    }, ROW_EXPIRY_MS);
+  }
+
+  #dropEnded(): void {
+    const reporting = new Set(
+      this.servers.filter(({ isReporting }) => isReporting)
+        .map(({ record }) => record.id),
+    );
+    for (const id of this.store.listKeys(STORE_ROWS.servers)) {
+      if (!reporting.has(id)) this.store.drop(STORE_ROWS.servers, id);
+    }
   }
 
   /** Starts a backend server and registers it in the store. */
@@ -325,7 +366,10 @@
 export async function startInstallation(
   options: InstallationOptions,
 ): Promise<Installation> {
-  const store = await startStandInStore({ random: options.random });
+  const store = await startStandInStore({
+    random: options.random,
+    firstEra: FIRST_ERA,
+  });
   const installation = new Installation(options, store);
   await installation.start();
   return installation;
