--- a/packages/network/backend/src/response_head.ts
+++ b/packages/network/backend/src/response_head.ts
@@ -24,8 +24,8 @@
 }
 
 /** True for a response that announces a body although its status allows none
- * (RFC 9110, section 15.3.5): the parser of Node.js before 20.19.5 waits for it
- * until the deadline, and later ones leave it to the next response. */
+ * (RFC 9110, section 15.3.5): the parser of some versions of Node.js waits for
+ * it until the deadline, that of others leaves it to the next response. */
 export function announcesForbiddenBody(
   { statusCode, headers }: IncomingMessage,
 ): boolean {
