Keep every header line of a request within the limit

The other lines behind the thousandth were lost too: with the host or the id among them the caller got 400, without its time budget the request was sent on with the route's. A head over the limit on bytes was sent on as well, without the lines that made it too long.

Cause: the HTTP parser of Node.js keeps 1,000 header lines unless told otherwise, and drops those behind them without an error. Its parser in C still frames the body by the dropped line, while body.ts reads the length from the headers that were kept. A trial on a bare server with 4,000 lines shows 1,023 in `rawHeaders` and 1,000 in `headers`; with `maxHeadersCount` 0 it shows all.

Change: the number of lines is bounded by what fits into the configuration's limit on bytes, four for each line. A head of which lines were dropped is over that limit, and gets 431. Connections keep the bound that they opened with, so a head that reaches it is refused also when the limit has been raised since.

--- a/packages/daemon/edge/src/process/caller_server.ts
+++ b/packages/daemon/edge/src/process/caller_server.ts
@@ -13,13 +13,11 @@
 } from "@dotterelmoor/network.callers";
 import type { CallerProtocol } from "../ports.ts";
 import type { Front } from "../request/front.ts";
+import { MAX_PARSED_BYTES } from "./header_limit.ts";
+import type { HeaderLimit } from "./header_limit.ts";
 import type { EdgeLog } from "./logging.ts";
 import type { EdgeMetrics } from "./metrics.ts";
 
-/** Header bytes that the HTTP parser accepts; the configuration's limit is
- * lower. */
-const MAX_HEADER_BYTES = 128 * 1_024;
-
 /** Idle timeout in milliseconds of callers' connections while no configuration
  * is known; longer than any that an installation configures. */
 const INITIAL_IDLE_TIMEOUT_MS = 60_000;
@@ -44,6 +42,7 @@
 /** Options of `createCallerServer`. */
 export interface CallerServerOptions {
   readonly front: Front;
+  readonly headerLimit: HeaderLimit;
   readonly protocol: CallerProtocol;
   readonly metrics: EdgeMetrics;
   readonly log: EdgeLog;
@@ -53,10 +52,10 @@
 
 /** Creates the server; it does not listen yet. */
 export function createCallerServer(options: CallerServerOptions): Server {
-  const { front, checkMs = CHECK_MS } = options;
+  const { front, headerLimit, checkMs = CHECK_MS } = options;
   const server = createServer(
     {
-      maxHeaderSize: MAX_HEADER_BYTES,
+      maxHeaderSize: MAX_PARSED_BYTES,
       requestTimeout: 0,
       noDelay: true,
       connectionsCheckingInterval: checkMs,
@@ -66,6 +65,7 @@
     (request, response) => front.handle(request, response),
   );
   server.keepAliveTimeout = INITIAL_IDLE_TIMEOUT_MS;
+  headerLimit.watch(server);
   // Expectations other than 100-continue may be passed over.
   server.on(
     "checkExpectation",
--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -15,11 +15,12 @@
 import type { CallerProtocol } from "../ports.ts";
 import { computeGracePeriod } from "../process/grace_period.ts";
 import type { GracePeriod } from "../process/grace_period.ts";
+import type { HeaderLimit } from "../process/header_limit.ts";
 import type { EdgeLog } from "../process/logging.ts";
 import type { EdgeMetrics } from "../process/metrics.ts";
 import type { BodyReader } from "./body.ts";
 import type { Forwarder } from "./forwarding.ts";
-import { countHeaderBytes, joinHeaders } from "./headers.ts";
+import { joinHeaders } from "./headers.ts";
 import { answer, LEAVING_RETRY_MS } from "./outcomes.ts";
 import { refuse, reject, UNREAD_RESULTS } from "./own_results.ts";
 import { chooseMessage } from "./request_log.ts";
@@ -34,6 +35,7 @@
   readonly catalog: Catalog;
   readonly forwarder: Forwarder;
   readonly bodies: BodyReader;
+  readonly headerLimit: HeaderLimit;
   readonly protocol: CallerProtocol;
   readonly metrics: EdgeMetrics;
   readonly log: EdgeLog;
@@ -119,13 +121,13 @@
   }
 
   async #run(context: RequestContext): Promise<RequestEnd> {
-    const { catalog, protocol } = this.#options;
+    const { catalog, headerLimit, protocol } = this.#options;
     const { request } = context;
     const { document, routes } = catalog;
     if (document === undefined || routes === undefined) {
       return refuse("no-configuration", STARTING_RETRY_MS);
     }
-    if (countHeaderBytes(request) > document.limits.maxHeaderBytes) {
+    if (headerLimit.isExceeded(request, document.limits.maxHeaderBytes)) {
       return reject("header-too-large");
     }
     const path = (request.url ?? "").split("?", 1)[0]!;
--- a/packages/daemon/edge/src/request/front_fixture.ts
+++ b/packages/daemon/edge/src/request/front_fixture.ts
@@ -12,6 +12,7 @@
 import { buildDocument, buildPlatform, buildRoute } from "../edge_fixture.ts";
 import { createMemoryStore } from "../edge_fixture.ts";
 import { createCallerServer } from "../process/caller_server.ts";
+import { HeaderLimit } from "../process/header_limit.ts";
 import { createEdgeLog } from "../process/logging.ts";
 import { createEdgeMetrics } from "../process/metrics.ts";
 import { BodyReader } from "./body.ts";
@@ -43,7 +44,10 @@
   const changes = [{ type: "document", document } as const];
   catalog.applyTable("orders", { version: 1, isComplete: true, changes }, 0);
   const store = new DisposableStore();
+  const headerLimit = new HeaderLimit();
+  headerLimit.set(document.limits.maxHeaderBytes);
   const parts = {
+    headerLimit,
     bodies: new BodyReader({ maxLargeBytes }),
     protocol: buildPlatform(createMemoryStore().createClient("n1")).callers,
     metrics: createEdgeMetrics({ address: undefined, store }),
--- a/packages/daemon/edge/src/wiring.ts
+++ b/packages/daemon/edge/src/wiring.ts
@@ -19,6 +19,7 @@
 import type { CatalogWatch } from "./process/catalog_watch.ts";
 import { createConfigurationLog } from "./process/configuration_log.ts";
 import { sortEntries } from "./process/entry_order.ts";
+import { HeaderLimit } from "./process/header_limit.ts";
 import { createEdgeLog } from "./process/logging.ts";
 import type { EdgeLog } from "./process/logging.ts";
 import {
@@ -229,18 +230,21 @@
       peers.call(address, message, timeoutMs),
   });
   const { quarantine } = late.quarantine;
+  const headerLimit = new HeaderLimit();
   const front = createCallerFront(shared, {
+    headerLimit,
     peers,
     stalls,
     crashes: late.quarantine,
   });
   const callers = createCallerServer({
     front,
+    headerLimit,
     protocol: platform.callers,
     metrics,
     log,
   });
-  const watch = startWatch(shared, { peers, callers, stalls });
+  const watch = startWatch(shared, { peers, callers, headerLimit, stalls });
   late.registration = startRegistration({
     source: platform.store,
     instance: settings.instance,
@@ -356,7 +360,8 @@
 
 function createCallerFront(
   shared: SharedParts,
-  { peers, stalls, crashes }: {
+  { headerLimit, peers, stalls, crashes }: {
+    readonly headerLimit: HeaderLimit;
     readonly peers: Peers;
     readonly stalls: StallDetector;
     readonly crashes: QuarantineParts;
@@ -399,6 +404,7 @@
       },
     }),
     bodies: createBodyReader(settings),
+    headerLimit,
     protocol,
     metrics,
     log,
@@ -420,9 +426,10 @@
 
 function startWatch(
   shared: SharedParts,
-  { peers, callers, stalls }: {
+  { peers, callers, headerLimit, stalls }: {
     readonly peers: Peers;
     readonly callers: Server;
+    readonly headerLimit: HeaderLimit;
     readonly stalls: StallDetector;
   },
 ): CatalogWatch {
@@ -463,7 +470,9 @@
         metrics.configurationSpread.set(documentAgeMs / 1_000);
       }
       peers.setVersion(document.version);
-      const { idleTimeoutMs, headerTimeoutMs } = document.limits;
+      const { idleTimeoutMs, headerTimeoutMs, maxHeaderBytes } =
+        document.limits;
+      headerLimit.set(maxHeaderBytes);
       callers.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
       callers.headersTimeout = headerTimeoutMs;
     },
