Read bodies by the parser's framing, not by the headers again

Two parts decided where a body ends, and nothing noticed that they differed.

Change: BodyReader reads what the parser delivers, for every request. The length in the headers only says how much room to claim; a body without one moves to a larger room when it outgrows the first, as chunked ones did.

--- a/packages/daemon/edge/src/request/body.ts
+++ b/packages/daemon/edge/src/request/body.ts
@@ -64,12 +64,6 @@
   readonly maxLargeBytes?: number | undefined;
 }
 
-const EMPTY: BodyResult = {
-  type: "body",
-  bytes: new Uint8Array(),
-  release: () => {},
-};
-
 /** Reads the bodies of all callers of one process. */
 export class BodyReader {
   readonly #small = new BodyBudget(SMALL_TOTAL_BYTES);
@@ -79,24 +73,20 @@
     this.#large = new BodyBudget(maxLargeBytes ?? DEFAULT_LARGE_TOTAL_BYTES);
   }
 
-  /** Reads the whole body into memory; never rejects. */
+  /** Reads the whole body into memory; never rejects. The parser alone tells
+   * where it ends; the length in the headers only says how much room to
+   * claim. */
   async read(
     request: IncomingMessage,
     limits: BodyLimits,
   ): Promise<BodyResult> {
-    const { headers } = request;
-    const isChunked = headers["transfer-encoding"] !== undefined;
-    const length = Number(headers["content-length"] ?? 0);
-    if (!isChunked && length === 0) {
-      request.resume();
-      return EMPTY;
-    }
+    const length = Number(request.headers["content-length"] ?? 0);
     if (length > limits.maxBytes) return { type: "too-large" };
     const broken = new AbortController();
     // Before the first wait, as the event may come with the request.
     request.once(BROKEN, () => broken.abort());
     const context = { limits, broken: broken.signal };
-    const room = await this.#findRoom(isChunked ? FREE_BYTES : length, context);
+    const room = await this.#findRoom(Math.max(length, FREE_BYTES), context);
     if (room === undefined) return getRoomless(context);
     return await new BodyRead(request, {
       ...context,
@@ -144,8 +134,8 @@
   readonly findLarger: (bytes: number) => Promise<BodyRoom | undefined>;
 }
 
-/** Reads one body. A chunked body, whose length is unknown, moves to a larger
- * room when it outgrows its own. */
+/** Reads one body. A body of unknown length moves to a larger room when it
+ * outgrows its own. */
 class BodyRead {
   readonly result: Promise<BodyResult>;
   readonly #request: IncomingMessage;
