Keep every header line in the product's entry

The product's own entry and its interface for operators lost the header lines behind the thousandth: a request that must run at most once was refused as without its key, its time budget or request id was taken for missing, and other headers did not reach the server.

The body was not lost here, as it is read from the parser. 16 KiB of names and values bound the head, so no further bound on the number of lines is needed.

Evidence: the new case of listeners_test got an empty answer in place of the key before, and passes now.

--- a/packages/daemon/entry/src/process/listeners.ts
+++ b/packages/daemon/entry/src/process/listeners.ts
@@ -58,6 +58,9 @@
     "checkExpectation",
     (request, response) => server.emit("request", request, response),
   );
+  // 0 is no limit: Node.js would drop header lines beyond a limit silently, and
+  // `maxHeaderSize` already bounds them.
+  server.maxHeadersCount = 0;
   watchConnections(server, { onBroken: createBrokenLog(options.log) });
   server.maxConnections = options.maxConnections;
   await new Promise<void>((resolve, reject) => {
--- a/packages/daemon/entry/src/process/listeners_test.ts
+++ b/packages/daemon/entry/src/process/listeners_test.ts
@@ -58,3 +58,26 @@
   t.false(response.writableFinished);
   t.regex(lines.at(-1)?.msg ?? "", /^Connections cut off/);
 });
+
+// Node.js drops the header lines behind a number of them: an idempotency key or a
+// time budget among them was taken for missing.
+test("guards against losing the headers behind many header lines", async (t) => {
+  const listener = await openListener({
+    host: "127.0.0.1",
+    port: 0,
+    maxConnections: 1,
+    handler: ({ headers }, response) =>
+      response.end(headers["idempotency-key"]),
+    log: pino({ level: "silent" }),
+  });
+  t.teardown(() => listener.close());
+  const socket = connect(Number(listener.address.split(":")[1]), "127.0.0.1");
+  t.teardown(() => socket.destroy());
+  const lines = Array.from({ length: 2_000 }, (_, index) => `${index}: 1`);
+  socket.write(
+    `GET / HTTP/1.1\r\nhost: entry\r\n${lines.join("\r\n")}\r\n` +
+      "idempotency-key: k1\r\n\r\n",
+  );
+  const [answer] = await once(socket, "data");
+  t.regex(String(answer), /\r\n\r\nk1$/);
+});
