Forward repeated header lines as they came

Of repeated header lines, a server got only the first for 20 names, Authorization and Content-Type among them, and a caller got two Set-Cookie lines joined to one: the cookie kept had a part of the other in it, as its values contain commas. A header named `__proto__` was lost both ways. A request with two hosts was routed by the first.

Cause: both ways went by the `headers` of Node.js, which keeps the first line of some names, joins others, and gives Set-Cookie as a list that our code joined.

Change: headers are collected from the raw lines, and the values of a repeated name stay apart up to the socket, at the edge and at the product's own entry. A request with several hosts gets 400 at the edge (RFC 9112, section 3.2). Between entries of the product, a repeated name travels as a list; entries of an earlier version take such a message for invalid.

--- a/packages/core/types/src/mod.ts
+++ b/packages/core/types/src/mod.ts
@@ -23,6 +23,7 @@
 export type { Dispose } from "./disposable_store.ts";
 export { applyEvent } from "./event_handlers.ts";
 export type { EventHandlers } from "./event_handlers.ts";
+export type { HeaderMap } from "./headers.ts";
 export type {
   Answered,
   NotRun,
--- a/packages/core/types/src/outcome.ts
+++ b/packages/core/types/src/outcome.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import type { HeaderMap } from "./headers.ts";
+
 /** Reason why a request did not run. */
 export type NotRunReason =
   | "authority-lapsed"
@@ -37,7 +39,7 @@
   readonly type: "answered";
   /** HTTP status that the backend server sent. */
   readonly status: number;
-  readonly headers: Readonly<Record<string, string>>;
+  readonly headers: HeaderMap;
   readonly body: Uint8Array;
   /** Instance id of the backend server. */
   readonly server: string;
--- a/packages/daemon/edge/src/request/forward_types.ts
+++ b/packages/daemon/edge/src/request/forward_types.ts
@@ -5,6 +5,7 @@
  */
 
 import type { RouteRecord } from "@dotterelmoor/core.catalog";
+import type { HeaderMap } from "@dotterelmoor/core.types";
 import type { RefusalInputs } from "@dotterelmoor/core.placing";
 import type { RequestBody } from "@dotterelmoor/network.backend";
 import type { QuarantineInputs } from "../process/crash_quarantine.ts";
@@ -24,7 +25,7 @@
   readonly object: string | undefined;
   readonly method: string;
   readonly path: string;
-  readonly headers: Readonly<Record<string, string>>;
+  readonly headers: HeaderMap;
   readonly body: RequestBody;
   /** Monotonic times in milliseconds of the arrival and of the deadline for the
    * answer. */
--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -11,6 +11,8 @@
   RoutingDocument,
 } from "@dotterelmoor/core.catalog";
 import { computeFingerprint } from "@dotterelmoor/core.quarantine";
+import type { HeaderMap } from "@dotterelmoor/core.types";
+import { collectHeaders } from "@dotterelmoor/network.backend";
 import { Pipelines } from "@dotterelmoor/network.callers";
 import type { CallerProtocol } from "../ports.ts";
 import { computeGracePeriod } from "../process/grace_period.ts";
@@ -20,7 +22,6 @@
 import type { EdgeMetrics } from "../process/metrics.ts";
 import type { BodyReader } from "./body.ts";
 import type { Forwarder } from "./forwarding.ts";
-import { joinHeaders } from "./headers.ts";
 import { answer, LEAVING_RETRY_MS } from "./outcomes.ts";
 import { refuse, reject, UNREAD_RESULTS } from "./own_results.ts";
 import { chooseMessage } from "./request_log.ts";
@@ -131,8 +132,10 @@
       return reject("header-too-large");
     }
     const path = (request.url ?? "").split("?", 1)[0]!;
-    const { host } = request.headers;
-    if (host === undefined) return reject("malformed");
+    const headers = collectHeaders(request.rawHeaders);
+    const { host } = headers;
+    // Several hosts are invalid (RFC 9112, section 3.2).
+    if (typeof host !== "string") return reject("malformed");
     const route = routes.find(host, path);
     if (route === undefined) return reject("no-route");
     const caller = protocol.readRequest(request.headers);
@@ -145,13 +148,13 @@
       return { ...refuse("leaving", LEAVING_RETRY_MS), route };
     }
     const { requestId, object } = caller;
-    const target = { document, route, host, requestId, object };
+    const target = { document, route, host, headers, requestId, object };
     return await this.#forward(context, target, arrivedAtMs + waitMs);
   }
 
   async #forward(
     context: RequestContext,
-    { document, route, host, requestId, object }: RequestTarget,
+    { document, route, host, headers, requestId, object }: RequestTarget,
     deadlineAtMs: number,
   ): Promise<RequestEnd> {
     const { bodies, forwarder } = this.#options;
@@ -177,7 +180,7 @@
         object,
         method,
         path,
-        headers: joinHeaders(request),
+        headers,
         body: body.bytes,
         arrivedAtMs,
         deadlineAtMs,
@@ -268,6 +271,7 @@
   readonly document: RoutingDocument;
   readonly route: RouteRecord;
   readonly host: string;
+  readonly headers: HeaderMap;
   readonly requestId: string;
   readonly object: string | undefined;
 }
--- a/packages/daemon/edge/src/request/outcomes.ts
+++ b/packages/daemon/edge/src/request/outcomes.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import type { ServerResponse } from "node:http";
+import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
+import type { HeaderMap } from "@dotterelmoor/core.types";
 
 /** Time in milliseconds after which callers may retry when an entry is shutting
  * down; they reach another entry on a new connection. */
@@ -45,7 +46,7 @@
   | {
     readonly type: "answered";
     readonly status: number;
-    readonly headers: Readonly<Record<string, string>>;
+    readonly headers: HeaderMap;
     readonly body: Uint8Array;
   }
   | {
@@ -98,7 +99,7 @@
 
 const ANSWER_WRITERS: AnswerWriters = {
   answered: (outcome, response, context) => {
-    const headers: Record<string, string | number> = { ...outcome.headers };
+    const headers: OutgoingHttpHeaders = { ...outcome.headers };
     const bodiless = outcome.status === 204 || outcome.status === 304;
     if (headers["content-length"] === undefined && !bodiless) {
       headers["content-length"] = outcome.body.length;
--- a/packages/daemon/entry/src/request/caller_app.ts
+++ b/packages/daemon/entry/src/request/caller_app.ts
@@ -9,6 +9,7 @@
 import Koa from "koa";
 import type { Context } from "koa";
 import type { NotRunReason, Outcome } from "@dotterelmoor/core.types";
+import { collectHeaders, joinValues } from "@dotterelmoor/network.backend";
 import { Pipelines } from "@dotterelmoor/network.callers";
 import type { Logger } from "pino";
 import type { CallerRequest } from "./front.ts";
@@ -148,11 +149,10 @@
   const rest = context.url.slice(SERVICE_PREFIX.length);
   const slash = rest.indexOf("/");
   const service = slash < 0 ? rest : rest.slice(0, slash);
-  const headers: Record<string, string> = {};
-  for (const [name, value] of Object.entries(context.headers)) {
-    if (HOP_BY_HOP_HEADERS.has(name) || value === undefined) continue;
-    headers[name] = Array.isArray(value) ? value.join(", ") : value;
-  }
+  const headers = Object.fromEntries(
+    Object.entries(collectHeaders(context.req.rawHeaders))
+      .filter(([name]) => !HOP_BY_HOP_HEADERS.has(name)),
+  );
   const deadline = Number(headers["dotterelmoor-deadline-ms"]);
   return {
     service: decodeURIComponent(service),
@@ -161,7 +161,7 @@
     headers,
     body,
     client: readCallerAddress(context),
-    requestId: headers[REQUEST_ID_HEADER] ?? randomUUID(),
+    requestId: joinValues(headers[REQUEST_ID_HEADER]) ?? randomUUID(),
     deadlineMs: deadline > 0 ? deadline : undefined,
   };
 }
--- a/packages/daemon/entry/src/request/caller_app_test.ts
+++ b/packages/daemon/entry/src/request/caller_app_test.ts
@@ -8,6 +8,7 @@
 import type { Outcome } from "@dotterelmoor/core.types";
 import { createCallerApp, MAX_REQUEST_BYTES } from "./caller_app.ts";
 import type { CallerAppOptions } from "./caller_app.ts";
+import type { CallerRequest } from "./front.ts";
 
 const REQUEST = "POST /services/a/x HTTP/1.1\r\nhost: entry\r\n";
 
@@ -87,3 +88,28 @@
   t.regex(received, /^HTTP\/1.1 503[^]*dotterelmoor-reason: too-large/);
   t.regex(received, /connection: close/i);
 });
+
+// Node.js keeps the first line of some names, and a caller that got two cookies
+// joined to one kept a mixture of them.
+test("guards against header lines that are dropped or joined because their name is repeated", async (t) => {
+  const cookies = ["a=1; expires=Mon, 07 Dec 2026 04:00:00 GMT", "b=2"];
+  const requests: CallerRequest[] = [];
+  const socket = await connectToApp(t, {
+    isLeaving: () => true,
+    runRequest: (request) => {
+      requests.push(request);
+      const headers = { "set-cookie": cookies };
+      return Promise.resolve({ ...buildAnswer("ok"), headers } as Outcome);
+    },
+  });
+  let received = "";
+  socket.on("data", (chunk) => received += chunk);
+  socket.write(
+    `${REQUEST}authorization: a\r\nauthorization: b\r\n` +
+      "content-length: 0\r\n\r\n",
+  );
+  await once(socket, "close");
+  t.deepEqual(requests[0]!.headers["authorization"], ["a", "b"]);
+  const lines = received.match(/^set-cookie: .*$/gim);
+  t.deepEqual(lines, cookies.map((cookie) => `set-cookie: ${cookie}`));
+});
--- a/packages/daemon/entry/src/request/execution.ts
+++ b/packages/daemon/entry/src/request/execution.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Priority } from "@dotterelmoor/core.types";
+import type { HeaderMap, Priority } from "@dotterelmoor/core.types";
 
 /** A request with everything that a group owner needs to run it. */
 export interface Execution {
@@ -15,7 +15,7 @@
   readonly method: string;
   /** Path below the service's prefix, with the query string. */
   readonly path: string;
-  readonly headers: Readonly<Record<string, string>>;
+  readonly headers: HeaderMap;
   readonly body: Uint8Array;
   /** Deadline on the monotonic clock of this process. */
   readonly deadlineAtMs: number;
--- a/packages/daemon/entry/src/request/front.ts
+++ b/packages/daemon/entry/src/request/front.ts
@@ -9,6 +9,7 @@
 import { findRequestKind, findService } from "@dotterelmoor/core.steering";
 import type { Target } from "@dotterelmoor/core.steering";
 import type {
+  HeaderMap,
   NotRun,
   NotRunReason,
   Outcome,
@@ -16,6 +17,7 @@
   Random,
   RequestKind,
 } from "@dotterelmoor/core.types";
+import { joinValues } from "@dotterelmoor/network.backend";
 import { waitForSocketReads } from "@dotterelmoor/network.timing";
 import type { ClaimResult } from "../process/claims_component.ts";
 import type { RoutingView } from "../version/routing_view.ts";
@@ -39,7 +41,7 @@
   readonly service: string;
   readonly method: string;
   readonly path: string;
-  readonly headers: Readonly<Record<string, string>>;
+  readonly headers: HeaderMap;
   readonly body: Uint8Array;
   /** Network address of the caller. */
   readonly client: string;
@@ -122,7 +124,7 @@
   }
   const key = kind.keyHeader === undefined
     ? undefined
-    : request.headers[kind.keyHeader];
+    : joinValues(request.headers[kind.keyHeader]);
   if (!kind.repeatable && !key) {
     return makeNotRun("key-missing", RETRY_AFTER_MS);
   }
--- a/packages/daemon/entry/src/request/group_run.ts
+++ b/packages/daemon/entry/src/request/group_run.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Outcome } from "@dotterelmoor/core.types";
+import type { HeaderMap, Outcome } from "@dotterelmoor/core.types";
 import type { Execution } from "./execution.ts";
 
 /** A run that is queued or in flight at its group owner. */
@@ -31,7 +31,7 @@
 export interface GroupRunRequest {
   readonly method: string;
   readonly path: string;
-  readonly headers: Readonly<Record<string, string>>;
+  readonly headers: HeaderMap;
   readonly body: Uint8Array;
   readonly requestId: string;
 }
--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -10,7 +10,11 @@
 import type { AnswerShare } from "./answer_budget.ts";
 import { BodyBuffer } from "./body_buffer.ts";
 import type { Connection } from "./connection.ts";
-import { buildRequestHeaders, pickEndToEnd } from "./headers.ts";
+import {
+  buildRequestHeaders,
+  collectHeaders,
+  pickEndToEnd,
+} from "./headers.ts";
 import { computeMaxRead, MAX_HEAD_BYTES } from "./limits.ts";
 import type { ServerProtocol } from "./protocol.ts";
 import {
@@ -112,7 +116,7 @@
   exchange.notWritten = true;
   if (workMs <= 0) throw new Error("No time is left to run the request");
   const { requestId } = request;
-  const headers: Record<string, string> = {
+  const headers: Record<string, string | string[]> = {
     ...buildRequestHeaders(request.headers, { requestId, protocol }),
     [protocol.deadlineHeader]: String(workMs),
   };
@@ -275,7 +279,7 @@
   body: Uint8Array,
   exchange: Exchange,
 ): BackendResult {
-  const { statusCode: status = 0, headers } = response;
+  const { statusCode: status = 0, headers, rawHeaders } = response;
   if (isIncomplete(response, body, exchange)) {
     return { type: "incomplete_answer" };
   }
@@ -283,5 +287,6 @@
   if (protocol.isNotRun(status, headers)) {
     return { type: "refused", draining: protocol.isDraining(headers) };
   }
-  return { type: "answered", status, headers: pickEndToEnd(headers), body };
+  const endToEnd = pickEndToEnd(collectHeaders(rawHeaders));
+  return { type: "answered", status, headers: endToEnd, body };
 }
--- a/packages/network/backend/src/headers.ts
+++ b/packages/network/backend/src/headers.ts
@@ -1,9 +1,11 @@
 /**
- * Removes hop-by-hop headers from requests and responses.
+ * Reads header lines, and removes hop-by-hop headers from requests and
+ * responses.
  *
  * @module
  */
 
+import type { HeaderMap } from "@dotterelmoor/core.types";
 import type { ServerProtocol } from "./protocol.ts";
 
 const HOP_BY_HOP = new Set([
@@ -19,16 +21,37 @@
   "upgrade",
 ]);
 
-type RawHeaders = Readonly<Record<string, string | string[] | undefined>>;
+/** Collects the values of raw header lines, names and values by turns. Node.js's
+ * own `headers` lack the further lines of some names, and any `__proto__`. */
+export function collectHeaders(rawHeaders: readonly string[]): HeaderMap {
+  const headers = new Map<string, string | string[]>();
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index]!.toLowerCase();
+    const value = rawHeaders[index + 1]!;
+    const earlier = headers.get(name);
+    if (earlier === undefined) headers.set(name, value);
+    else if (Array.isArray(earlier)) earlier.push(value);
+    else headers.set(name, [earlier, value]);
+  }
+  return Object.fromEntries(headers);
+}
+
+/** Joins the values of a header of which one is expected; undefined if there is
+ * none. */
+export function joinValues(
+  values: string | string[] | undefined,
+): string | undefined {
+  return Array.isArray(values) ? values.join(", ") : values;
+}
 
 /** Builds the headers of a request: drops hop-by-hop headers, the length and
  * the deadline, and sets the request id. */
 export function buildRequestHeaders(
-  headers: Readonly<Record<string, string>>,
+  headers: HeaderMap,
   options: { readonly requestId: string; readonly protocol: ServerProtocol },
-): Record<string, string> {
+): Record<string, string | string[]> {
   const { requestId, protocol } = options;
-  const result = pickEndToEnd(headers);
+  const result = { ...pickEndToEnd(headers) };
   delete result["content-length"];
   delete result[protocol.deadlineHeader];
   if (!protocol.keepsHost) delete result["host"];
@@ -36,22 +59,17 @@
   return result;
 }
 
-/** Picks the end-to-end headers; repeated ones are joined with a comma. */
-export function pickEndToEnd(headers: RawHeaders): Record<string, string> {
+/** Picks the end-to-end headers. */
+export function pickEndToEnd(headers: HeaderMap): HeaderMap {
   const lowerCase = Object.entries(headers).map(([name, value]) =>
     [name.toLowerCase(), value] as const
   );
   const hopByHop = new Set(HOP_BY_HOP);
   for (const [name, value] of lowerCase) {
-    if (name !== "connection" || value === undefined) continue;
+    if (name !== "connection") continue;
     for (const listed of String(value).split(",")) {
       hopByHop.add(listed.trim().toLowerCase());
     }
   }
-  const endToEnd: Record<string, string> = {};
-  for (const [name, value] of lowerCase) {
-    if (value === undefined || hopByHop.has(name)) continue;
-    endToEnd[name] = Array.isArray(value) ? value.join(", ") : value;
-  }
-  return endToEnd;
+  return Object.fromEntries(lowerCase.filter(([name]) => !hopByHop.has(name)));
 }
--- a/packages/network/backend/src/types.ts
+++ b/packages/network/backend/src/types.ts
@@ -5,6 +5,7 @@
  */
 
 import type { IncomingHttpHeaders } from "node:http";
+import type { HeaderMap } from "@dotterelmoor/core.types";
 import type { BudgetRejection } from "./answer_budget.ts";
 import type { ServerProtocol } from "./protocol.ts";
 
@@ -45,7 +46,7 @@
   readonly method: string;
   /** Path and query, beginning with `/`. */
   readonly path: string;
-  readonly headers: Readonly<Record<string, string>>;
+  readonly headers: HeaderMap;
   readonly body?: RequestBody;
   /** Time in milliseconds after which the response is no longer needed. */
   readonly deadlineMs: number;
@@ -71,7 +72,7 @@
   | {
     readonly type: "answered";
     readonly status: number;
-    readonly headers: Readonly<Record<string, string>>;
+    readonly headers: HeaderMap;
     readonly body: Uint8Array;
   }
   /** The server refused before running the request. */
--- a/packages/network/peering/src/envelope_test.ts
+++ b/packages/network/peering/src/envelope_test.ts
@@ -49,6 +49,12 @@
     },
     { type: "exec_result", outcome: { type: "unknown", reason: "peer-lost" } },
     { ...request, type: "submit", client: "203.0.113.9" },
+    {
+      ...request,
+      type: "submit",
+      headers: { "x-list": ["1", "2"] },
+      client: "203.0.113.9",
+    },
     {
       type: "promise",
       from: 1,
--- a/packages/network/peering/src/guards.ts
+++ b/packages/network/peering/src/guards.ts
@@ -49,8 +49,9 @@
   return value === undefined || isBytes(value);
 }
 
-function isStringMap(value: unknown): boolean {
-  return isRecord(value) && Object.values(value).every(isString);
+function isHeaderMap(value: unknown): boolean {
+  return isRecord(value) &&
+    Object.values(value).every((item) => isString(item) || isStringList(item));
 }
 
 function isOptionalNonNegativeNumber(value: unknown): boolean {
@@ -84,7 +85,7 @@
     status: (value) =>
       Number.isInteger(value) && (value as number) >= 100 &&
       (value as number) <= 599,
-    headers: isStringMap,
+    headers: isHeaderMap,
     body: isBytes,
     server: isString,
   },
@@ -240,7 +241,7 @@
   service: isString,
   method: isString,
   path: isString,
-  headers: isStringMap,
+  headers: isHeaderMap,
   body: isBytes,
   deadlineMs: isNonNegativeNumber,
   requestId: isString,
--- a/packages/network/peering/src/messages.ts
+++ b/packages/network/peering/src/messages.ts
@@ -18,6 +18,7 @@
 import type { CrashNote } from "@dotterelmoor/core.quarantine";
 import type {
   ConfigurationSnapshot,
+  HeaderMap,
   Outcome,
   Priority,
 } from "@dotterelmoor/core.types";
@@ -45,7 +46,7 @@
   readonly kind: string;
   readonly method: string;
   readonly path: string;
-  readonly headers: Readonly<Record<string, string>>;
+  readonly headers: HeaderMap;
   readonly body: Uint8Array;
   /** Remaining time in milliseconds when the message was sent. */
   readonly deadlineMs: number;
@@ -73,7 +74,7 @@
   readonly service: string;
   readonly method: string;
   readonly path: string;
-  readonly headers: Readonly<Record<string, string>>;
+  readonly headers: HeaderMap;
   readonly body: Uint8Array;
   readonly deadlineMs: number;
   readonly requestId: string;
