Decide once what ends an answer, and end every wait at the deadline

With a tab behind `chunked`, the caller got the chunks, lengths and all, as the body of a 200.

Cause: of an answer as of a request, two parts decided where its body ends. The parser read the chunks to their end and freed the connection, while the exchange compared the whole header with `chunked`, found none, and waited for the end of the connection; that wait did not end with the deadline. The parser in turn takes no tab behind the name, and reads on to the end of the connection.

Change: one function reads the framing from the head. Other codings than one `chunked` are rejected with the head. An answer in chunks must be complete before its connection ends. The wait for the end of a connection ends with the deadline.

--- a/packages/network/backend/src/connection.ts
+++ b/packages/network/backend/src/connection.ts
@@ -154,18 +154,26 @@
    * Resolves once the peer has ended the connection: true if it did so cleanly.
    * Node.js reports a reset that arrives together with data as a clean end, so
    * this writes a line break, which servers ignore between requests and which
-   * fails on a reset connection. Call it before the connection ends.
+   * fails on a reset connection. Call it before the connection ends. Resolves
+   * to false when the signal is aborted.
    */
-  waitForCleanEnd(): Promise<boolean> {
+  waitForCleanEnd(signal: AbortSignal): Promise<boolean> {
     const socket = this.#socket;
     return new Promise((resolve) => {
+      signal.addEventListener("abort", () => resolve(false));
       socket.once("close", () => resolve(false));
-      socket.prependOnceListener("end", () => {
+      this.watchEnd(() => {
         socket.write("\r\n", (error) => resolve(!error));
       });
     });
   }
 
+  /** Calls back when the peer ends the connection, before the parser takes the
+   * end for that of a response. */
+  watchEnd(onEnd: () => void): void {
+    this.#socket.prependOnceListener("end", onEnd);
+  }
+
   /** Lowers the time after which this connection is closed when idle; never
    * raises it. */
   limitIdle(idleMs: number): void {
--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -19,9 +19,10 @@
 import type { ServerProtocol } from "./protocol.ts";
 import {
   announcesForbiddenBody,
+  chooseFraming,
   hasValidStatusLine,
-  isFramed,
 } from "./response_head.ts";
+import type { Framing } from "./response_head.ts";
 import type { BackendRequest, BackendResult } from "./types.ts";
 
 /** Time before the end of a server's announced idle timeout at which the
@@ -65,11 +66,17 @@
   });
   const clientRequest = writeRequest(connection, exchange);
   const response = await waitForHead(clientRequest);
-  const endsWithConnection = !isBodiless(response, exchange) &&
-    !isFramed(response.headers);
-  const ended = endsWithConnection
-    ? connection.waitForCleanEnd()
+  const framing = chooseFraming(response, exchange.request.method);
+  const ended = framing === "close"
+    ? connection.waitForCleanEnd(exchange.controller.signal)
     : Promise.resolve(true);
+  // With a tab behind `chunked`, the parser reads to the end of the connection
+  // and takes the chunks for the body.
+  if (framing === "chunked" && !clientRequest.shouldKeepAlive) {
+    connection.watchEnd(() => {
+      if (!response.complete) rejectAnswer(exchange);
+    });
+  }
   exchange.responseStarted = true;
   // Before the connection becomes idle, at the end of the response.
   limitIdle(connection, response);
@@ -79,11 +86,11 @@
   if (!isValid) rejectAnswer(exchange);
   const isMatching = hasMatchingId(response, exchange, connection.isReused);
   if (!isMatching) rejectAnswer(exchange);
-  if (!hasValidFraming(response, exchange)) rejectAnswer(exchange);
+  if (!CAN_READ[framing](response, exchange)) rejectAnswer(exchange);
   if (isRetryable(response, exchange)) {
     connection.exclude(exchange.request.requestId);
   }
-  if (!endsWithConnection && !isIdentified(response, exchange)) {
+  if (framing !== "close" && !isIdentified(response, exchange)) {
     // A copy of this response could not be told from the next one. Closes at
     // the end, before the pool can give the connection to another request.
     response.once("end", () => connection.close());
@@ -94,7 +101,10 @@
   if (isIncomplete(response, body, exchange)) connection.close();
   // Node.js has not freed the connection: a part of the request is not written.
   else if (!clientRequest.destroyed) connection.expectNothing();
-  if (!await ended) exchange.isRejected = true;
+  if (!await ended) {
+    exchange.controller.signal.throwIfAborted();
+    exchange.isRejected = true;
+  }
   return buildResult(response, body, exchange);
 }
 
@@ -238,24 +248,21 @@
   connection.limitIdle(Math.max(0, Number(seconds) * 1_000 - IDLE_MARGIN_MS));
 }
 
-/** Checks that the end of the response can be recognized and that its stated
- * length is within the limit. A close-delimited response may be truncated. */
-function hasValidFraming(
-  response: IncomingMessage,
-  exchange: Exchange,
-): boolean {
-  if (isBodiless(response, exchange)) return true;
-  const { headers } = response;
-  const length = headers["content-length"];
-  if (length !== undefined) return Number(length) <= exchange.maxAnswerBytes;
-  return exchange.protocol.acceptsCloseDelimited || isFramed(headers);
-}
-
-function isBodiless(response: IncomingMessage, exchange: Exchange): boolean {
-  const { statusCode } = response;
-  return exchange.request.method === "HEAD" || statusCode === 204 ||
-    statusCode === 304;
-}
+/** Whether the body of a response can be read to its end, by framing. */
+const CAN_READ: Readonly<
+  Record<
+    Framing,
+    (response: IncomingMessage, exchange: Exchange) => boolean
+  >
+> = {
+  chunked: () => true,
+  // Such a response may be truncated.
+  close: (_response, { protocol }) => protocol.acceptsCloseDelimited,
+  invalid: () => false,
+  length: ({ headers }, { maxAnswerBytes }) =>
+    Number(headers["content-length"]) <= maxAnswerBytes,
+  none: () => true,
+};
 
 /** Rejects the response and closes its connection. */
 export function rejectAnswer(exchange: Exchange): void {
--- a/packages/network/backend/src/response_head.ts
+++ b/packages/network/backend/src/response_head.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
+import type { IncomingMessage } from "node:http";
 
 /** Statuses of a final response. Lower ones are invalid or, as 101, switch
  * protocols, which no request asks for; higher ones are invalid (RFC 9110,
@@ -13,6 +13,7 @@
 const MAX_FINAL_STATUS = 599;
 
 const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
 
 /** Checks the status and the version; the parser of Node.js accepts any status
  * of three digits, and HTTP/2.0. */
@@ -34,8 +35,23 @@
     Number(headers["content-length"] ?? 0) !== 0;
 }
 
-/** True if the headers state where the body ends. */
-export function isFramed(headers: IncomingHttpHeaders): boolean {
-  return headers["content-length"] !== undefined ||
-    headers["transfer-encoding"]?.toLowerCase() === "chunked";
+/** What ends the body of a response: its chunks, the connection, its length, or
+ * the head if it has no body. `invalid` if it has another transfer coding than
+ * chunks, or several: it would be passed on with the coding, and the parser may
+ * read another end than the one that was meant. */
+export type Framing = "chunked" | "close" | "invalid" | "length" | "none";
+
+/** Chooses the framing of a response to a request with a method. */
+export function chooseFraming(
+  { statusCode, headers }: IncomingMessage,
+  method: string,
+): Framing {
+  const isBodiless = method === "HEAD" || statusCode === NO_CONTENT ||
+    statusCode === NOT_MODIFIED;
+  if (isBodiless) return "none";
+  const coding = headers["transfer-encoding"];
+  if (coding === undefined) {
+    return headers["content-length"] === undefined ? "close" : "length";
+  }
+  return coding.toLowerCase() === "chunked" ? "chunked" : "invalid";
 }
