Answer requests in unknown transfer codings at once, and read nothing behind them

A request with an empty Transfer-Encoding header was run without a body, and what stood in its body was run as a request of its own if it looked like one. With another coding before the chunks, the server got the coded bytes as the body, without the coding.

Cause: the parser finds no body behind an empty header, and takes another coding before `chunked` for a part of the body; the header concerns one connection and is not sent on.

Change: any coding but one `chunked` gets 501 (RFC 9112, section 6.1) at the edge and at the product's own entry. It is the last request of its connection from its arrival on, so nothing behind its head is admitted.

--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -13,7 +13,7 @@
 import { computeFingerprint } from "@dotterelmoor/core.quarantine";
 import type { HeaderMap } from "@dotterelmoor/core.types";
 import { collectHeaders } from "@dotterelmoor/network.backend";
-import { Pipelines } from "@dotterelmoor/network.callers";
+import { hasUnknownCoding, Pipelines } from "@dotterelmoor/network.callers";
 import type { CallerProtocol } from "../ports.ts";
 import { computeGracePeriod } from "../process/grace_period.ts";
 import type { GracePeriod } from "../process/grace_period.ts";
@@ -108,6 +108,8 @@
       this.#options.log.decide("Request behind the last answer.", {});
       return;
     }
+    // Before the next request of the connection, which may be a part of its body.
+    if (hasUnknownCoding(request)) this.#pipelines.end(request);
     const arrivedAtMs = performance.now();
     const controller = new AbortController();
     response.once("close", () => {
@@ -132,6 +134,7 @@
       return reject("header-too-large");
     }
     const path = (request.url ?? "").split("?", 1)[0]!;
+    if (hasUnknownCoding(request)) return reject("unknown-coding");
     const headers = collectHeaders(request.rawHeaders);
     const { host } = headers;
     // Several hosts are invalid (RFC 9112, section 3.2).
@@ -205,7 +208,8 @@
     this.#record(end, requestId, context);
     if (response.destroyed) return;
     // The rest of an unread body would be parsed as the next request.
-    const isUnread = !context.request.complete;
+    const isUnread = !context.request.complete ||
+      hasUnknownCoding(context.request);
     const isLast = this.#gracePeriod !== undefined || isUnread;
     answer(end.outcome, response, {
       requestId,
--- a/packages/daemon/edge/src/request/outcomes.ts
+++ b/packages/daemon/edge/src/request/outcomes.ts
@@ -30,7 +30,8 @@
   | "body-too-large"
   | "header-too-large"
   | "malformed"
-  | "no-route";
+  | "no-route"
+  | "unknown-coding";
 
 /** Why it is unknown whether a request ran; `unmarked-refusal` if a server's
  * status promises that it was not run, but the server did not say so. */
@@ -63,6 +64,7 @@
   "header-too-large": 431,
   malformed: 400,
   "no-route": 404,
+  "unknown-coding": 501,
 };
 
 const UNKNOWN_STATUS: Readonly<Record<UnknownReason, number>> = {
--- a/packages/daemon/edge/src/request/own_results.ts
+++ b/packages/daemon/edge/src/request/own_results.ts
@@ -6,6 +6,7 @@
 
 import type { BodyResult } from "./body.ts";
 import type { ForwardResult } from "./forward_types.ts";
+import type { InvalidReason } from "./outcomes.ts";
 
 /** Time in milliseconds after which callers may retry a request for whose body
  * there was no room. */
@@ -31,8 +32,6 @@
 }
 
 /** Builds the result of an invalid request. */
-export function reject(
-  reason: "body-too-large" | "header-too-large" | "malformed" | "no-route",
-): ForwardResult {
+export function reject(reason: InvalidReason): ForwardResult {
   return { outcome: { type: "invalid", reason }, sends: [] };
 }
--- /dev/null
+++ b/packages/daemon/edge/src/request/transfer_codings_test.ts
@@ -0,0 +1,54 @@
+import { once } from "node:events";
+import { connect } from "node:net";
+import test from "ava";
+import type { ForwardRequest } from "./forward_types.ts";
+import { startFront } from "./front_fixture.ts";
+
+const CODINGS: Readonly<Record<string, string>> = {
+  "another coding before the chunks": "gzip, chunked",
+  "no name": "",
+  "no coding by name": "identity",
+};
+
+const HEAD = "host: desk.example\r\ndotterelmoor-request-id: ";
+
+/** A body that the parser takes for a request if it finds no framing. */
+const HIDDEN = `GET /a/hidden HTTP/1.1\r\n${HEAD}hidden\r\n\r\n`;
+
+// The server got the coded bytes without the coding, or what stood where the
+// body is due was run as a request of its own.
+for (const [name, coding] of Object.entries(CODINGS)) {
+  for (
+    const hidden of [
+      HIDDEN,
+      `${HIDDEN.length.toString(16)}\r\n${HIDDEN}\r\n0\r\n\r\n`,
+    ]
+  ) {
+    test(`guards against a body in a transfer coding that is not read: ${name}, ${hidden.length} bytes`, async (t) => {
+      const forwarded: ForwardRequest[] = [];
+      const { address } = await startFront(t, {
+        forward: (request) => {
+          forwarded.push(request);
+          const body = new Uint8Array();
+          return Promise.resolve({
+            outcome: { type: "answered", status: 200, headers: {}, body },
+            sends: [],
+          });
+        },
+      });
+      const socket = connect(address);
+      t.teardown(() => socket.destroy());
+      let answer = "";
+      socket.on("data", (chunk) => answer += chunk);
+      socket.write(
+        `POST /a/x HTTP/1.1\r\n${HEAD}q1\r\n` +
+          `transfer-encoding: ${coding}\r\n\r\n${hidden}`,
+      );
+      await once(socket, "end");
+      // The parser may find the body invalid before the answer to the head.
+      t.regex(answer, /^HTTP\/1.1 (400|501) /);
+      t.is(answer.match(/HTTP\/1.1/g)?.length, 1);
+      t.deepEqual(forwarded, []);
+    });
+  }
+}
--- a/packages/daemon/entry/src/request/caller_app.ts
+++ b/packages/daemon/entry/src/request/caller_app.ts
@@ -10,7 +10,7 @@
 import type { Context } from "koa";
 import type { NotRunReason, Outcome } from "@dotterelmoor/core.types";
 import { collectHeaders, joinValues } from "@dotterelmoor/network.backend";
-import { Pipelines } from "@dotterelmoor/network.callers";
+import { hasUnknownCoding, Pipelines } from "@dotterelmoor/network.callers";
 import type { Logger } from "pino";
 import type { CallerRequest } from "./front.ts";
 import { makeNotRun } from "./not_run.ts";
@@ -80,9 +80,13 @@
       options.log.info("Request behind the last answer.");
       return;
     }
+    // Before the next request of the connection, which may be a part of its body.
+    const isCoded = hasUnknownCoding(context.req) && pipelines.end(context.req);
     const requestId = context.get(REQUEST_ID_HEADER);
     if (requestId !== "") context.set(REQUEST_ID_HEADER, requestId);
-    if (context.headers.host === undefined) {
+    if (isCoded) {
+      context.status = 501;
+    } else if (context.headers.host === undefined) {
       context.status = 400;
     } else if (!options.isReady()) {
       answerOutcome(context, makeNotRun("not-configured", RETRY_AFTER_MS));
@@ -93,7 +97,7 @@
     } else {
       context.status = 404;
     }
-    if (options.isLeaving() && pipelines.end(context.req)) {
+    if ((isCoded || options.isLeaving()) && pipelines.end(context.req)) {
       context.set("connection", "close");
     }
   });
--- a/packages/daemon/entry/src/request/caller_app_test.ts
+++ b/packages/daemon/entry/src/request/caller_app_test.ts
@@ -113,3 +113,24 @@
   const lines = received.match(/^set-cookie: .*$/gim);
   t.deepEqual(lines, cookies.map((cookie) => `set-cookie: ${cookie}`));
 });
+
+// With an empty header, the parser finds no body and takes its bytes for the next
+// request; another coding before the chunks would be passed on in the body.
+for (const coding of ["", "gzip, chunked"]) {
+  test(`guards against running what stands in a body of the transfer coding "${coding}"`, async (t) => {
+    const requests: CallerRequest[] = [];
+    const socket = await connectToApp(t, {
+      runRequest: (request) => {
+        requests.push(request);
+        return Promise.resolve(buildAnswer("ran"));
+      },
+    });
+    let received = "";
+    socket.on("data", (chunk) => received += chunk);
+    socket.write(`${REQUEST}transfer-encoding: ${coding}\r\n\r\n`);
+    socket.write(coding === "" ? `${REQUEST}\r\n` : "2\r\nok\r\n0\r\n\r\n");
+    await once(socket, "close");
+    t.deepEqual(received.match(/HTTP\/1.1 \d+/g), ["HTTP/1.1 501"]);
+    t.deepEqual(requests, []);
+  });
+}
--- a/packages/network/callers/src/mod.ts
+++ b/packages/network/callers/src/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export { hasUnknownCoding } from "./codings.ts";
 export { BROKEN } from "./exchanges.ts";
 export { watchConnections } from "./connections.ts";
 export { Pipelines } from "./pipelines.ts";
