Send the headers of the entry before those of the caller

A server whose parser keeps a limited number of header lines, as Node.js's does, lost what the entry adds behind the caller's lines: the server that is meant, the time that is left, the length. It would run a request that was meant for a server that had its address before.

Change: host, request id, time, length and target go first, whatever the caller sent. Only names that are whole numbers still precede them, as in any object.

Evidence: many_headers_test read no target before, with 1,100 lines of the caller.

--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -125,15 +125,17 @@
   const workMs = Math.floor(Math.min(limitMs, leftMs));
   exchange.notWritten = true;
   if (workMs <= 0) throw new Error("No time is left to run the request");
-  const { requestId } = request;
-  const headers: Record<string, string | string[]> = {
-    ...buildRequestHeaders(request.headers, { requestId, protocol }),
-    [protocol.deadlineHeader]: String(workMs),
-  };
   const { body = [] } = request;
   const parts = body instanceof Uint8Array ? [body] : body;
   const length = parts.reduce((sum, part) => sum + part.length, 0);
-  if (length > 0) headers["content-length"] = String(length);
+  const headers = buildRequestHeaders(request.headers, {
+    own: {
+      [protocol.requestIdHeader]: request.requestId,
+      [protocol.deadlineHeader]: String(workMs),
+      ...(length > 0 ? { "content-length": String(length) } : {}),
+    },
+    keepsHost: protocol.keepsHost,
+  });
   // Throws if the path or a header cannot be encoded.
   const separator = request.address.lastIndexOf(":");
   const clientRequest = openRequest({
--- a/packages/network/backend/src/headers.ts
+++ b/packages/network/backend/src/headers.ts
@@ -6,7 +6,6 @@
  */
 
 import type { HeaderMap } from "@dotterelmoor/core.types";
-import type { ServerProtocol } from "./protocol.ts";
 
 const HOP_BY_HOP = new Set([
   "connection",
@@ -44,19 +43,20 @@
   return Array.isArray(values) ? values.join(", ") : values;
 }
 
-/** Builds the headers of a request: drops hop-by-hop headers, the length and
- * the deadline, and sets the request id. */
+/** Builds the headers of a request from those of its caller and those that the
+ * client sets. The latter go first, with the host: a server whose parser keeps a
+ * limited number of lines drops the last ones. */
 export function buildRequestHeaders(
   headers: HeaderMap,
-  options: { readonly requestId: string; readonly protocol: ServerProtocol },
-): Record<string, string | string[]> {
-  const { requestId, protocol } = options;
-  const result = { ...pickEndToEnd(headers) };
-  delete result["content-length"];
-  delete result[protocol.deadlineHeader];
-  if (!protocol.keepsHost) delete result["host"];
-  result[protocol.requestIdHeader] = requestId;
-  return result;
+  { own, keepsHost }: {
+    readonly own: Readonly<Record<string, string>>;
+    readonly keepsHost: boolean;
+  },
+): HeaderMap {
+  const { host, "content-length": _stated, ...others } = pickEndToEnd(headers);
+  const first: HeaderMap = host === undefined || !keepsHost ? {} : { host };
+  // The first `own` sets the order, the second the values.
+  return { ...first, ...own, ...others, ...own };
 }
 
 /** Picks the end-to-end headers. */
