Answer look-ups whose target is no URL

A look-up of `//`, or of an absolute URL without a host, got no answer: the listener threw, the process logged an unexpected error, and the connection stayed as it was until the caller gave up. Found while each HTTP listener was tried with what its parser lets through.

Change: such a target gets 404, as other unknown ones do.

Evidence: the test file ended with the uncaught error before; its three new cases pass now.

--- a/packages/daemon/edge/src/process/lookups.ts
+++ b/packages/daemon/edge/src/process/lookups.ts
@@ -47,8 +47,8 @@
   const { protocol, membership, random } = options;
   const ttlS = Math.min(TTL_S, options.maxTtlS);
   return (request, response) => {
-    const url = new URL(request.url ?? "/", "http://lookup");
-    if (url.pathname !== protocol.lookupPath) {
+    const url = parseTarget(request.url ?? "/");
+    if (url?.pathname !== protocol.lookupPath) {
       response.writeHead(404).end();
       return;
     }
@@ -69,6 +69,13 @@
   };
 }
 
+/** Parses the target of a request; undefined if it is no path and no URL, which
+ * the HTTP parser lets through. */
+function parseTarget(target: string): URL | undefined {
+  const base = "http://lookup";
+  return URL.canParse(target, base) ? new URL(target, base) : undefined;
+}
+
 /**
  * Finds the entries to return to a caller.
  *
--- a/packages/daemon/edge/src/process/lookups_test.ts
+++ b/packages/daemon/edge/src/process/lookups_test.ts
@@ -1,11 +1,15 @@
+import { once } from "node:events";
+import { createServer } from "node:http";
+import { connect } from "node:net";
+import type { AddressInfo } from "node:net";
 import test from "ava";
 import type {
   MemberState,
   MemberUpdate,
   RegionState,
 } from "@dotterelmoor/core.membership";
-import { findEntries } from "./lookups.ts";
-import type { LookupMembership } from "./lookups.ts";
+import { createLookupListener, findEntries } from "./lookups.ts";
+import type { LookupMembership, LookupOptions } from "./lookups.ts";
 
 function makeMember(
   callerAddress: string,
@@ -78,3 +82,25 @@
   t.deepEqual(findAddresses(others, "live"), []);
   t.deepEqual(findAddresses(others, "unknown"), []);
 });
+
+// It ended in an error of the process, and the caller got no answer.
+for (const target of ["//", "http://[", "http://"]) {
+  test(`guards against a look-up without an answer because of its target: ${target}`, async (t) => {
+    const listener = createLookupListener({
+      protocol: { lookupPath: "/lookup" },
+      maxTtlS: 5,
+    } as LookupOptions);
+    const server = createServer(listener);
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const socket = connect(port, "127.0.0.1");
+    t.teardown(() => {
+      socket.destroy();
+      server.close();
+    });
+    socket.write(`GET ${target} HTTP/1.1\r\nhost: x\r\n\r\n`);
+    const [answer] = await once(socket, "data");
+    t.regex(String(answer), /^HTTP\/1.1 404 /);
+  });
+}
