Handle hundreds of header lines in linear time

Cause: literals with spread and `Object.fromEntries` build a hidden class for each further property, up to 1,020.

Change: headers stand in objects without a prototype, which V8 keeps as hash tables, and are filled by loops. What the client adds goes with the request apart from the caller's headers, in place of another spread.

--- a/packages/daemon/edge/src/request/held_back_test.ts
+++ b/packages/daemon/edge/src/request/held_back_test.ts
@@ -37,7 +37,7 @@
       sends += 1;
       const limitMs = request.workLimitMs?.() ?? Infinity;
       if (limitMs <= 0) return Promise.resolve({ type: "not_authorized" });
-      written.push(String(request.headers!["target"] ?? request.address));
+      written.push(request.ownHeaders?.["target"] ?? request.address);
       return Promise.resolve(result);
     },
   } as BackendClient;
--- a/packages/daemon/edge/src/request/outcomes.ts
+++ b/packages/daemon/edge/src/request/outcomes.ts
@@ -6,6 +6,7 @@
 
 import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
 import type { HeaderMap } from "@dotterelmoor/core.types";
+import { createHeaderMap } from "@dotterelmoor/network.backend";
 
 /** Time in milliseconds after which callers may retry when an entry is shutting
  * down; they reach another entry on a new connection. */
@@ -101,7 +102,7 @@
 
 const ANSWER_WRITERS: AnswerWriters = {
   answered: (outcome, response, context) => {
-    const headers: OutgoingHttpHeaders = { ...outcome.headers };
+    const headers: OutgoingHttpHeaders = createHeaderMap(outcome.headers);
     const bodiless = outcome.status === 204 || outcome.status === 304;
     if (headers["content-length"] === undefined && !bodiless) {
       headers["content-length"] = outcome.body.length;
--- a/packages/daemon/edge/src/request/sending.ts
+++ b/packages/daemon/edge/src/request/sending.ts
@@ -162,13 +162,12 @@
     const { record } = decision.placement.server;
     const { deadlineAtMs } = decision.policy;
     const { method, path, headers, body, requestId } = this.#request;
-    // In front of the caller's headers, and in the place of its own.
-    const target = { [protocol.targetHeader]: record.id };
     const result = await backend.send({
       address: record.address,
       method,
       path,
-      headers: { ...target, ...headers, ...target },
+      headers,
+      ownHeaders: { [protocol.targetHeader]: record.id },
       body,
       deadlineMs: deadlineAtMs - performance.now() - ANSWER_MARGIN_MS,
       requestId,
--- a/packages/daemon/entry/src/request/caller_app.ts
+++ b/packages/daemon/entry/src/request/caller_app.ts
@@ -9,7 +9,11 @@
 import Koa from "koa";
 import type { Context } from "koa";
 import type { NotRunReason, Outcome } from "@dotterelmoor/core.types";
-import { collectHeaders, joinValues } from "@dotterelmoor/network.backend";
+import {
+  collectHeaders,
+  createHeaderMap,
+  joinValues,
+} from "@dotterelmoor/network.backend";
 import { hasUnknownCoding, Pipelines } from "@dotterelmoor/network.callers";
 import type { Logger } from "pino";
 import type { CallerRequest } from "./front.ts";
@@ -153,10 +157,8 @@
   const rest = context.url.slice(SERVICE_PREFIX.length);
   const slash = rest.indexOf("/");
   const service = slash < 0 ? rest : rest.slice(0, slash);
-  const headers = Object.fromEntries(
-    Object.entries(collectHeaders(context.req.rawHeaders))
-      .filter(([name]) => !HOP_BY_HOP_HEADERS.has(name)),
-  );
+  const headers = createHeaderMap(collectHeaders(context.req.rawHeaders));
+  for (const name of HOP_BY_HOP_HEADERS) delete headers[name];
   const deadline = Number(headers["dotterelmoor-deadline-ms"]);
   return {
     service: decodeURIComponent(service),
--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -130,6 +130,7 @@
   const length = parts.reduce((sum, part) => sum + part.length, 0);
   const headers = buildRequestHeaders(request.headers, {
     own: {
+      ...request.ownHeaders,
       [protocol.requestIdHeader]: request.requestId,
       [protocol.deadlineHeader]: String(workMs),
       ...(length > 0 ? { "content-length": String(length) } : {}),
--- a/packages/network/backend/src/headers.ts
+++ b/packages/network/backend/src/headers.ts
@@ -20,19 +20,27 @@
   "upgrade",
 ]);
 
+type MutableHeaderMap = Record<string, string | string[]>;
+
+/** Creates a map that takes any name, and hundreds of them in linear time: V8
+ * would build a hidden class for each further property of a literal. */
+export function createHeaderMap(headers: HeaderMap = {}): MutableHeaderMap {
+  return Object.assign(Object.create(null), headers);
+}
+
 /** Collects the values of raw header lines, names and values by turns. Node.js's
  * own `headers` lack the further lines of some names, and any `__proto__`. */
 export function collectHeaders(rawHeaders: readonly string[]): HeaderMap {
-  const headers = new Map<string, string | string[]>();
+  const headers = createHeaderMap();
   for (let index = 0; index < rawHeaders.length; index += 2) {
     const name = rawHeaders[index]!.toLowerCase();
     const value = rawHeaders[index + 1]!;
-    const earlier = headers.get(name);
-    if (earlier === undefined) headers.set(name, value);
+    const earlier = headers[name];
+    if (earlier === undefined) headers[name] = value;
     else if (Array.isArray(earlier)) earlier.push(value);
-    else headers.set(name, [earlier, value]);
+    else headers[name] = [earlier, value];
   }
-  return Object.fromEntries(headers);
+  return headers;
 }
 
 /** Joins the values of a header of which one is expected; undefined if there is
@@ -53,23 +61,31 @@
     readonly keepsHost: boolean;
   },
 ): HeaderMap {
-  const { host, "content-length": _stated, ...others } = pickEndToEnd(headers);
-  const first: HeaderMap = host === undefined || !keepsHost ? {} : { host };
-  // The first `own` sets the order, the second the values.
-  return { ...first, ...own, ...others, ...own };
+  const others = pickEndToEnd(headers);
+  const { host } = others;
+  const result = createHeaderMap();
+  if (keepsHost && host !== undefined) result["host"] = host;
+  Object.assign(result, own);
+  for (const name of Object.keys(others)) {
+    const isSet = name in result || name === "host" ||
+      name === "content-length";
+    if (!isSet) result[name] = others[name]!;
+  }
+  return result;
 }
 
-/** Picks the end-to-end headers. */
+/** Picks the end-to-end headers of a map with names in any case. */
 export function pickEndToEnd(headers: HeaderMap): HeaderMap {
-  const lowerCase = Object.entries(headers).map(([name, value]) =>
-    [name.toLowerCase(), value] as const
-  );
+  const picked = createHeaderMap();
   const hopByHop = new Set(HOP_BY_HOP);
-  for (const [name, value] of lowerCase) {
+  for (const key of Object.keys(headers)) {
+    const name = key.toLowerCase();
+    picked[name] = headers[key]!;
     if (name !== "connection") continue;
-    for (const listed of String(value).split(",")) {
+    for (const listed of String(headers[key]).split(",")) {
       hopByHop.add(listed.trim().toLowerCase());
     }
   }
-  return Object.fromEntries(lowerCase.filter(([name]) => !hopByHop.has(name)));
+  for (const name of hopByHop) delete picked[name];
+  return picked;
 }
--- a/packages/network/backend/src/mod.ts
+++ b/packages/network/backend/src/mod.ts
@@ -6,7 +6,7 @@
 
 export { createBackendClient } from "./client.ts";
 export { loadHealthChecks } from "./health.ts";
-export { collectHeaders, joinValues } from "./headers.ts";
+export { collectHeaders, createHeaderMap, joinValues } from "./headers.ts";
 export { DEFAULT_PROTOCOL } from "./protocol.ts";
 export type { ServerProtocol } from "./protocol.ts";
 export type {
--- a/packages/network/backend/src/types.ts
+++ b/packages/network/backend/src/types.ts
@@ -46,7 +46,10 @@
   readonly method: string;
   /** Path and query, beginning with `/`. */
   readonly path: string;
+  /** Headers of the caller. */
   readonly headers: HeaderMap;
+  /** Headers that take the place of the caller's, and go first. */
+  readonly ownHeaders?: Readonly<Record<string, string>>;
   readonly body?: RequestBody;
   /** Time in milliseconds after which the response is no longer needed. */
   readonly deadlineMs: number;
