Wait until an entry has noticed the callers that left

paired_answers_test failed once in a run of the edge's tests: two requests were still in flight at its end. It asked in the moment in which the last callers had closed at their side, which the entry, in the same process, had not read yet.

A request that stays in flight still fails the test.

--- a/packages/daemon/edge/src/request/paired_answers_test.ts
+++ b/packages/daemon/edge/src/request/paired_answers_test.ts
@@ -3,6 +3,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import test from "ava";
 import type { ForwardRequest, ForwardResult } from "./forward_types.ts";
+import { waitUntil } from "../started_fixture.ts";
 import { startFront } from "./front_fixture.ts";
 import { promisesNotRun } from "./outcomes.ts";
 
@@ -10,6 +11,9 @@
 const MAX_REQUESTS = 6;
 const MAX_RUN_MS = 15;
 
+/** Time in milliseconds in which a caller that left must be noticed. */
+const LEFT_MS = 500;
+
 /** Time in milliseconds in which a head must arrive. */
 const HEADERS_MS = 40;
 
@@ -176,7 +180,8 @@
       );
       t.deepEqual(wrong, []);
       t.true(runs.size > 50);
-      t.is(front.inFlight, 0);
+      // The last callers have closed at their side.
+      await waitUntil(t, () => Promise.resolve(front.inFlight === 0), LEFT_MS);
     });
   }
 }
