Split the checks of an answer's head, and share a forwarder of two tests

What a framing allows stands with the framing now. An answer that has ended with its connection is delivered also if the deadline passes in that moment.

--- a/packages/daemon/edge/src/process/header_limit.ts
+++ b/packages/daemon/edge/src/process/header_limit.ts
@@ -52,7 +52,10 @@
 
   /** Returns true if the header lines of a request take more than `maxBytes`,
    * or if some may have been dropped. */
-  isExceeded({ rawHeaders, socket }: IncomingMessage, maxBytes: number) {
+  isExceeded(
+    { rawHeaders, socket }: IncomingMessage,
+    maxBytes: number,
+  ): boolean {
     const lines = rawHeaders.length / 2;
     const keptLines = this.#keptLines.get(socket) ?? this.#maxLines;
     if (lines >= keptLines) return true;
--- a/packages/daemon/edge/src/request/header_lines_test.ts
+++ b/packages/daemon/edge/src/request/header_lines_test.ts
@@ -3,6 +3,7 @@
 import type { ExecutionContext } from "ava";
 import type { ForwardRequest } from "./forward_types.ts";
 import { startFront } from "./front_fixture.ts";
+import { createKeepingForwarder } from "./keeping_forwarder_fixture.ts";
 
 const MAX_HEADER_BYTES = 16_384;
 const BODY = "slot=4&station=7";
@@ -29,17 +30,10 @@
 
 /** Starts a front that keeps what it forwards, and answers each request. */
 async function startKeepingFront(t: ExecutionContext) {
-  const forwarded: ForwardRequest[] = [];
-  const { address } = await startFront(t, {
-    forward: (request) => {
-      forwarded.push(request);
-      const body = new Uint8Array();
-      return Promise.resolve({
-        outcome: { type: "answered", status: 200, headers: {}, body },
-        sends: [],
-      });
-    },
-  }, { limits: { maxHeaderBytes: MAX_HEADER_BYTES } });
+  const forwarder = createKeepingForwarder();
+  const { address } = await startFront(t, forwarder, {
+    limits: { maxHeaderBytes: MAX_HEADER_BYTES },
+  });
   /** Sends a request; resolves to the status of its final answer. */
   const send = (lines: readonly string[], sent = "") =>
     new Promise<number>((resolve, reject) => {
@@ -57,7 +51,7 @@
       const head = ["POST /a/x HTTP/1.1", ...lines].join("\r\n");
       socket.write(`${head}\r\n\r\n${sent}`);
     });
-  return { forwarded, send };
+  return { forwarded: forwarder.forwarded, send };
 }
 
 function readBody({ body }: ForwardRequest): string {
--- a/packages/daemon/edge/src/request/transfer_codings_test.ts
+++ b/packages/daemon/edge/src/request/transfer_codings_test.ts
@@ -1,8 +1,8 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import test from "ava";
-import type { ForwardRequest } from "./forward_types.ts";
 import { startFront } from "./front_fixture.ts";
+import { createKeepingForwarder } from "./keeping_forwarder_fixture.ts";
 
 const CODINGS: Readonly<Record<string, string>> = {
   "another coding before the chunks": "gzip, chunked",
@@ -25,17 +25,8 @@
     ]
   ) {
     test(`guards against a body in a transfer coding that is not read: ${name}, ${hidden.length} bytes`, async (t) => {
-      const forwarded: ForwardRequest[] = [];
-      const { address } = await startFront(t, {
-        forward: (request) => {
-          forwarded.push(request);
-          const body = new Uint8Array();
-          return Promise.resolve({
-            outcome: { type: "answered", status: 200, headers: {}, body },
-            sends: [],
-          });
-        },
-      });
+      const forwarder = createKeepingForwarder();
+      const { address } = await startFront(t, forwarder);
       const socket = connect(address);
       t.teardown(() => socket.destroy());
       let answer = "";
@@ -48,7 +39,7 @@
       // The parser may find the body invalid before the answer to the head.
       t.regex(answer, /^HTTP\/1.1 (400|501) /);
       t.is(answer.match(/HTTP\/1.1/g)?.length, 1);
-      t.deepEqual(forwarded, []);
+      t.deepEqual(forwarder.forwarded, []);
     });
   }
 }
--- a/packages/network/backend/src/connection.ts
+++ b/packages/network/backend/src/connection.ts
@@ -155,14 +155,16 @@
    * Node.js reports a reset that arrives together with data as a clean end, so
    * this writes a line break, which servers ignore between requests and which
    * fails on a reset connection. Call it before the connection ends. Resolves
-   * to false when the signal is aborted.
+   * to false if the signal is aborted before that.
    */
   waitForCleanEnd(signal: AbortSignal): Promise<boolean> {
     const socket = this.#socket;
     return new Promise((resolve) => {
-      signal.addEventListener("abort", () => resolve(false));
+      const abort = () => resolve(false);
+      signal.addEventListener("abort", abort);
       socket.once("close", () => resolve(false));
       this.watchEnd(() => {
+        signal.removeEventListener("abort", abort);
         socket.write("\r\n", (error) => resolve(!error));
       });
     });
--- a/packages/network/backend/src/exchange.ts
+++ b/packages/network/backend/src/exchange.ts
@@ -19,10 +19,10 @@
 import type { ServerProtocol } from "./protocol.ts";
 import {
   announcesForbiddenBody,
+  CAN_READ,
   chooseFraming,
   hasValidStatusLine,
 } from "./response_head.ts";
-import type { Framing } from "./response_head.ts";
 import type { BackendRequest, BackendResult } from "./types.ts";
 
 /** Time before the end of a server's announced idle timeout at which the
@@ -70,23 +70,18 @@
   const ended = framing === "close"
     ? connection.waitForCleanEnd(exchange.controller.signal)
     : Promise.resolve(true);
-  // With a tab behind `chunked`, the parser reads to the end of the connection
-  // and takes the chunks for the body.
   if (framing === "chunked" && !clientRequest.shouldKeepAlive) {
-    connection.watchEnd(() => {
-      if (!response.complete) rejectAnswer(exchange);
-    });
+    rejectUnreadChunks(connection, response, exchange);
   }
   exchange.responseStarted = true;
   // Before the connection becomes idle, at the end of the response.
   limitIdle(connection, response);
   const { statusCode = 0, headers } = response;
-  const isValid = hasValidStatusLine(response) &&
-    !announcesForbiddenBody(response);
-  if (!isValid) rejectAnswer(exchange);
-  const isMatching = hasMatchingId(response, exchange, connection.isReused);
-  if (!isMatching) rejectAnswer(exchange);
-  if (!CAN_READ[framing](response, exchange)) rejectAnswer(exchange);
+  const isAcceptable = hasValidStatusLine(response) &&
+    !announcesForbiddenBody(response) &&
+    hasMatchingId(response, exchange, connection.isReused) &&
+    CAN_READ[framing](response, exchange);
+  if (!isAcceptable) rejectAnswer(exchange);
   if (isRetryable(response, exchange)) {
     connection.exclude(exchange.request.requestId);
   }
@@ -213,6 +208,18 @@
   });
 }
 
+/** Rejects a response in chunks that is not complete when its connection ends.
+ * With a tab behind `chunked`, the parser takes what follows for the body. */
+function rejectUnreadChunks(
+  connection: Connection,
+  response: IncomingMessage,
+  exchange: Exchange,
+): void {
+  connection.watchEnd(() => {
+    if (!response.complete) rejectAnswer(exchange);
+  });
+}
+
 /** Checks the echoed request id. Another id shows a late response to an earlier
  * request; on a reused connection, a response without an id may be a copy of an
  * earlier one. */
@@ -251,22 +258,6 @@
   connection.limitIdle(Math.max(0, Number(seconds) * 1_000 - IDLE_MARGIN_MS));
 }
 
-/** Whether the body of a response can be read to its end, by framing. */
-const CAN_READ: Readonly<
-  Record<
-    Framing,
-    (response: IncomingMessage, exchange: Exchange) => boolean
-  >
-> = {
-  chunked: () => true,
-  // Such a response may be truncated.
-  close: (_response, { protocol }) => protocol.acceptsCloseDelimited,
-  invalid: () => false,
-  length: ({ headers }, { maxAnswerBytes }) =>
-    Number(headers["content-length"]) <= maxAnswerBytes,
-  none: () => true,
-};
-
 /** Rejects the response and closes its connection. */
 export function rejectAnswer(exchange: Exchange): void {
   exchange.isRejected = true;
--- a/packages/network/backend/src/response_head.ts
+++ b/packages/network/backend/src/response_head.ts
@@ -5,6 +5,7 @@
  */
 
 import type { IncomingMessage } from "node:http";
+import type { ServerProtocol } from "./protocol.ts";
 
 /** Statuses of a final response. Lower ones are invalid or, as 101, switch
  * protocols, which no request asks for; higher ones are invalid (RFC 9110,
@@ -55,3 +56,22 @@
   }
   return coding.toLowerCase() === "chunked" ? "chunked" : "invalid";
 }
+
+/** Limits on the body of a response. */
+export interface BodyLimits {
+  readonly maxAnswerBytes: number;
+  readonly protocol: Pick<ServerProtocol, "acceptsCloseDelimited">;
+}
+
+/** Whether the body of a response can be read to its end, by framing. */
+export const CAN_READ: Readonly<
+  Record<Framing, (response: IncomingMessage, limits: BodyLimits) => boolean>
+> = {
+  chunked: () => true,
+  // Such a response may be truncated.
+  close: (_response, { protocol }) => protocol.acceptsCloseDelimited,
+  invalid: () => false,
+  length: ({ headers }, { maxAnswerBytes }) =>
+    Number(headers["content-length"]) <= maxAnswerBytes,
+  none: () => true,
+};
