--- a/packages/daemon/edge/src/request/transfer_codings_test.ts
+++ b/packages/daemon/edge/src/request/transfer_codings_test.ts
@@ -43,3 +43,36 @@
     });
   }
 }
+
+/** Header lines that leave open where the body ends. */
+const LENGTHS: Readonly<Record<string, string>> = {
+  "two lengths": "content-length: 2\r\ncontent-length: 2",
+  "two different lengths": "content-length: 2\r\ncontent-length: 3",
+  "a list of lengths": "content-length: 2, 2",
+  "a signed length": "content-length: +2",
+  "a length in hexadecimal digits": "content-length: 0x2",
+  "a length above any": "content-length: 99999999999999999999",
+  "an empty length": "content-length:",
+  "a length beside chunks": "content-length: 2\r\ntransfer-encoding: chunked",
+  "chunks beside a length": "transfer-encoding: chunked\r\ncontent-length: 2",
+  "chunks twice": "transfer-encoding: chunked\r\ntransfer-encoding: chunked",
+  "chunks and a tab": "transfer-encoding: chunked\t",
+};
+
+// What follows the head could be run as a request of its own.
+for (const [name, lines] of Object.entries(LENGTHS)) {
+  test(`guards against a request whose body has no certain end: ${name}`, async (t) => {
+    const forwarder = createKeepingForwarder();
+    const { address } = await startFront(t, forwarder);
+    const socket = connect(address);
+    t.teardown(() => socket.destroy());
+    let answer = "";
+    socket.on("data", (chunk) => answer += chunk);
+    socket.write(
+      `POST /a/x HTTP/1.1\r\n${HEAD}q1\r\n${lines}\r\n\r\n${HIDDEN}`,
+    );
+    await once(socket, "end");
+    t.deepEqual(answer.match(/HTTP\/1.1 \d+/g), ["HTTP/1.1 400"]);
+    t.deepEqual(forwarder.forwarded, []);
+  });
+}
