Reject a request with several ids

Two lines with a request id reached the server as one, with an id that no caller had sent, joined by a comma. They get 400 now, as several hosts do.

--- a/packages/daemon/edge/src/repeated_headers_test.ts
+++ b/packages/daemon/edge/src/repeated_headers_test.ts
@@ -94,15 +94,24 @@
   t.deepEqual(listValues(rawHeaders), listValues(LINES.flat()));
 });
 
-// Its route was chosen by the first, while a server may go by the second.
-test("guards against forwarding a request with two hosts", async (t) => {
-  const { received, send } = await startRepeatingEdge(t);
-  for (const second of ["other.example", "desk.example"]) {
-    const answer = await send(["host: desk.example", `host: ${second}`]);
+/** Lines that repeat a header of which a request has one. */
+const AMBIGUOUS: Readonly<Record<string, string>> = {
+  "another host": "host: other.example",
+  "the same host": "Host: desk.example",
+  "another id": "Dotterelmoor-Request-Id: q2",
+  "the same id": "dotterelmoor-request-id: q1",
+};
+
+// Its route was chosen by the first host, while a server may go by the second;
+// two ids were joined to one that nobody had sent.
+for (const [name, line] of Object.entries(AMBIGUOUS)) {
+  test(`guards against forwarding a request that repeats what it has one of: ${name}`, async (t) => {
+    const { received, send } = await startRepeatingEdge(t);
+    const answer = await send(["host: desk.example", line]);
     t.regex(answer, /^HTTP\/1.1 400 /);
-  }
-  t.deepEqual(received, []);
-});
+    t.deepEqual(received, []);
+  });
+}
 
 test("guards against splitting a caller's cookies into headers of their own", async (t) => {
   const { received, send } = await startRepeatingEdge(t);
--- a/packages/daemon/edge/src/request/front.ts
+++ b/packages/daemon/edge/src/request/front.ts
@@ -142,7 +142,9 @@
     const route = routes.find(host, path);
     if (route === undefined) return reject("no-route");
     const caller = protocol.readRequest(request.headers);
-    if (caller.requestId === undefined) return reject("malformed");
+    // Joined, several ids would be one that the caller did not send.
+    const hasOneId = typeof headers[protocol.requestIdHeader] === "string";
+    if (caller.requestId === undefined || !hasOneId) return reject("malformed");
     const { arrivedAtMs } = context;
     const waitMs = Math.min(caller.waitMs ?? Infinity, route.timeoutMs);
     const isClosed =
