--- a/packages/daemon/edge/src/repeated_headers_test.ts
+++ b/packages/daemon/edge/src/repeated_headers_test.ts
@@ -94,7 +94,7 @@
   t.deepEqual(listValues(rawHeaders), listValues(LINES.flat()));
 });
 
-/** Lines that repeat a header of which a request has one. */
+/** Lines that repeat a header which must stand once. */
 const AMBIGUOUS: Readonly<Record<string, string>> = {
   "another host": "host: other.example",
   "the same host": "Host: desk.example",
@@ -105,7 +105,7 @@
 // Its route was chosen by the first host, while a server may go by the second;
 // two ids were joined to one that nobody had sent.
 for (const [name, line] of Object.entries(AMBIGUOUS)) {
-  test(`guards against forwarding a request that repeats what it has one of: ${name}`, async (t) => {
+  test(`guards against forwarding a request that repeats its host or id: ${name}`, async (t) => {
     const { received, send } = await startRepeatingEdge(t);
     const answer = await send(["host: desk.example", line]);
     t.regex(answer, /^HTTP\/1.1 400 /);
--- a/packages/network/backend/src/headers.ts
+++ b/packages/network/backend/src/headers.ts
@@ -74,7 +74,8 @@
   return result;
 }
 
-/** Picks the end-to-end headers of a map with names in any case. */
+/** Picks the end-to-end headers of a map whose names may have
+ * capital letters. */
 export function pickEndToEnd(headers: HeaderMap): HeaderMap {
   const picked = createHeaderMap();
   const hopByHop = new Set(HOP_BY_HOP);
--- a/packages/network/callers/src/kept_connections_test.ts
+++ b/packages/network/callers/src/kept_connections_test.ts
@@ -12,7 +12,7 @@
 setFlagsFromString("--expose-gc");
 const collectGarbage: () => void = runInNewContext("gc");
 
-/** Collections after which what can be collected is. */
+/** Garbage collections before the check. */
 const MAX_COLLECTIONS = 20;
 
 const HEADS: Readonly<Record<string, string>> = {
