--- a/review/lib-3/world.mjs
+++ b/review/lib-3/world.mjs
@@ -94,7 +94,7 @@
     toldIp: `127.${net}.${hasProxies ? 1 : 0}.${index + 1}`,
     child: undefined,
   }));
-  const ips = list.flatMap(({ ip, toldIp }) => [ip, toldIp]);
+  const ips = [...new Set(list.flatMap(({ ip, toldIp }) => [ip, toldIp]))];
   const ports = {};
   for (const name of ["front", "ready", "directory", "peers"]) {
     ports[name] = await findPort(ips);
