--- a/review/lib-3/world.mjs
+++ b/review/lib-3/world.mjs
@@ -104,6 +104,12 @@
   const metricsIndex = command.indexOf("--metrics-port");
   command[metricsIndex + 1] = String(metricsPort);
   const children = new Set();
+  process.once("exit", () => {
+    for (const child of children) child.kill("SIGKILL");
+  });
+  for (const signal of ["SIGTERM", "SIGINT"]) {
+    process.once(signal, () => process.exit(2));
+  }
   const seedIps = seeds.map((name) =>
     list.find((entry) => entry.name === name).toldIp
   );
