--- a/review/lib-3/world.mjs
+++ b/review/lib-3/world.mjs
@@ -439,6 +439,14 @@
     if (this.isUp) this.crash();
   }
 
+  /** The machine goes dark: nothing answers any more, and no connection is
+   * closed. */
+  goDark() {
+    clearInterval(this.#beats);
+    this.boot = undefined;
+    this.#options.record.add(`server ${this.id} goes dark`);
+  }
+
   /** Ends at once; the connections are closed, the runs are lost. */
   crash() {
     clearInterval(this.#beats);
@@ -455,6 +463,7 @@
     const id = request.headers["x-dotterelmoor-request-id"];
     const target = request.headers["x-dotterelmoor-target-instance"];
     request.resume();
+    if (boot !== this.boot) return;
     if (id !== undefined) response.setHeader("x-dotterelmoor-request-id", id);
     if (request.url === "/health") {
       response.writeHead(this.state === "ready" ? 200 : 503, {
@@ -493,8 +502,10 @@
     if (response.destroyed) return next();
     this.#running += 1;
     this.runs.push({ id, atMs: performance.now() });
-    const { record, workMs } = this.#options;
+    const { record, workMs, onRun } = this.#options;
     record.add(`server ${this.id} runs ${id}`);
+    onRun?.(this, { id, url: request.url });
+    if (boot !== this.boot) return;
     const workedMs = workMs * (this.coldMs > 0 ? 2 : 1);
     const timer = setTimeout(() => end(true), workedMs);
     let isEnded = false;
